Admission by recent waits; late picks teach their age

Cause: RPCs held over the rate of answers locks itself, since the rate lags behind each growth; a swamped server whose late picks are cancelled kept its low entry.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -50,10 +50,11 @@
 
 type method struct {
 	Method
-	value     float64 // utility as a part of the dearest method's
-	picks     int     // picks an RPC may have, by its utility
-	longest   float64 // longest wait a client has shown: a try's length
-	took, oks decaying
+	value       float64 // utility as a part of the dearest method's
+	picks       int     // picks an RPC may have, by its utility
+	longest     float64 // longest wait a client has shown: a try's length
+	took, oks   decaying
+	waits, ends decaying // of RPCs, given up or ok
 }
 
 type tenant struct {
@@ -91,6 +92,7 @@
 }
 
 type rpc struct {
+	came    float64
 	useful  float64 // after that an answer earns nothing
 	picks   []*Pick
 	out     int
@@ -131,7 +133,6 @@
 	out    int // picks out
 	ready  int
 	weight float64 // mean over ready servers
-	recent decaying
 	done   decaying
 	sent   decaying
 	extra  decaying
@@ -140,7 +141,7 @@
 }
 
 const (
-	recentHalf = 1.0
+	recentHalf = 1.5
 	doneHalf   = 5.0
 	extraHalf  = 5.0
 	shareHalf  = 3.0
@@ -233,7 +234,7 @@
 func (b *Balancer) Arrived(r *RPC) {
 	now := b.host.Now()
 	m := &b.methods[r.Method]
-	r.open = true
+	r.open, r.came = true, now
 	b.open++
 	left := r.Deadline - now
 	m.longest = max(m.longest, left)
@@ -264,9 +265,9 @@
 	b.pickOr(r, now)
 }
 
-// admit takes an RPC only if it is predicted in time. The prediction is the RPCs held over the rate at which
-// they are answered; the less an RPC is worth, the earlier it gives way. It guards against a crowd in which
-// all are late. Inner nodes take all that can still be in time: a pushback there wastes the work above.
+// admit takes an RPC only if it is predicted in time. The prediction is what the last ones waited, those given
+// up on included; the less an RPC is worth, the earlier it gives way. It guards against a crowd in which all
+// are late. Inner nodes take all that can still be in time: a pushback there wastes the work above.
 func (b *Balancer) admit(r *RPC, now float64) bool {
 	m := &b.methods[r.Method]
 	left := r.useful - now
@@ -279,12 +280,8 @@
 	if b.inner {
 		return true
 	}
-	typical := b.typical(r.Method, now)
-	rate := b.recent.read(now, recentHalf) * math.Ln2 / recentHalf
-	wait := typical
-	if float64(b.open) > 4 {
-		wait = max(wait, float64(b.open)/max(rate, 0.1))
-	}
+	n := m.ends.read(now, recentHalf)
+	wait := (m.waits.read(now, recentHalf) + 2*b.typical(r.Method, now)) / (n + 2)
 	x := wait / (left * (0.35 + 0.65*math.Cbrt(r.value)))
 	if x < 0.8 {
 		return true
@@ -506,6 +503,7 @@
 		b.host.Watch()
 	case *RPC:
 		if w.open && !w.started {
+			b.ended(w, now)
 			b.giveUp(w)
 		}
 	case *Pick:
@@ -520,10 +518,7 @@
 func (b *Balancer) late(p *Pick, now float64) {
 	s, r := p.Server, p.RPC
 	silent := s.heard < p.sent
-	if silent && !p.charged && now-p.sent > overdue*p.due {
-		p.charged = true
-		b.fault(p, now)
-	}
+	b.overtake(p, now)
 	if !b.copies || !(silent || now-p.sent >= overdue*p.due*0.99) {
 		return
 	}
@@ -538,6 +533,21 @@
 	}
 }
 
+// overtake counts a late pick before it ends, with its age so far, or as a failure if the server has answered
+// nothing since it was sent.
+func (b *Balancer) overtake(p *Pick, now float64) {
+	if p.charged || now-p.sent < overdue*p.due*0.99 {
+		return
+	}
+	p.charged = true
+	if p.Server.heard < p.sent {
+		b.fault(p, now)
+		return
+	}
+	b.pay(p, min(now-p.sent, paceCap*p.due), now)
+	b.learn(p, now-p.sent, false, now)
+}
+
 // Started is a streamed answer that has begun: the client owns the pick.
 func (b *Balancer) Started(p *Pick) {
 	p.RPC.started = true
@@ -568,8 +578,11 @@
 	switch res {
 	case OK:
 		b.ok(p, took, now)
-	case Canceled, Ignored:
-		// Teach nothing: they tell of this node, not of the server.
+	case Canceled:
+		// A cancel teaches nothing, unless the pick was late by then: a server that swallows picks, each
+		// cancelled when its copy wins, would keep its low entry and draw the next one.
+		b.overtake(p, now)
+	case Ignored:
 	case TimedOut:
 		if !p.charged && s.heard < p.sent {
 			b.fault(p, now)
@@ -581,6 +594,9 @@
 		b.fault(p, now)
 	}
 	if last {
+		if r.open && res == OK {
+			b.ended(r, now)
+		}
 		b.close(r)
 	} else if r.open && r.out == 0 {
 		b.pickOr(r, now)
@@ -608,7 +624,6 @@
 	s.heard, s.strikes, s.backoff, s.ejected = now, 0, 0, 0
 	m.took.add(took, now, doneHalf)
 	m.oks.add(1, now, doneHalf)
-	b.recent.add(1, now, recentHalf)
 	b.done.add(1, now, doneHalf)
 	b.pay(p, min(took, paceCap*p.due), now)
 	b.learn(p, took, false, now)
@@ -675,6 +690,15 @@
 	b.report(s, load, b.host.Now())
 }
 
+// ended notes how long an RPC was held that found a server.
+func (b *Balancer) ended(r *RPC, now float64) {
+	if len(r.picks) > 0 {
+		m := &b.methods[r.Method]
+		m.waits.add(now-r.came, now, recentHalf)
+		m.ends.add(1, now, recentHalf)
+	}
+}
+
 // giveUp ends an RPC at once: with a pushback where retrying is harmless, else with an abort.
 func (b *Balancer) giveUp(r *RPC) {
 	m := &b.methods[r.Method]
