--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,6 +32,7 @@
 	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
 	ejectMax  = 8.0
 	spare     = 0.1  // second copies as a share of picks: copies must not carry a slowdown into overload
+	goal      = 0.7  // of the latency target: the mean wait that leaves most RPCs in time
 	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
 )
 
@@ -50,11 +51,10 @@
 
 type method struct {
 	Method
-	value       float64 // utility as a part of the dearest method's
-	picks       int     // picks an RPC may have, by its utility
-	longest     float64 // longest wait a client has shown: a try's length
-	took, oks   decaying
-	waits, ends decaying // of RPCs, given up or ok
+	value     float64 // utility as a part of the dearest method's
+	picks     int     // picks an RPC may have, by its utility
+	longest   float64 // longest wait a client has shown: a try's length
+	took, oks decaying
 }
 
 type tenant struct {
@@ -129,19 +129,22 @@
 	floorRate                          float64 // picks a second to a warm server when nothing is known
 	watch, watchBackoff                float64
 
-	open   int // RPCs held
-	out    int // picks out
-	ready  int
-	weight float64 // mean over ready servers
-	done   decaying
-	sent   decaying
-	extra  decaying
-	cands  []*Server
-	ests   []float64
+	open        int      // RPCs held
+	room        float64  // RPCs to hold at most
+	part        float64  // this node's of the tier's nodes
+	waits, ends decaying // of RPCs, given up or ok
+	out         int      // picks out
+	ready       int
+	weight      float64 // mean over ready servers
+	done        decaying
+	sent        decaying
+	extra       decaying
+	cands       []*Server
+	ests        []float64
 }
 
 const (
-	recentHalf = 1.5
+	recentHalf = 0.7
 	doneHalf   = 5.0
 	extraHalf  = 5.0
 	shareHalf  = 3.0
@@ -151,7 +154,7 @@
 func New(h Host, s Settings, seed int64) *Balancer {
 	b := &Balancer{host: h, rng: rand.New(rand.NewSource(seed)), inner: s.Stage > 0, copies: s.SecondCopies,
 		cancels: s.MayCancel, marksRetry: s.MarksRetry, overShare: s.OverShare, cross: s.CrossZone, zone: s.Zone,
-		coldFrom: s.ColdFrom, coldFor: s.ColdFor}
+		coldFrom: s.ColdFrom, coldFor: s.ColdFor, part: 1 / float64(s.Instances)}
 	if s.RetryAfter {
 		b.maxWait = s.MaxRetryAfter
 	}
@@ -211,6 +214,9 @@
 		}
 	}
 	b.weight /= float64(max(1, b.ready))
+	if b.room == 0 {
+		b.room = 3 * b.leastRoom()
+	}
 }
 
 // restart forgets what was learnt of the process that ran before.
@@ -280,14 +286,39 @@
 	if b.inner {
 		return true
 	}
-	n := m.ends.read(now, recentHalf)
-	wait := (m.waits.read(now, recentHalf) + 2*b.typical(r.Method, now)) / (n + 2)
-	x := wait / (left * (0.35 + 0.65*math.Cbrt(r.value)))
-	if x < 0.8 {
-		return true
+	b.room = max(b.room, b.leastRoom())
+	if float64(b.open) > b.room*(0.5+0.5*math.Cbrt(r.value)) {
+		return false
 	}
+	x := b.waited(now) * m.LatencyTarget / left
 	// Never nobody: without picks nothing would be learnt of the recovery.
-	return b.rng.Float64() < max(0.05, (1.3-x)/0.5)
+	return x < 1 || b.rng.Float64() < max(0.05, 1-2*(x-1))
+}
+
+// waited is what the last RPCs waited, as a part of their latency targets.
+func (b *Balancer) waited(now float64) float64 {
+	return (b.waits.read(now, recentHalf) + 2*goal/2) / (b.ends.read(now, recentHalf) + 2)
+}
+
+// leastRoom is room that no crowd takes away: enough to keep this node's part of the servers at work, so that a
+// slowdown of all servers is not answered by idling them.
+func (b *Balancer) leastRoom() float64 { return max(2, 2*float64(b.ready)*b.part) }
+
+// ended notes how long an RPC was held that found a server, and moves the room: RPCs are held only as many as
+// keep the waits near the goal. A crowd above that would be late to the last one, and tip servers over.
+func (b *Balancer) ended(r *RPC, now float64) {
+	if len(r.picks) == 0 {
+		return
+	}
+	b.waits.add((now-r.came)/b.methods[r.Method].LatencyTarget, now, recentHalf)
+	b.ends.add(1, now, recentHalf)
+	off := goal - b.waited(now)
+	if off < 0 {
+		b.room += max(off, -0.5)
+	} else if float64(b.open) > 0.6*b.room {
+		b.room += off / 2
+	}
+	b.room = max(b.room, b.leastRoom())
 }
 
 // pickOr sends the RPC's next pick or, if there is nowhere to send it, ends it.
@@ -690,15 +721,6 @@
 	b.report(s, load, b.host.Now())
 }
 
-// ended notes how long an RPC was held that found a server.
-func (b *Balancer) ended(r *RPC, now float64) {
-	if len(r.picks) > 0 {
-		m := &b.methods[r.Method]
-		m.waits.add(now-r.came, now, recentHalf)
-		m.ends.add(1, now, recentHalf)
-	}
-}
-
 // giveUp ends an RPC at once: with a pushback where retrying is harmless, else with an abort.
 func (b *Balancer) giveUp(r *RPC) {
 	m := &b.methods[r.Method]
