Do not guess an RPC's age from its deadline

Cause: a few clients wait longer than the rest; against the longest wait all others looked old, and were given up early.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,7 +53,6 @@
 	Method
 	value     float64 // utility as a part of the dearest method's
 	picks     int     // picks an RPC may have, by its utility
-	longest   float64 // longest wait a client has shown: a try's length
 	took, oks decaying
 }
 
@@ -242,15 +241,7 @@
 	m := &b.methods[r.Method]
 	r.open, r.came = true, now
 	b.open++
-	left := r.Deadline - now
-	m.longest = max(m.longest, left)
 	r.useful = now + m.LatencyTarget
-	if !b.inner && r.Retry && left < 0.99*m.longest {
-		// A retry's wait is cut short only by the end of the whole: that tells how old the RPC is.
-		r.useful = r.Deadline - m.Deadline + m.LatencyTarget
-	} else if left < m.longest {
-		r.useful -= m.longest - left
-	}
 	if m.LateUtility > 0 {
 		r.useful = r.Deadline
 	}
