Bound the room by a learnt base wait and keep it at its usual size in a slowdown

Cause: an absolute goal lets queues grow past the point where servers choke, and idles servers when all of them slow down. A full server now counts as failing, too.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,8 +31,10 @@
 	strikeOut = 3   // failures in a row that eject a server
 	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
 	ejectMax  = 8.0
-	spare     = 0.1  // second copies as a share of picks: copies must not carry a slowdown into overload
-	goal      = 0.7  // of the latency target: the mean wait that leaves most RPCs in time
+	spare     = 0.1 // second copies as a share of picks: copies must not carry a slowdown into overload
+	goal      = 0.7 // of the latency target: the mean wait that leaves most RPCs in time
+	crowded   = 1.6 // times the base wait: more RPCs held would only queue
+	baseHalf  = 60.0
 	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
 )
 
@@ -120,26 +122,29 @@
 	rows    []row
 	list    int // lists seen
 
-	inner, copies, cancels, marksRetry bool
-	overShare, cross                   float64
-	zone                               int
-	maxWait                            float64
-	coldFrom, coldFor                  float64
-	floorRate                          float64 // picks a second to a warm server when nothing is known
-	watch, watchBackoff                float64
-
-	open        int      // RPCs held
-	room        float64  // RPCs to hold at most
-	part        float64  // this node's of the tier's nodes
-	waits, ends decaying // of RPCs, given up or ok
-	out         int      // picks out
-	ready       int
-	weight      float64 // mean over ready servers
-	done        decaying
-	sent        decaying
-	extra       decaying
-	cands       []*Server
-	ests        []float64
+	inner, copies, cancels bool
+	overShare, cross       float64
+	zone                   int
+	maxWait                float64
+	coldFrom, coldFor      float64
+	floorRate              float64 // picks a second to a warm server when nothing is known
+	watch, watchBackoff    float64
+
+	open         int      // RPCs held
+	room         float64  // RPCs to hold at most
+	part         float64  // this node's of the tier's nodes
+	waits, ends  decaying // of RPCs, given up or ok
+	held         decaying // RPCs held when others ended
+	base, baseAt float64  // the lowest mean wait of late
+	usual        float64  // RPCs held at most while waits were near the base
+	out          int      // picks out
+	ready        int
+	weight       float64 // mean over ready servers
+	done         decaying
+	sent         decaying
+	extra        decaying
+	cands        []*Server
+	ests         []float64
 }
 
 const (
@@ -152,7 +157,7 @@
 // New starts an instance.
 func New(h Host, s Settings, seed int64) *Balancer {
 	b := &Balancer{host: h, rng: rand.New(rand.NewSource(seed)), inner: s.Stage > 0, copies: s.SecondCopies,
-		cancels: s.MayCancel, marksRetry: s.MarksRetry, overShare: s.OverShare, cross: s.CrossZone, zone: s.Zone,
+		cancels: s.MayCancel, overShare: s.OverShare, cross: s.CrossZone, zone: s.Zone,
 		coldFrom: s.ColdFrom, coldFor: s.ColdFor, part: 1 / float64(s.Instances)}
 	if s.RetryAfter {
 		b.maxWait = s.MaxRetryAfter
@@ -214,7 +219,7 @@
 	}
 	b.weight /= float64(max(1, b.ready))
 	if b.room == 0 {
-		b.room = 3 * b.leastRoom()
+		b.room, b.base, b.baseAt = 3*b.leastRoom(), goal, b.host.Now()
 	}
 }
 
@@ -303,11 +308,23 @@
 	}
 	b.waits.add((now-r.came)/b.methods[r.Method].LatencyTarget, now, recentHalf)
 	b.ends.add(1, now, recentHalf)
-	off := goal - b.waited(now)
-	if off < 0 {
-		b.room += max(off, -0.5)
-	} else if float64(b.open) > 0.6*b.room {
-		b.room += off / 2
+	w := b.waited(now)
+	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), w)
+	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
+	b.baseAt = now
+	b.held.add(float64(b.open), now, recentHalf)
+	if w < 1.3*b.base {
+		b.usual = max(b.usual, b.held.sum/max(b.ends.sum, 1))
+	}
+	switch {
+	case w > goal:
+		b.room += max(goal-w, -0.5)
+	case w > crowded*b.base:
+		// By Little's law a slowdown of all servers needs no more RPCs held than usual to keep them at work, and
+		// no fewer either.
+		b.room = max(b.room-0.3, min(b.room, b.usual))
+	case float64(b.open) > 0.6*b.room:
+		b.room += 0.2
 	}
 	b.room = max(b.room, b.leastRoom())
 }
@@ -611,7 +628,7 @@
 		}
 	case Full:
 		s.heard = now
-		b.learn(p, penalty*b.methods[r.Method].Deadline, true, now)
+		b.fault(p, now)
 	default:
 		b.fault(p, now)
 	}
