Send cold servers up to half the fall multiple of their part; start with a larger room

Cause: a gate at exactly the answered rate starves a fleet that is cold all together, and the first room turned RPCs away in the first seconds.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -127,6 +127,7 @@
 	zone                   int
 	maxWait                float64
 	coldFrom, coldFor      float64
+	coldPush               float64 // times its part that a cold server may be sent
 	floorRate              float64 // picks a second to a warm server when nothing is known
 	watch, watchBackoff    float64
 
@@ -165,6 +166,7 @@
 	if s.FallFor > 0 {
 		b.floorRate = s.FallMultiple / s.FallFor / float64(s.Instances)
 	}
+	b.coldPush = max(1, s.FallMultiple/2)
 	top := 0.0
 	for _, m := range s.Methods {
 		top = max(top, m.Utility)
@@ -219,7 +221,7 @@
 	}
 	b.weight /= float64(max(1, b.ready))
 	if b.room == 0 {
-		b.room, b.base, b.baseAt = 3*b.leastRoom(), goal, b.host.Now()
+		b.room, b.base, b.baseAt = 5*b.leastRoom(), goal, b.host.Now()
 	}
 }
 
@@ -497,13 +499,15 @@
 }
 
 // warm guards a cold server: it gets picks no faster than its part of what a warm one answers this node.
-// Since every node keeps to its own part, all together keep under the multiple that pushes it over.
+// Since every node keeps to its own part, all together keep under the multiple that pushes it over; half of the
+// multiple is left for chance, and the other half lets a fleet grow out of being cold all together.
 func (b *Balancer) warm(s *Server, unit, now float64) bool {
 	part := b.cold(s, now)
 	if part >= 1 {
 		return true
 	}
-	s.tokens = min(s.tokens+unit*part*(now-s.tokensAt), 1)
+	rate := b.coldPush * unit * part
+	s.tokens = min(s.tokens+rate*(now-s.tokensAt), 1+rate/4)
 	s.tokensAt = now
 	return s.tokens >= 1
 }
