--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,6 +33,7 @@
 	ejectMax  = 8.0
 	spare     = 0.1 // second copies as a share of picks: copies must not carry a slowdown into overload
 	goal      = 0.7 // of the latency target: the mean wait that leaves most RPCs in time
+	roomMost  = 1.4 // times the usual: a burst fills a larger room before the first late answer tells of it
 	crowded   = 1.6 // times the base wait: more RPCs held would only queue
 	baseHalf  = 60.0
 	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
@@ -222,6 +223,7 @@
 	b.weight /= float64(max(1, b.ready))
 	if b.room == 0 {
 		b.room, b.base, b.baseAt = 5*b.leastRoom(), goal, b.host.Now()
+		b.usual = b.room / roomMost
 	}
 }
 
@@ -285,7 +287,7 @@
 		return true
 	}
 	b.room = max(b.room, b.leastRoom())
-	if float64(b.open) > b.room*(0.5+0.5*math.Cbrt(r.value)) {
+	if float64(b.open) > b.room*(0.65+0.35*math.Cbrt(r.value)) {
 		return false
 	}
 	x := b.waited(now) * m.LatencyTarget / left
@@ -328,6 +330,7 @@
 	case float64(b.open) > 0.6*b.room:
 		b.room += 0.2
 	}
+	b.room = min(b.room, roomMost*b.usual)
 	b.room = max(b.room, b.leastRoom())
 }
 
@@ -437,7 +440,7 @@
 		}
 	}
 	crowd := float64(b.out) / float64(max(1, b.ready))
-	q += b.typical(r.Method, now) * float64(len(s.pending)) * b.weight / s.weight / (1 + crowd)
+	q += 2 * b.typical(r.Method, now) * float64(len(s.pending)) * b.weight / s.weight / (1 + crowd)
 	// A hung server looks sound until its time-outs land: a late pick counts before it ends.
 	if len(s.pending) > 0 {
 		if p := s.pending[0]; now-p.sent > overdue*p.due {
