Ask clients pushed back to return while their RPC can still be in time

Cause: the longest return time brought retries back after their latency target; they took room from RPCs that could be in time.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,6 +31,7 @@
 	strikeOut = 3   // failures in a row that eject a server
 	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
 	ejectMax  = 8.0
+	comeBack  = 0.1 // of the latency target: when a client pushed back may ask again
 	spare     = 0.1 // second copies as a share of picks: copies must not carry a slowdown into overload
 	goal      = 0.7 // of the latency target: the mean wait that leaves most RPCs in time
 	roomMost  = 1.4 // times the usual: a burst fills a larger room before the first late answer tells of it
@@ -740,7 +741,12 @@
 func (b *Balancer) giveUp(r *RPC) {
 	m := &b.methods[r.Method]
 	if r.ran == nil || m.Repeat == Idempotent || m.Repeat == Deduplicated && m.Scope == ScopeAll {
-		b.host.PushBack(r, b.maxWait)
+		// Soon enough that the next try can still be in time; a later one would take room from RPCs that can.
+		wait := comeBack * m.LatencyTarget
+		if b.host.Now()-r.came > wait {
+			wait = b.maxWait
+		}
+		b.host.PushBack(r, min(wait, b.maxWait))
 	} else {
 		b.host.Abort(r)
 	}
