--- a/decide/decide.go
+++ b/decide/decide.go
@@ -28,6 +28,7 @@
 	paceDoubt = 2.0 // samples' worth of doubt that holds a pace near 1
 	paceCap   = 4.0 // no sample counts as more than this many times its due: one outlier is no verdict
 	overdue   = 2.5 // times the expected: a pick out for longer is late
+	patience  = 1.2 // times the expected: by then a pick has had its chance
 	strikeOut = 3   // failures in a row that eject a server
 	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
 	ejectMax  = 8.0
@@ -539,7 +540,7 @@
 // lateAfter is when to look at a pick again: when it is late, or when another could just still be in time.
 func (b *Balancer) lateAfter(p *Pick, now float64) float64 {
 	left := p.RPC.useful - now
-	return max(min(overdue*p.due, left-1.2*p.due), 1.2*p.due)
+	return max(min(overdue*p.due, left-patience*p.due), patience*p.due)
 }
 
 // Wake is a timer's ring.
@@ -551,6 +552,14 @@
 	case *RPC:
 		if w.open && !w.started {
 			b.ended(w, now)
+			for _, p := range w.picks {
+				// The wait is over before the pick is late by its own measure: for its server that is a
+				// time-out. Cancelled without a word, a jammed server would be sent the next RPC as before.
+				if p.out && !p.charged && now-p.sent > patience*p.due {
+					p.charged = true
+					b.fault(p, now)
+				}
+			}
 			b.giveUp(w)
 		}
 	case *Pick:
