--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,6 +38,7 @@
 	roomMost  = 1.4 // times the usual: a burst fills a larger room before the first late answer tells of it
 	crowded   = 1.6 // times the base wait: more RPCs held would only queue
 	baseHalf  = 60.0
+	ableHalf  = 20.0
 	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
 )
 
@@ -134,21 +135,22 @@
 	floorRate              float64 // picks a second to a warm server when nothing is known
 	watch, watchBackoff    float64
 
-	open         int      // RPCs held
-	room         float64  // RPCs to hold at most
-	part         float64  // this node's of the tier's nodes
-	waits, ends  decaying // of RPCs, given up or ok
-	held         decaying // RPCs held when others ended
-	base, baseAt float64  // the lowest mean wait of late
-	usual        float64  // RPCs held at most while waits were near the base
-	out          int      // picks out
-	ready        int
-	weight       float64 // mean over ready servers
-	done         decaying
-	sent         decaying
-	extra        decaying
-	cands        []*Server
-	ests         []float64
+	open          int      // RPCs held
+	room          float64  // RPCs to hold at most
+	part          float64  // this node's of the tier's nodes
+	waits, ends   decaying // of RPCs, given up or ok
+	held          decaying // RPCs held when others ended
+	ables, ableAt float64  // the weight of servers able to work, lately
+	base, baseAt  float64  // the lowest mean wait of late
+	usual         float64  // RPCs held at most while waits were near the base
+	out           int      // picks out
+	ready         int
+	weight        float64 // mean over ready servers
+	done          decaying
+	sent          decaying
+	extra         decaying
+	cands         []*Server
+	ests          []float64
 }
 
 const (
@@ -288,8 +290,7 @@
 	if b.inner {
 		return true
 	}
-	b.room = max(b.room, b.leastRoom())
-	if float64(b.open) > b.room*(0.65+0.35*math.Cbrt(r.value)) {
+	if float64(b.open) > b.room*b.able(now)*(0.65+0.35*math.Cbrt(r.value)) {
 		return false
 	}
 	x := b.waited(now) * m.LatencyTarget / left
@@ -302,6 +303,28 @@
 	return (b.waits.read(now, recentHalf) + 2*goal/2) / (b.ends.read(now, recentHalf) + 2)
 }
 
+// able is the part of the usual servers that can work now. The room goes by it: what a jammed, cold or lost
+// server no longer does would otherwise be spilt over the rest and jam them one after another. More servers than
+// usual make no more room by themselves, since the tier behind them may not have grown.
+func (b *Balancer) able(now float64) float64 {
+	sum := 0.0
+	for _, s := range b.servers {
+		if s.state == Ready && now >= s.ejected {
+			sum += b.cold(s, now) * s.weight
+		}
+	}
+	keep := math.Exp2((b.ableAt - now) / ableHalf)
+	b.ableAt = now
+	if b.ables == 0 {
+		b.ables = sum
+	}
+	b.ables = keep*b.ables + (1-keep)*sum
+	if b.ables <= 0 {
+		return 0
+	}
+	return min(1, sum/b.ables)
+}
+
 // leastRoom is room that no crowd takes away: enough to keep this node's part of the servers at work, so that a
 // slowdown of all servers is not answered by idling them.
 func (b *Balancer) leastRoom() float64 { return max(2, 2*float64(b.ready)*b.part) }
@@ -314,23 +337,23 @@
 	}
 	b.waits.add((now-r.came)/b.methods[r.Method].LatencyTarget, now, recentHalf)
 	b.ends.add(1, now, recentHalf)
-	w := b.waited(now)
+	w, held := b.waited(now), float64(b.open)
 	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), w)
 	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
 	b.baseAt = now
-	b.held.add(float64(b.open), now, recentHalf)
+	b.held.add(held, now, recentHalf)
 	if w < 1.3*b.base {
 		b.usual = max(b.usual, b.held.sum/max(b.ends.sum, 1))
 	}
 	switch {
 	case w > goal:
-		b.room += max(goal-w, -0.5)
+		b.room *= 1 + max(goal-w, -0.5)/max(float64(b.open), 4)
 	case w > crowded*b.base:
 		// By Little's law a slowdown of all servers needs no more RPCs held than usual to keep them at work, and
 		// no fewer either.
-		b.room = max(b.room-0.3, min(b.room, b.usual))
-	case float64(b.open) > 0.6*b.room:
-		b.room += 0.2
+		b.room = max(b.room*(1-0.3/max(float64(b.open), 4)), min(b.room, b.usual))
+	case held > 0.6*b.room:
+		b.room *= 1 + 0.2/max(float64(b.open), 4)
 	}
 	b.room = min(b.room, roomMost*b.usual)
 	b.room = max(b.room, b.leastRoom())
