--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,7 +34,7 @@
 	ejectMax  = 8.0
 	comeBack  = 0.1 // of the latency target: when a client pushed back may ask again
 	spare     = 0.1 // second copies as a share of picks: copies must not carry a slowdown into overload
-	goal      = 0.7 // of the latency target: the mean wait that leaves most RPCs in time
+	goal      = 0.6 // of the latency target: the mean wait that leaves most RPCs in time
 	roomMost  = 1.4 // times the usual: a burst fills a larger room before the first late answer tells of it
 	crowded   = 1.6 // times the base wait: more RPCs held would only queue
 	baseHalf  = 60.0
