Let the room be 1.1 times the usual and twice its root

Cause: a fixed multiple is too tight for nodes that hold few RPCs, where chance weighs more, and too wide for those that hold many.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -35,7 +35,7 @@
 	comeBack  = 0.1 // of the latency target: when a client pushed back may ask again
 	spare     = 0.1 // second copies as a share of picks: copies must not carry a slowdown into overload
 	goal      = 0.6 // of the latency target: the mean wait that leaves most RPCs in time
-	roomMost  = 1.4 // times the usual: a burst fills a larger room before the first late answer tells of it
+	roomMost  = 1.1 // times the usual: a burst fills a larger room before the first late answer tells of it
 	crowded   = 1.6 // times the base wait: more RPCs held would only queue
 	baseHalf  = 60.0
 	ableHalf  = 20.0
@@ -355,7 +355,7 @@
 	case held > 0.6*b.room:
 		b.room *= 1 + 0.2/max(float64(b.open), 4)
 	}
-	b.room = min(b.room, roomMost*b.usual)
+	b.room = min(b.room, roomMost*b.usual+2*math.Sqrt(b.usual))
 	b.room = max(b.room, b.leastRoom())
 }
 
