--- a/decide/decide.go
+++ b/decide/decide.go
@@ -63,8 +63,8 @@
 }
 
 type tenant struct {
-	quota      float64 // this node's part
-	tokens, at float64
+	quota float64 // this node's part
+	asked decaying
 }
 
 type entry struct {
@@ -157,7 +157,7 @@
 	recentHalf = 0.7
 	doneHalf   = 5.0
 	extraHalf  = 5.0
-	quotaFor   = 1.0 // seconds of its quota that a tenant may ask for at once
+	shareHalf  = 3.0
 )
 
 // New starts an instance.
@@ -260,33 +260,21 @@
 	}
 	r.useful = min(r.useful, r.Deadline-margin)
 	r.value = m.value
-	t := b.share(r, now)
-	if t != nil && t.tokens < 1 {
-		r.value *= b.overShare
+	if r.Tenant < len(b.tenants) && !b.inner {
+		t := &b.tenants[r.Tenant]
+		t.asked.add(1, now, shareHalf)
+		if t.quota > 0 && t.asked.sum*math.Ln2/shareHalf > 1.2*t.quota {
+			r.value *= b.overShare
+		}
 	}
 	if !b.admit(r, now) {
 		b.giveUp(r)
 		return
 	}
-	if t != nil && t.tokens >= 1 {
-		t.tokens--
-	}
 	b.host.After(r.useful-now, r)
 	b.pickOr(r, now)
 }
 
-// share is the RPC's tenant, if it has a quota, with its tokens brought up to date. Only RPCs taken use tokens up:
-// a tenant whose burst is pushed back and asks again keeps its share.
-func (b *Balancer) share(r *RPC, now float64) *tenant {
-	if b.inner || r.Tenant >= len(b.tenants) || b.tenants[r.Tenant].quota <= 0 {
-		return nil
-	}
-	t := &b.tenants[r.Tenant]
-	t.tokens = min(t.tokens+t.quota*(now-t.at), max(2, t.quota*quotaFor))
-	t.at = now
-	return t
-}
-
 // admit takes an RPC only if it is predicted in time. The prediction is what the last ones waited, those given
 // up on included; the less an RPC is worth, the earlier it gives way. It guards against a crowd in which all
 // are late. Inner nodes take all that can still be in time: a pushback there wastes the work above.
