--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,9 +36,8 @@
 	spare     = 0.1 // second copies as a share of picks: copies must not carry a slowdown into overload
 	goal      = 0.6 // of the latency target: the mean wait that leaves most RPCs in time
 	roomMost  = 1.1 // times the usual: a burst fills a larger room before the first late answer tells of it
-	crowded   = 1.6 // times the base wait: more RPCs held would only queue
+	crowded   = 1.4 // times the base wait: more RPCs held would only queue
 	baseHalf  = 60.0
-	calmHalf  = 2.0
 	roomLeast = 0.5 // of the usual: below that, servers that jammed rest anyway
 	ableHalf  = 20.0
 	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
@@ -143,7 +142,6 @@
 	waits, ends   decaying // of RPCs, given up or ok
 	held          decaying // RPCs held when others ended
 	ables, ableAt float64  // the weight of servers able to work, lately
-	calm, calms   decaying // the waits and ends over a longer time
 	base, baseAt  float64  // the lowest mean wait of late
 	usual         float64  // RPCs held at most while waits were near the base
 	out           int      // picks out
@@ -341,13 +339,7 @@
 	b.waits.add((now-r.came)/b.methods[r.Method].LatencyTarget, now, recentHalf)
 	b.ends.add(1, now, recentHalf)
 	w, held := b.waited(now), float64(b.open)
-	b.calm.add((now-r.came)/b.methods[r.Method].LatencyTarget, now, calmHalf)
-	b.calms.add(1, now, calmHalf)
-	b.base *= math.Exp2((now - b.baseAt) / baseHalf)
-	if b.calms.sum > 20 {
-		// Few ends would be those of the shortest RPCs.
-		b.base = min(b.base, b.calm.sum/b.calms.sum)
-	}
+	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), w)
 	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
 	b.baseAt = now
 	b.held.add(held, now, recentHalf)
