--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -112,3 +112,143 @@
 	assert.Less(t, stuck, 8)
 	assert.Empty(t, h.pushed)
 }
+
+// load keeps arrivals coming every gap seconds; each server answers after what took says, or never if negative.
+func (h *fakeHost) load(seconds, gap float64, took func(*Server) float64) (taken, pushed int) {
+	end := h.now + seconds
+	for h.now < end {
+		for _, p := range h.sent {
+			if d := took(p.Server); p.out && d >= 0 && h.now-p.sent >= d {
+				h.done(p, OK)
+			}
+		}
+		if _, back := h.pushed[h.arrive(lookup)]; back {
+			pushed++
+		} else {
+			taken++
+		}
+		h.until(h.now + gap)
+		for _, p := range h.cancels {
+			if p.out {
+				h.done(p, Canceled)
+			}
+		}
+		h.cancels = nil
+	}
+	return taken, pushed
+}
+
+func TestSwampedServerWhoseLatePicksAreCancelledLosesItsLowEntry(t *testing.T) {
+	h, s := story(4, nil)
+	h.warmUp(100, func(x *Server) float64 {
+		if x == s[0] {
+			return 0.1
+		}
+		return 0.2
+	})
+	before := len(h.sent)
+	h.load(10, 0.2, func(x *Server) float64 {
+		if x == s[0] {
+			return 3
+		}
+		return 0.2
+	})
+	got := 0
+	for _, p := range h.sent[before:] {
+		if p.Server == s[0] {
+			got++
+		}
+	}
+	assert.Less(t, got, len(h.sent[before:])/5)
+}
+
+func TestGiveUpCountsAsATimeOutOfTheServer(t *testing.T) {
+	h, s := story(2, func(s *Settings) { s.SecondCopies = false })
+	h.warmUp(20, always(1.5))
+	for range 6 {
+		h.arrive(lookup)
+		h.until(h.now + 2.6)
+	}
+	assert.Positive(t, s[0].strikes+s[1].strikes)
+	assert.Greater(t, max(s[0].ejected, s[1].ejected), 0.0)
+}
+
+func TestBurstIsPushedBackBeforeTheFirstLateAnswer(t *testing.T) {
+	h, _ := story(4, nil)
+	_, pushed := h.load(20, 0.05, always(0.5))
+	assert.Zero(t, pushed, "ordinary days push nothing back")
+	taken, pushed := h.load(0.4, 0.002, always(0.5))
+	assert.Greater(t, pushed, taken)
+}
+
+func TestSlowdownOfAllServersDoesNotIdleThem(t *testing.T) {
+	h, _ := story(4, nil)
+	h.load(20, 0.05, always(0.5))
+	usual := h.b.usual
+	h.load(20, 0.05, always(2.2))
+	assert.GreaterOrEqual(t, h.b.room, usual*0.2)
+	assert.NotEmpty(t, h.pushed)
+}
+
+func TestRoomShrinksWithTheServersAbleToWork(t *testing.T) {
+	h, s := story(4, nil)
+	h.load(20, 0.05, always(0.5))
+	h.b.Listed([]Listing{{Server: s[0], State: Gone}, {Server: s[1], State: Gone}}, false)
+	assert.InDelta(t, 0.5, h.b.able(h.now), 0.05)
+	h.b.Listed([]Listing{ready(s[0], 0), ready(s[1], 1), ready(&Server{}, 0)}, false)
+	assert.Equal(t, 1.0, h.b.able(h.now), "more servers make no more room: the next tier may not have grown")
+}
+
+func TestTrafficBeyondAQuotaGivesWayFirst(t *testing.T) {
+	h, _ := story(2, func(s *Settings) {
+		s.OverShare = 0.05
+		s.Tenants = []Tenant{{Quota: 1}, {Quota: 1000}}
+	})
+	pushed := [2]int{}
+	for i := range 400 {
+		r := &RPC{Tenant: i % 2, Deadline: h.now + 6}
+		h.b.Arrived(r)
+		if _, back := h.pushed[r]; back {
+			pushed[r.Tenant]++
+		}
+		h.until(h.now + 0.02)
+		for _, p := range h.sent {
+			if p.out && h.now-p.sent >= 0.5 {
+				h.done(p, OK)
+			}
+		}
+	}
+	assert.Greater(t, pushed[0], 2*pushed[1])
+}
+
+func TestInnerNodeTakesAllThatCanStillBeInTime(t *testing.T) {
+	h, _ := story(2, func(s *Settings) { s.Stage = 1 })
+	for range 500 {
+		h.arrive(lookup)
+	}
+	assert.Empty(t, h.pushed, "a pushback would waste the work above")
+}
+
+func TestFailingServerIsEjectedForAllMethods(t *testing.T) {
+	h, s := story(3, nil)
+	h.warmUp(60, always(0.1))
+	for range 40 {
+		h.arrive(lookup)
+		h.until(h.now + 0.01)
+		for _, p := range h.sent {
+			if p.out && p.Server == s[0] {
+				h.done(p, Failed)
+			} else if p.out {
+				h.done(p, OK)
+			}
+		}
+	}
+	before := len(h.sent)
+	for i := range 20 {
+		h.arrive(i % 4)
+		h.done(h.last(), OK)
+	}
+	for _, p := range h.sent[before:] {
+		assert.NotSame(t, s[0], p.Server)
+	}
+}
