--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,9 +33,6 @@
 	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
 	ejectMax  = 8.0
 	comeBack  = 0.1 // of the latency target: when a client pushed back may ask again
-	restPace  = 2.0
-	restProof = 3.0
-	restFor   = 4.0
 	spare     = 0.1 // second copies as a share of picks: copies must not carry a slowdown into overload
 	goal      = 0.6 // of the latency target: the mean wait that leaves most RPCs in time
 	roomMost  = 1.1 // times the usual: a burst fills a larger room before the first late answer tells of it
@@ -704,7 +701,7 @@
 
 func (b *Balancer) ok(p *Pick, took, now float64) {
 	s, m := p.Server, &b.methods[p.RPC.Method]
-	s.heard, s.strikes, s.backoff = now, 0, 0
+	s.heard, s.strikes, s.backoff, s.ejected = now, 0, 0, 0
 	m.took.add(took, now, doneHalf)
 	m.oks.add(1, now, doneHalf)
 	b.done.add(1, now, doneHalf)
@@ -728,25 +725,6 @@
 func (b *Balancer) pay(p *Pick, cost, now float64) {
 	p.Server.cost.add(cost, now, paceHalf)
 	p.Server.due.add(p.due, now, paceHalf)
-	b.rest(p.Server, p.due, now)
-}
-
-// rest keeps new picks off a server that has become far slower than the others. An overdriven server stays slow
-// until it has been mostly idle, and the few picks that a high entry still draws would keep it busy.
-func (b *Balancer) rest(s *Server, due, now float64) {
-	if now < s.ejected || s.due.sum < restProof*due || s.pace(due, now) < restPace {
-		return
-	}
-	resting := 0
-	for _, o := range b.servers {
-		if o.state == Ready && now < o.ejected {
-			resting++
-		}
-	}
-	if resting < b.ready/4 {
-		s.ejected = now + restFor
-		s.cost, s.due = decaying{}, decaying{}
-	}
 }
 
 // learn is the Q-router's update of the entry that the pick used.
