--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,7 +36,6 @@
 	spare     = 0.1 // second copies as a share of picks: copies must not carry a slowdown into overload
 	goal      = 0.6 // of the latency target: the mean wait that leaves most RPCs in time
 	roomMost  = 1.1 // times the usual: a burst fills a larger room before the first late answer tells of it
-	calmWait  = 0.4 // of the latency target: below that no wait is a crowd
 	crowded   = 1.4 // times the base wait: more RPCs held would only queue
 	baseHalf  = 60.0
 	roomLeast = 0.5 // of the usual: below that, servers that jammed rest anyway
@@ -344,13 +343,13 @@
 	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
 	b.baseAt = now
 	b.held.add(held, now, recentHalf)
-	if w < max(1.3*b.base, calmWait) {
+	if w < 1.3*b.base {
 		b.usual = max(b.usual, b.held.sum/max(b.ends.sum, 1))
 	}
 	switch {
 	case w > goal:
 		b.room *= 1 + max(goal-w, -0.5)/max(float64(b.open), 4)
-	case w > max(crowded*b.base, calmWait):
+	case w > crowded*b.base:
 		// By Little's law a slowdown of all servers needs no more RPCs held than usual to keep them at work, and
 		// no fewer either.
 		b.room = max(b.room*(1-0.3/max(float64(b.open), 4)), min(b.room, b.usual))
