--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,7 +33,6 @@
 	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
 	ejectMax  = 8.0
 	comeBack  = 0.1 // of the latency target: when a client pushed back may ask again
-	retryAge  = 0.2 // of the latency target
 	spare     = 0.1 // second copies as a share of picks: copies must not carry a slowdown into overload
 	goal      = 0.6 // of the latency target: the mean wait that leaves most RPCs in time
 	roomMost  = 1.1 // times the usual: a burst fills a larger room before the first late answer tells of it
@@ -257,10 +256,6 @@
 	r.open, r.came = true, now
 	b.open++
 	r.useful = now + m.LatencyTarget
-	if r.Retry && !b.inner {
-		// Its target runs from the first try: whoever asks again has waited at least for a turn.
-		r.useful -= retryAge * m.LatencyTarget
-	}
 	if m.LateUtility > 0 {
 		r.useful = r.Deadline
 	}
