Servers that cannot be reached still count as able to work

Cause: in a cut between zones a node ejects the other zones' servers and shrank its room by their part, though the nodes there can no longer reach its own.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -95,6 +95,7 @@
 	tokens       float64
 	tokensAt     float64
 	queue, qTime float64
+	cut          bool // not reached last time
 }
 
 type rpc struct {
@@ -310,7 +311,9 @@
 func (b *Balancer) able(now float64) float64 {
 	sum := 0.0
 	for _, s := range b.servers {
-		if s.state == Ready && now >= s.ejected {
+		// A server that cannot be reached does not count as jammed: behind a cut between zones the nodes there can
+		// no longer reach ours either.
+		if s.state == Ready && (s.cut || now >= s.ejected) {
 			sum += b.cold(s, now) * s.weight
 		}
 	}
@@ -655,6 +658,7 @@
 	if res.NeverRan() {
 		b.unrun(r, p)
 	}
+	s.cut = res == ConnectFailed
 	switch res {
 	case OK:
 		b.ok(p, took, now)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -252,3 +252,18 @@
 		assert.NotSame(t, s[0], p.Server)
 	}
 }
+
+func TestCutBetweenZonesDoesNotShrinkTheRoom(t *testing.T) {
+	h, s := story(4, nil)
+	h.load(10, 0.05, always(0.5))
+	for range 12 {
+		h.arrive(lookup)
+		for _, p := range h.sent {
+			if p.out && p.Server.zone == 1 {
+				h.done(p, ConnectFailed)
+			}
+		}
+	}
+	assert.Greater(t, max(s[1].ejected, s[3].ejected), h.now)
+	assert.Greater(t, h.b.able(h.now), 0.9, "the nodes there cannot reach our servers either")
+}
