--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,7 +33,6 @@
 	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
 	ejectMax  = 8.0
 	comeBack  = 0.1 // of the latency target: when a client pushed back may ask again
-	busy      = 2.0 // waiting RPCs that a fully busy server counts as
 	spare     = 0.1 // second copies as a share of picks: copies must not carry a slowdown into overload
 	goal      = 0.6 // of the latency target: the mean wait that leaves most RPCs in time
 	roomMost  = 1.1 // times the usual: a burst fills a larger room before the first late answer tells of it
@@ -470,7 +469,7 @@
 		}
 	}
 	crowd := float64(b.out) / float64(max(1, b.ready))
-	q += 2 * b.typical(r.Method, now) * (float64(len(s.pending)) + s.reported(now)) * b.weight / s.weight / (1 + crowd)
+	q += 2 * b.typical(r.Method, now) * float64(len(s.pending)) * b.weight / s.weight / (1 + crowd)
 	// A hung server looks sound until its time-outs land: a late pick counts before it ends.
 	if len(s.pending) > 0 {
 		if p := s.pending[0]; now-p.sent > overdue*p.due {
@@ -484,16 +483,14 @@
 }
 
 func (b *Balancer) row(r *RPC, s *Server, now float64) int {
-	load := float64(len(s.pending)) + s.reported(now)
+	load := float64(len(s.pending))
+	if s.queue > 0 {
+		load += s.queue * math.Exp2(s.qTime-now) // a late report must not mislead for long
+	}
 	level := min(bits.Len(uint(load+1))-1, levels-1)
 	return (r.Method*max(1, len(b.tenants))+r.Tenant)*levels + level
 }
 
-// reported is the load that the server told of itself: its queue, and how busy it is.
-func (s *Server) reported(now float64) float64 {
-	return s.queue * math.Exp2(s.qTime-now) // a late report must not mislead for long
-}
-
 // mean is where a new entry starts: at the mean of the other servers' matching entries.
 func (b *Balancer) mean(i, method int, now float64) float64 {
 	if w := &b.rows[i]; w.n > 0 {
@@ -764,8 +761,8 @@
 }
 
 func (b *Balancer) report(s *Server, load *Load, now float64) {
-	if load != nil {
-		s.queue, s.qTime = max(load.Queue, 0)+busy*max(load.Util, 0), now
+	if load != nil && load.Queue >= 0 {
+		s.queue, s.qTime = load.Queue, now
 	}
 }
 
