--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,6 +32,11 @@
 	strikeOut = 3   // failures in a row that eject a server
 	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
 	ejectMax  = 8.0
+	restAt    = 2.2  // times its best mean: beyond that a server is overdriven, not just busy
+	restHalf  = 3.0  // seconds: half-life of that mean
+	restProof = 5.0  // picks' worth of it, at the least
+	restFor   = 5.0  // seconds: to answer what it holds and then be idle for a while
+	restAgain = 15.0 // seconds: all servers slow down in a shared slowdown, too, and must not rest again and again
 	comeBack  = 0.1  // of the latency target: when a client pushed back may ask again
 	spare     = 0.1  // second copies as a share of picks: copies must not carry a slowdown into overload
 	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
@@ -109,6 +114,8 @@
 	tokensAt     float64
 	queue, qTime float64
 	cut          bool // not reached last time
+	times, count decaying
+	best, rested float64
 }
 
 type rpc struct {
@@ -244,6 +251,7 @@
 	for i := range s.entries {
 		b.forget(s, i)
 	}
+	s.times, s.count, s.best = decaying{}, decaying{}, 0
 	s.cost, s.due, s.strikes, s.ejected, s.backoff, s.queue = decaying{}, decaying{}, 0, 0, 0, 0
 	// Every node hears of the start at about the same time: a random first part of a token keeps their
 	// first picks from arriving together.
@@ -710,7 +718,7 @@
 
 func (b *Balancer) ok(p *Pick, took, now float64) {
 	s, m := p.Server, &b.methods[p.RPC.Method]
-	s.heard, s.strikes, s.backoff, s.ejected = now, 0, 0, 0
+	s.heard, s.strikes, s.backoff = now, 0, 0
 	m.took.add(took, now, doneHalf)
 	m.oks.add(1, now, doneHalf)
 	b.done.add(1, now, doneHalf)
@@ -734,6 +742,37 @@
 func (b *Balancer) pay(p *Pick, cost, now float64) {
 	p.Server.cost.add(cost, now, paceHalf)
 	p.Server.due.add(p.due, now, paceHalf)
+	b.rest(p, cost, now)
+}
+
+// rest takes a server out for some seconds once it has become far slower than it was itself. An overdriven
+// server stays slow until it has been mostly idle; where most of them are, none is slow beside the others, and
+// each kept at its usual load would stay so. A part of them rests at a time, and each seldom, for all servers
+// slow down in a shared slowdown, too.
+func (b *Balancer) rest(p *Pick, cost, now float64) {
+	s := p.Server
+	s.times.add(cost/b.methods[p.RPC.Method].LatencyTarget, now, restHalf)
+	s.count.add(1, now, restHalf)
+	if now < s.ejected || s.count.sum < restProof {
+		return
+	}
+	mean := s.times.sum / s.count.sum
+	if s.best == 0 || mean < s.best {
+		s.best = mean
+	}
+	if mean < restAt*s.best || now < s.rested+restAgain {
+		return
+	}
+	resting := 0
+	for _, o := range b.servers {
+		if o.state == Ready && now < o.ejected {
+			resting++
+		}
+	}
+	if 4*(resting+1) <= b.ready {
+		s.ejected, s.rested = now+restFor, now
+		s.times, s.count = decaying{}, decaying{}
+	}
 }
 
 // learn is the Q-router's update of the entry that the pick used.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -267,3 +267,21 @@
 	assert.Greater(t, max(s[1].ejected, s[3].ejected), h.now)
 	assert.Greater(t, h.b.able(h.now), 0.9, "the nodes there cannot reach our servers either")
 }
+
+func TestOverdrivenServersRestInTurnsEvenIfMostAre(t *testing.T) {
+	h, s := story(8, nil)
+	h.load(10, 0.1, always(0.4))
+	rested := map[*Server]bool{}
+	for range 60 {
+		h.load(0.2, 0.1, always(1.2))
+		resting := 0
+		for _, x := range s {
+			if h.now < x.ejected {
+				resting++
+				rested[x] = true
+			}
+		}
+		assert.LessOrEqual(t, resting, 2, "a quarter of them at a time")
+	}
+	assert.Greater(t, len(rested), 2)
+}
