--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,7 +36,7 @@
 	restHalf  = 3.0  // seconds: half-life of that mean
 	restProof = 5.0  // picks' worth of it, at the least
 	restFor   = 5.0  // seconds: to answer what it holds and then be idle for a while
-	restAgain = 15.0 // seconds: all servers slow down in a shared slowdown, too, and must not rest again and again
+	restAgain = 15.0 // seconds: in a shared slowdown all servers are slow, and must not rest again and again
 	comeBack  = 0.1  // of the latency target: when a client pushed back may ask again
 	spare     = 0.1  // second copies as a share of picks: copies must not carry a slowdown into overload
 	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
@@ -746,9 +746,9 @@
 }
 
 // rest takes a server out for some seconds once it has become far slower than it was itself. An overdriven
-// server stays slow until it has been mostly idle; where most of them are, none is slow beside the others, and
-// each kept at its usual load would stay so. A part of them rests at a time, and each seldom, for all servers
-// slow down in a shared slowdown, too.
+// server stays slow until it has been mostly idle; where most are, none is slow beside the others, and each
+// would stay so at its usual load. A part of them rests at a time, and each seldom, since a shared slowdown
+// looks the same from one server.
 func (b *Balancer) rest(p *Pick, cost, now float64) {
 	s := p.Server
 	s.times.add(cost/b.methods[p.RPC.Method].LatencyTarget, now, restHalf)
