Second copies up to a fiftieth of picks instead of a tenth

Cause: at inner nodes slowed servers make picks late by the dozen, and copies add to the load that slows them.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,7 +38,7 @@
 	restFor   = 5.0  // seconds: to answer what it holds and then be idle for a while
 	restAgain = 15.0 // seconds: in a shared slowdown all servers are slow, and must not rest again and again
 	comeBack  = 0.1  // of the latency target: when a client pushed back may ask again
-	spare     = 0.1  // second copies as a share of picks: copies must not carry a slowdown into overload
+	spare     = 0.02  // second copies as a share of picks: they must not carry a slowdown into overload
 	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
 
 	// The room for RPCs held at the front. Waits are counted in latency targets.
