--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,7 +38,7 @@
 	restFor   = 5.0  // seconds: to answer what it holds and then be idle for a while
 	restAgain = 15.0 // seconds: in a shared slowdown all servers are slow, and must not rest again and again
 	comeBack  = 0.1  // of the latency target: when a client pushed back may ask again
-	spare     = 0.02  // second copies as a share of picks: they must not carry a slowdown into overload
+	spare     = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
 	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
 
 	// The room for RPCs held at the front. Waits are counted in latency targets.
@@ -618,7 +618,8 @@
 	s, r := p.Server, p.RPC
 	silent := s.heard < p.sent
 	b.overtake(p, now)
-	if !b.copies || !(silent || now-p.sent >= overdue*p.due*0.99) {
+	// A server that answers others will most likely answer this one, too.
+	if !b.copies || !silent {
 		return
 	}
 	if b.extra.read(now, extraHalf) > 1+spare*b.sent.read(now, extraHalf) {
