--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -285,3 +285,38 @@
 	}
 	assert.Greater(t, len(rested), 2)
 }
+
+func TestSecondCopiesKeepTheRulesOfTheirMethod(t *testing.T) {
+	for method, most := range map[int]int{lookup: 2, commit: 1, charge: 1} {
+		h, _ := story(6, nil)
+		h.warmUp(60, always(0.2))
+		h.arrive(method)
+		first := h.last()
+		before := len(h.sent)
+		h.until(h.now + 1.2)
+		assert.LessOrEqual(t, len(h.sent)-before, most)
+		switch method {
+		case lookup:
+			assert.Greater(t, len(h.sent), before, "a silent server's pick gets a copy elsewhere")
+			assert.NotSame(t, first.Server, h.last().Server)
+		case commit:
+			assert.Equal(t, first.Server.zone, h.last().Server.zone, "inside the group that drops repeats")
+		case charge:
+			assert.Len(t, h.sent, before, "never two at once")
+		}
+	}
+}
+
+func TestAnsweringServersPickGetsNoCopy(t *testing.T) {
+	h, s := story(2, nil)
+	h.warmUp(40, always(0.2))
+	h.arrive(lookup)
+	slow := h.last()
+	before := len(h.sent)
+	for range 10 {
+		h.until(h.now + 0.1)
+		s[0].heard, s[1].heard = h.now, h.now
+	}
+	assert.True(t, slow.out)
+	assert.Len(t, h.sent, before, "the copy would only double the work of a long RPC")
+}
