Exploration chance 0.005

Cause: at loads near capacity a random pick lands on a server that the estimates avoid for a reason; faded entries explore by themselves.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	alpha   = 0.7  // the paper's learning rate
-	explore = 0.02 // chance of a random ready server; small, since fading entries return by themselves
-	nearTie = 1.1  // entries within a tenth of the lowest are tied
-	penalty = 1.0  // failures cost this many deadlines: more would only outlast the fading
-	levels  = 5    // load levels: 0, 1-2, 3-6, 7-14, 15 and more
-	rowLife = 60.0 // an entry idle that long is dropped
+	alpha   = 0.7   // the paper's learning rate
+	explore = 0.005 // chance of a random ready server; small, since fading entries return by themselves
+	nearTie = 1.1   // entries within a tenth of the lowest are tied
+	penalty = 1.0   // failures cost this many deadlines: more would only outlast the fading
+	levels  = 5     // load levels: 0, 1-2, 3-6, 7-14, 15 and more
+	rowLife = 60.0  // an entry idle that long is dropped
 
 	fade      = 4.0 // half-life of what one sample says beyond its row's mean, in seconds
 	paceHalf  = 6.0 // half-life of a server's pace, long enough for a few samples at an inner node
