--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,11 +32,6 @@
 	strikeOut = 3   // failures in a row that eject a server
 	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
 	ejectMax  = 8.0
-	restAt    = 2.2  // times its best mean: beyond that a server is overdriven, not just busy
-	restHalf  = 3.0  // seconds: half-life of that mean
-	restProof = 5.0  // picks' worth of it, at the least
-	restFor   = 5.0  // seconds: to answer what it holds and then be idle for a while
-	restAgain = 15.0 // seconds: in a shared slowdown all servers are slow, and must not rest again and again
 	comeBack  = 0.1  // of the latency target: when a client pushed back may ask again
 	spare     = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
 	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
@@ -114,8 +109,6 @@
 	tokensAt     float64
 	queue, qTime float64
 	cut          bool // not reached last time
-	times, count decaying
-	best, rested float64
 }
 
 type rpc struct {
@@ -251,7 +244,6 @@
 	for i := range s.entries {
 		b.forget(s, i)
 	}
-	s.times, s.count, s.best = decaying{}, decaying{}, 0
 	s.cost, s.due, s.strikes, s.ejected, s.backoff, s.queue = decaying{}, decaying{}, 0, 0, 0, 0
 	// Every node hears of the start at about the same time: a random first part of a token keeps their
 	// first picks from arriving together.
@@ -743,37 +735,6 @@
 func (b *Balancer) pay(p *Pick, cost, now float64) {
 	p.Server.cost.add(cost, now, paceHalf)
 	p.Server.due.add(p.due, now, paceHalf)
-	b.rest(p, cost, now)
-}
-
-// rest takes a server out for some seconds once it has become far slower than it was itself. An overdriven
-// server stays slow until it has been mostly idle; where most are, none is slow beside the others, and each
-// would stay so at its usual load. A part of them rests at a time, and each seldom, since a shared slowdown
-// looks the same from one server.
-func (b *Balancer) rest(p *Pick, cost, now float64) {
-	s := p.Server
-	s.times.add(cost/b.methods[p.RPC.Method].LatencyTarget, now, restHalf)
-	s.count.add(1, now, restHalf)
-	if now < s.ejected || s.count.sum < restProof {
-		return
-	}
-	mean := s.times.sum / s.count.sum
-	if s.best == 0 || mean < s.best {
-		s.best = mean
-	}
-	if mean < restAt*s.best || now < s.rested+restAgain {
-		return
-	}
-	resting := 0
-	for _, o := range b.servers {
-		if o.state == Ready && now < o.ejected {
-			resting++
-		}
-	}
-	if 4*(resting+1) <= b.ready {
-		s.ejected, s.rested = now+restFor, now
-		s.times, s.count = decaying{}, decaying{}
-	}
 }
 
 // learn is the Q-router's update of the entry that the pick used.
