--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,703 @@
+package decide
+
+// All decisions of a node, and nothing else. Whoever carries RPCs (in the bench internal/simwire, later the
+// real node) makes one Balancer an instance with New and calls one method for each thing that happens:
+// Listed and ListFailed for the server list, Arrived, Done, Started and Vanished for RPCs and their picks,
+// Wake for timers, Probed for probes. The Balancer acts at once through the Host that New was handed;
+// host.go defines that interface and the plain types. Nothing here knows a clock, a socket or an id.
+//
+// The ordinary path is the Q-router of DESIGN-robincart.md: choose sends to the server with the lowest
+// estimated time-to-go, learn moves the entry that was used. The rest guards it; docs/design.md says when.
+
+import (
+	"math"
+	"math/bits"
+	"math/rand"
+)
+
+const (
+	alpha   = 0.7  // the paper's learning rate
+	explore = 0.02 // chance of a random ready server; small, since fading entries return by themselves
+	nearTie = 1.1  // entries within a tenth of the lowest are tied
+	penalty = 1.0  // failures cost this many deadlines: more would only outlast the fading
+	levels  = 5    // load levels: 0, 1-2, 3-6, 7-14, 15 and more
+	rowLife = 60.0 // an entry idle that long is dropped
+
+	fade      = 4.0 // half-life of what one sample says beyond its row's mean, in seconds
+	paceHalf  = 6.0 // half-life of a server's pace, long enough for a few samples at an inner node
+	paceDoubt = 2.0 // samples' worth of doubt that holds a pace near 1
+	paceCap   = 4.0 // no sample counts as more than this many times its due: one outlier is no verdict
+	overdue   = 2.5 // times the expected: a pick out for longer is late
+	strikeOut = 3   // failures in a row that eject a server
+	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
+	ejectMax  = 8.0
+	spare     = 0.1  // second copies as a share of picks: copies must not carry a slowdown into overload
+	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
+)
+
+// decaying is a sum that halves every half seconds, brought up to date when read.
+type decaying struct{ sum, at float64 }
+
+func (d *decaying) read(now, half float64) float64 {
+	if now > d.at {
+		d.sum *= math.Exp2((d.at - now) / half)
+		d.at = now
+	}
+	return d.sum
+}
+
+func (d *decaying) add(x, now, half float64) { d.sum = d.read(now, half) + x }
+
+type method struct {
+	Method
+	value     float64 // utility as a part of the dearest method's
+	picks     int     // picks an RPC may have, by its utility
+	longest   float64 // longest wait a client has shown: a try's length
+	took, oks decaying
+}
+
+type tenant struct {
+	quota float64 // this node's part
+	asked decaying
+}
+
+type entry struct {
+	q, at  float64
+	failed bool
+}
+
+type row struct {
+	sum float64 // over the entries of servers whose last answer was ok
+	n   int
+}
+
+type server struct {
+	state        State
+	known        bool
+	zone, cell   int
+	weight       float64
+	cameUp       float64
+	seen         int
+	entries      []entry
+	pending      []*Pick // oldest first
+	cost, due    decaying
+	heard        float64
+	strikes      int
+	ejected      float64 // until then
+	backoff      float64
+	tokens       float64
+	tokensAt     float64
+	queue, qTime float64
+}
+
+type rpc struct {
+	useful  float64 // after that an answer earns nothing
+	picks   []*Pick
+	out     int
+	ran     *Pick // the first pick that may have run
+	open    bool
+	started bool
+	value   float64
+}
+
+type pick struct {
+	sent, due float64
+	row       int
+	out       bool
+	charged   bool // already counted as late
+}
+
+type watchAgain struct{}
+
+// Balancer decides for one instance.
+type Balancer struct {
+	host    Host
+	rng     *rand.Rand
+	methods []method
+	tenants []tenant
+	servers []*Server
+	rows    []row
+	list    int // lists seen
+
+	inner, copies, cancels, marksRetry bool
+	overShare, cross                   float64
+	zone                               int
+	maxWait                            float64
+	coldFrom, coldFor                  float64
+	floorRate                          float64 // picks a second to a warm server when nothing is known
+	watch, watchBackoff                float64
+
+	open   int // RPCs held
+	out    int // picks out
+	ready  int
+	weight float64 // mean over ready servers
+	recent decaying
+	done   decaying
+	sent   decaying
+	extra  decaying
+	cands  []*Server
+	ests   []float64
+}
+
+const (
+	recentHalf = 1.0
+	doneHalf   = 5.0
+	extraHalf  = 5.0
+	shareHalf  = 3.0
+)
+
+// New starts an instance.
+func New(h Host, s Settings, seed int64) *Balancer {
+	b := &Balancer{host: h, rng: rand.New(rand.NewSource(seed)), inner: s.Stage > 0, copies: s.SecondCopies,
+		cancels: s.MayCancel, marksRetry: s.MarksRetry, overShare: s.OverShare, cross: s.CrossZone, zone: s.Zone,
+		coldFrom: s.ColdFrom, coldFor: s.ColdFor}
+	if s.RetryAfter {
+		b.maxWait = s.MaxRetryAfter
+	}
+	if s.FallFor > 0 {
+		b.floorRate = s.FallMultiple / s.FallFor / float64(s.Instances)
+	}
+	top := 0.0
+	for _, m := range s.Methods {
+		top = max(top, m.Utility)
+	}
+	for _, m := range s.Methods {
+		k := method{Method: m, value: 1}
+		if top > 0 {
+			k.value = m.Utility / top
+		}
+		k.picks = 1 + int(math.Ceil(float64(s.MaxPicks-1)*math.Cbrt(k.value)))
+		b.methods = append(b.methods, k)
+	}
+	for _, t := range s.Tenants {
+		b.tenants = append(b.tenants, tenant{quota: t.Quota / float64(s.Instances)})
+	}
+	b.rows = make([]row, len(s.Methods)*max(1, len(s.Tenants))*levels)
+	if s.MustWatch {
+		// All nodes start together and the list is one slow service: each waits a random part of the time.
+		b.watch = min(s.MustAskIn/4, 0.1*float64(s.Instances))
+		h.After(b.rng.Float64()*b.watch, watchAgain{})
+	}
+	return b
+}
+
+// Listed takes news of the servers; a full list also tells which have left.
+func (b *Balancer) Listed(list []Listing, full bool) {
+	now := b.host.Now()
+	b.list++
+	b.watchBackoff = 0
+	for _, l := range list {
+		s := l.Server
+		if !s.known {
+			s.known = true
+			s.entries = make([]entry, len(b.rows))
+			b.servers = append(b.servers, s)
+			b.restart(s, now)
+		} else if l.CameUp > s.cameUp {
+			b.restart(s, now)
+		}
+		s.state, s.zone, s.cell, s.weight, s.cameUp = l.State, l.Zone, l.Cell, max(l.Weight, 0.01), l.CameUp
+		s.seen = b.list
+	}
+	b.ready, b.weight = 0, 0
+	for _, s := range b.servers {
+		if full && s.seen != b.list {
+			s.state = Gone
+		}
+		if s.state == Ready {
+			b.ready++
+			b.weight += s.weight
+		}
+	}
+	b.weight /= float64(max(1, b.ready))
+}
+
+// restart forgets what was learnt of the process that ran before.
+func (b *Balancer) restart(s *Server, now float64) {
+	for i := range s.entries {
+		b.forget(s, i)
+	}
+	s.cost, s.due, s.strikes, s.ejected, s.backoff, s.queue = decaying{}, decaying{}, 0, 0, 0, 0
+	// Every node hears of the start at about the same time: a random first part of a token keeps their
+	// first picks from arriving together.
+	s.tokens, s.tokensAt = b.rng.Float64(), now
+}
+
+// ListFailed asks again, later each time, since the failure says that the list is overrun.
+func (b *Balancer) ListFailed() {
+	b.watchBackoff = min(max(0.25, b.watchBackoff*2), 4)
+	b.host.After(b.watchBackoff*(0.5+b.rng.Float64()), watchAgain{})
+}
+
+// Arrived takes a new RPC.
+func (b *Balancer) Arrived(r *RPC) {
+	now := b.host.Now()
+	m := &b.methods[r.Method]
+	r.open = true
+	b.open++
+	left := r.Deadline - now
+	m.longest = max(m.longest, left)
+	r.useful = now + m.LatencyTarget
+	if !b.inner && r.Retry && left < 0.99*m.longest {
+		// A retry's wait is cut short only by the end of the whole: that tells how old the RPC is.
+		r.useful = r.Deadline - m.Deadline + m.LatencyTarget
+	} else if left < m.longest {
+		r.useful -= m.longest - left
+	}
+	if m.LateUtility > 0 {
+		r.useful = r.Deadline
+	}
+	r.useful = min(r.useful, r.Deadline-margin)
+	r.value = m.value
+	if r.Tenant < len(b.tenants) && !b.inner {
+		t := &b.tenants[r.Tenant]
+		t.asked.add(1, now, shareHalf)
+		if t.quota > 0 && t.asked.sum*math.Ln2/shareHalf > 1.2*t.quota {
+			r.value *= b.overShare
+		}
+	}
+	if !b.admit(r, now) {
+		b.giveUp(r)
+		return
+	}
+	b.host.After(r.useful-now, r)
+	b.pickOr(r, now)
+}
+
+// admit takes an RPC only if it is predicted in time. The prediction is the RPCs held over the rate at which
+// they are answered; the less an RPC is worth, the earlier it gives way. It guards against a crowd in which
+// all are late. Inner nodes take all that can still be in time: a pushback there wastes the work above.
+func (b *Balancer) admit(r *RPC, now float64) bool {
+	m := &b.methods[r.Method]
+	left := r.useful - now
+	if m.LateUtility > 0 {
+		left = min(left, m.LatencyTarget)
+	}
+	if left <= 0 {
+		return false
+	}
+	if b.inner {
+		return true
+	}
+	typical := b.typical(r.Method, now)
+	rate := b.recent.read(now, recentHalf) * math.Ln2 / recentHalf
+	wait := typical
+	if float64(b.open) > 4 {
+		wait = max(wait, float64(b.open)/max(rate, 0.1))
+	}
+	x := wait / (left * (0.35 + 0.65*math.Cbrt(r.value)))
+	if x < 0.8 {
+		return true
+	}
+	// Never nobody: without picks nothing would be learnt of the recovery.
+	return b.rng.Float64() < max(0.05, (1.3-x)/0.5)
+}
+
+// pickOr sends the RPC's next pick or, if there is nowhere to send it, ends it.
+func (b *Balancer) pickOr(r *RPC, now float64) {
+	if len(r.picks) < b.methods[r.Method].picks && now < r.useful && b.mayRepeat(r, now) {
+		if s := b.choose(r, now); s != nil {
+			b.send(r, s, now)
+			return
+		}
+	}
+	if r.out == 0 {
+		b.giveUp(r)
+	}
+}
+
+// mayRepeat guards the rule that no effect happens twice.
+func (b *Balancer) mayRepeat(r *RPC, now float64) bool {
+	if r.out > 0 && !b.copies {
+		return false
+	}
+	if r.ran == nil {
+		return true
+	}
+	m := &b.methods[r.Method]
+	return m.Repeat == Idempotent || m.Repeat == Deduplicated && now < r.ran.sent+m.Window-margin
+}
+
+// within tells whether a server drops repeats of what first may have run.
+func (m *method) within(s, first *Server) bool {
+	if m.Repeat == Idempotent || m.Scope == ScopeAll {
+		return true
+	}
+	return s.zone == first.zone && (m.Scope == ScopeZone || s.cell == first.cell)
+}
+
+// choose is the Q-router: the lowest time-to-go at the present load, near-ties and exploration at random.
+func (b *Balancer) choose(r *RPC, now float64) *Server {
+	m := &b.methods[r.Method]
+	unit := b.unit(now)
+	for pass := range 2 {
+		b.cands, b.ests = b.cands[:0], b.ests[:0]
+		best := math.Inf(1)
+		for _, s := range b.servers {
+			if s.state != Ready || r.ran != nil && !m.within(s, r.ran.Server) || !b.warm(s, unit, now) {
+				continue
+			}
+			// The second pass takes what is left when all sound servers have been tried: an ejected one is
+			// better than none, and where all fail the fault lies elsewhere.
+			if pass == 0 && (now < s.ejected || s.strikes >= strikeOut && len(s.pending) > 0 || r.tried(s)) {
+				continue
+			}
+			if pass == 1 && r.pendingAt(s) {
+				continue
+			}
+			e := b.estimate(r, s, now)
+			best = min(best, e)
+			b.cands, b.ests = append(b.cands, s), append(b.ests, e)
+		}
+		if len(b.cands) == 0 {
+			continue
+		}
+		if b.rng.Float64() < explore {
+			return b.cands[b.rng.Intn(len(b.cands))]
+		}
+		n := 0
+		for i, s := range b.cands {
+			if b.ests[i] <= best*nearTie {
+				b.cands[n] = s
+				n++
+			}
+		}
+		return b.cands[b.rng.Intn(n)]
+	}
+	return nil
+}
+
+func (r *RPC) tried(s *Server) bool {
+	for _, p := range r.picks {
+		if p.Server == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *RPC) pendingAt(s *Server) bool {
+	for _, p := range r.picks {
+		if p.Server == s && p.out {
+			return true
+		}
+	}
+	return false
+}
+
+// estimate is the time-to-go of an RPC at a server.
+func (b *Balancer) estimate(r *RPC, s *Server, now float64) float64 {
+	i := b.row(r, s, now)
+	q := b.mean(i, r.Method, now) * s.pace(b.typical(r.Method, now), now)
+	// One sample counts for seven tenths of an entry, so an old one misleads: it fades towards the mean of
+	// the row at the server's own pace, which is also where a new entry starts.
+	if e := &s.entries[i]; e.at > 0 {
+		if now-e.at > rowLife {
+			b.forget(s, i)
+		} else {
+			q += (e.q - q) * math.Exp2((e.at-now)/fade)
+		}
+	}
+	crowd := float64(b.out) / float64(max(1, b.ready))
+	q += b.typical(r.Method, now) * float64(len(s.pending)) * b.weight / s.weight / (1 + crowd)
+	// A hung server looks sound until its time-outs land: a late pick counts before it ends.
+	if len(s.pending) > 0 {
+		if p := s.pending[0]; now-p.sent > overdue*p.due {
+			q += now - p.sent
+		}
+	}
+	if s.zone != b.zone {
+		q *= 1 + 4*b.cross
+	}
+	return q
+}
+
+func (b *Balancer) row(r *RPC, s *Server, now float64) int {
+	load := float64(len(s.pending))
+	if s.queue > 0 {
+		load += s.queue * math.Exp2(s.qTime-now) // a late report must not mislead for long
+	}
+	level := min(bits.Len(uint(load+1))-1, levels-1)
+	return (r.Method*max(1, len(b.tenants))+r.Tenant)*levels + level
+}
+
+// mean is where a new entry starts: at the mean of the other servers' matching entries.
+func (b *Balancer) mean(i, method int, now float64) float64 {
+	if w := &b.rows[i]; w.n > 0 {
+		return w.sum / float64(w.n)
+	}
+	return b.typical(method, now)
+}
+
+func (b *Balancer) typical(method int, now float64) float64 {
+	m := &b.methods[method]
+	n := m.oks.read(now, doneHalf)
+	return (m.took.read(now, doneHalf) + 0.3*m.LatencyTarget) / (n + 1)
+}
+
+// pace is how long a server takes over what its rows lead to expect, whatever the method or tenant.
+func (s *Server) pace(typical, now float64) float64 {
+	doubt := paceDoubt * typical
+	return (s.cost.read(now, paceHalf) + doubt) / (s.due.read(now, paceHalf) + doubt)
+}
+
+// cold is the part of its capacity that a server is sure to have.
+func (b *Balancer) cold(s *Server, now float64) float64 {
+	if s.cameUp <= 0 || now >= s.cameUp+b.coldFor || b.coldFor <= 0 {
+		return 1
+	}
+	return b.coldFrom + (1-b.coldFrom)*max(0, now-s.cameUp)/b.coldFor
+}
+
+// unit is the rate at which one warm server answers this node.
+func (b *Balancer) unit(now float64) float64 {
+	sum := 0.0
+	for _, s := range b.servers {
+		if s.state == Ready {
+			sum += b.cold(s, now)
+		}
+	}
+	return max(b.done.read(now, doneHalf)*math.Ln2/doneHalf/max(sum, 1), b.floorRate)
+}
+
+// warm guards a cold server: it gets picks no faster than its part of what a warm one answers this node.
+// Since every node keeps to its own part, all together keep under the multiple that pushes it over.
+func (b *Balancer) warm(s *Server, unit, now float64) bool {
+	part := b.cold(s, now)
+	if part >= 1 {
+		return true
+	}
+	s.tokens = min(s.tokens+unit*part*(now-s.tokensAt), 1)
+	s.tokensAt = now
+	return s.tokens >= 1
+}
+
+func (b *Balancer) send(r *RPC, s *Server, now float64) {
+	i := b.row(r, s, now)
+	p := &Pick{RPC: r, Server: s, pick: pick{sent: now, row: i, out: true, due: b.mean(i, r.Method, now)}}
+	if b.cold(s, now) < 1 {
+		s.tokens--
+	}
+	if r.ran == nil {
+		r.ran = p // until its result proves that it did not
+	}
+	r.picks = append(r.picks, p)
+	r.out++
+	b.out++
+	b.sent.add(1, now, extraHalf)
+	s.pending = append(s.pending, p)
+	b.host.Send(p, 0)
+	if wait := b.lateAfter(p, now); now+wait < r.useful {
+		b.host.After(wait, p)
+	}
+}
+
+// lateAfter is when to look at a pick again: when it is late, or when another could just still be in time.
+func (b *Balancer) lateAfter(p *Pick, now float64) float64 {
+	left := p.RPC.useful - now
+	return max(min(overdue*p.due, left-1.2*p.due), 1.2*p.due)
+}
+
+// Wake is a timer's ring.
+func (b *Balancer) Wake(what any) {
+	now := b.host.Now()
+	switch w := what.(type) {
+	case watchAgain:
+		b.host.Watch()
+	case *RPC:
+		if w.open && !w.started {
+			b.giveUp(w)
+		}
+	case *Pick:
+		if w.out && w.RPC.open && !w.RPC.started {
+			b.late(w, now)
+		}
+	}
+}
+
+// late is a pick that should have been answered by now. If the server has answered nothing since, it may
+// hang, and its time-outs would come too late: that counts as a failure at once.
+func (b *Balancer) late(p *Pick, now float64) {
+	s, r := p.Server, p.RPC
+	silent := s.heard < p.sent
+	if silent && !p.charged && now-p.sent > overdue*p.due {
+		p.charged = true
+		b.fault(p, now)
+	}
+	if !b.copies || !(silent || now-p.sent >= overdue*p.due*0.99) {
+		return
+	}
+	if b.extra.read(now, extraHalf) > 1+spare*b.sent.read(now, extraHalf) {
+		return
+	}
+	if len(r.picks) < b.methods[r.Method].picks && b.mayRepeat(r, now) {
+		if other := b.choose(r, now); other != nil {
+			b.extra.add(1, now, extraHalf)
+			b.send(r, other, now)
+		}
+	}
+}
+
+// Started is a streamed answer that has begun: the client owns the pick.
+func (b *Balancer) Started(p *Pick) {
+	p.RPC.started = true
+	for _, o := range p.RPC.picks {
+		if o != p {
+			b.cancel(o)
+		}
+	}
+}
+
+// Done is a pick's result. With last set the RPC has ended, by this or earlier.
+func (b *Balancer) Done(p *Pick, res Result, last bool, took float64, load *Load) {
+	now := b.host.Now()
+	s, r := p.Server, p.RPC
+	p.out = false
+	r.out--
+	b.out--
+	for i, o := range s.pending {
+		if o == p {
+			s.pending = append(s.pending[:i], s.pending[i+1:]...)
+			break
+		}
+	}
+	b.report(s, load, now)
+	if res.NeverRan() {
+		b.unrun(r, p)
+	}
+	switch res {
+	case OK:
+		b.ok(p, took, now)
+	case Canceled, Ignored:
+		// Teach nothing: they tell of this node, not of the server.
+	case TimedOut:
+		if !p.charged && s.heard < p.sent {
+			b.fault(p, now)
+		}
+	case Full:
+		s.heard = now
+		b.learn(p, penalty*b.methods[r.Method].Deadline, true, now)
+	default:
+		b.fault(p, now)
+	}
+	if last {
+		b.close(r)
+	} else if r.open && r.out == 0 {
+		b.pickOr(r, now)
+	}
+}
+
+// unrun finds the first pick that may have run, now that p is known not to have.
+func (b *Balancer) unrun(r *RPC, p *Pick) {
+	for i, o := range r.picks {
+		if o == p {
+			r.picks[i] = &Pick{RPC: r, Server: p.Server} // counts as a try, but ran nowhere
+		}
+	}
+	r.ran = nil
+	for _, o := range r.picks {
+		if o.sent > 0 {
+			r.ran = o
+			return
+		}
+	}
+}
+
+func (b *Balancer) ok(p *Pick, took, now float64) {
+	s, m := p.Server, &b.methods[p.RPC.Method]
+	s.heard, s.strikes, s.backoff, s.ejected = now, 0, 0, 0
+	m.took.add(took, now, doneHalf)
+	m.oks.add(1, now, doneHalf)
+	b.recent.add(1, now, recentHalf)
+	b.done.add(1, now, doneHalf)
+	b.pay(p, min(took, paceCap*p.due), now)
+	b.learn(p, took, false, now)
+}
+
+// fault counts a failure against its server and ejects one that only fails. The entries alone would send
+// each method and tenant into the same fault once more.
+func (b *Balancer) fault(p *Pick, now float64) {
+	s := p.Server
+	b.pay(p, paceCap*p.due, now)
+	b.learn(p, penalty*b.methods[p.RPC.Method].Deadline, true, now)
+	s.strikes++
+	if s.strikes >= strikeOut && now >= s.ejected {
+		s.backoff = min(max(ejectMin, 2*s.backoff), ejectMax)
+		s.ejected = now + s.backoff
+	}
+}
+
+func (b *Balancer) pay(p *Pick, cost, now float64) {
+	p.Server.cost.add(cost, now, paceHalf)
+	p.Server.due.add(p.due, now, paceHalf)
+}
+
+// learn is the Q-router's update of the entry that the pick used.
+func (b *Balancer) learn(p *Pick, cost float64, failed bool, now float64) {
+	s := p.Server
+	e := &s.entries[p.row]
+	q := p.due
+	if e.at > 0 {
+		q = e.q
+	}
+	b.forget(s, p.row)
+	*e = entry{q: (1-alpha)*q + alpha*cost, at: max(now, 1e-9), failed: failed}
+	if !failed {
+		b.rows[p.row].sum += e.q
+		b.rows[p.row].n++
+	}
+}
+
+// forget takes an entry out of its row's mean.
+func (b *Balancer) forget(s *Server, i int) {
+	e := &s.entries[i]
+	if e.at > 0 && !e.failed {
+		w := &b.rows[i]
+		w.sum -= e.q
+		if w.n--; w.n == 0 {
+			w.sum = 0
+		}
+	}
+	*e = entry{}
+}
+
+func (b *Balancer) report(s *Server, load *Load, now float64) {
+	if load != nil && load.Queue >= 0 {
+		s.queue, s.qTime = load.Queue, now
+	}
+}
+
+// Vanished is a client that has left: nothing is owed any more.
+func (b *Balancer) Vanished(r *RPC) { b.close(r) }
+
+// Probed is a probe's result; none are sent yet.
+func (b *Balancer) Probed(s *Server, res Result, took float64, load *Load) {
+	b.report(s, load, b.host.Now())
+}
+
+// giveUp ends an RPC at once: with a pushback where retrying is harmless, else with an abort.
+func (b *Balancer) giveUp(r *RPC) {
+	m := &b.methods[r.Method]
+	if r.ran == nil || m.Repeat == Idempotent || m.Repeat == Deduplicated && m.Scope == ScopeAll {
+		b.host.PushBack(r, b.maxWait)
+	} else {
+		b.host.Abort(r)
+	}
+	b.close(r)
+}
+
+func (b *Balancer) close(r *RPC) {
+	if r.open {
+		r.open = false
+		b.open--
+	}
+	for _, p := range r.picks {
+		b.cancel(p)
+	}
+}
+
+func (b *Balancer) cancel(p *Pick) {
+	if p.out && b.cancels {
+		b.host.Cancel(p)
+	}
+}
--- /dev/null
+++ b/decide/helpers_test.go
@@ -0,0 +1,109 @@
+package decide
+
+import "sort"
+
+// fakeHost carries nothing: it notes what the balancer does and rings its timers when told to.
+type fakeHost struct {
+	b       *Balancer
+	now     float64
+	sent    []*Pick
+	pushed  map[*RPC]float64
+	aborted map[*RPC]bool
+	probed  []*Server
+	cancels []*Pick
+	watches int
+	timers  []timer
+}
+
+type timer struct {
+	at   float64
+	what any
+}
+
+func (h *fakeHost) Now() float64                  { return h.now }
+func (h *fakeHost) Send(p *Pick, timeout float64) { h.sent = append(h.sent, p) }
+func (h *fakeHost) Cancel(p *Pick)                { h.cancels = append(h.cancels, p) }
+func (h *fakeHost) PushBack(r *RPC, wait float64) { h.pushed[r] = wait }
+func (h *fakeHost) Abort(r *RPC)                  { h.aborted[r] = true }
+func (h *fakeHost) Probe(s *Server)               { h.probed = append(h.probed, s) }
+func (h *fakeHost) Watch()                        { h.watches++ }
+func (h *fakeHost) After(delay float64, what any) {
+	h.timers = append(h.timers, timer{h.now + delay, what})
+}
+
+// until moves the clock, ringing what comes due.
+func (h *fakeHost) until(t float64) {
+	for {
+		sort.SliceStable(h.timers, func(i, j int) bool { return h.timers[i].at < h.timers[j].at })
+		if len(h.timers) == 0 || h.timers[0].at > t {
+			break
+		}
+		next := h.timers[0]
+		h.timers = h.timers[1:]
+		h.now = max(h.now, next.at)
+		h.b.Wake(next.what)
+	}
+	h.now = t
+}
+
+func (h *fakeHost) arrive(method int) *RPC {
+	r := &RPC{Method: method, Deadline: h.now + 6}
+	h.b.Arrived(r)
+	return r
+}
+
+func (h *fakeHost) last() *Pick { return h.sent[len(h.sent)-1] }
+
+// done ends a pick; an ok or an earlier end closes its RPC, as on the wire.
+func (h *fakeHost) done(p *Pick, res Result) {
+	h.b.Done(p, res, res == OK || !p.RPC.open, h.now-p.sent, nil)
+}
+
+func ready(s *Server, zone int) Listing { return Listing{Server: s, Weight: 1, Zone: zone} }
+
+const (
+	lookup = iota // idempotent
+	book          // deduplicated by all
+	commit        // deduplicated inside a zone
+	charge        // non-idempotent
+)
+
+// story starts a balancer over n servers, which alternate between two zones.
+func story(n int, edit func(*Settings)) (*fakeHost, []*Server) {
+	s := Settings{Instances: 1, MaxPicks: 5, MayCancel: true, SecondCopies: true, RetryAfter: true, MaxRetryAfter: 2,
+		ColdFrom: 0.2, ColdFor: 20, FallMultiple: 3, FallFor: 3, Methods: []Method{
+			{LatencyTarget: 2.5, Deadline: 6, Utility: 10},
+			{LatencyTarget: 2.5, Deadline: 6, Utility: 10, Repeat: Deduplicated, Window: 10},
+			{LatencyTarget: 2.5, Deadline: 6, Utility: 10, Repeat: Deduplicated, Scope: ScopeZone, Window: 1},
+			{LatencyTarget: 2.5, Deadline: 6, Utility: 10, Repeat: NonIdempotent}}}
+	if edit != nil {
+		edit(&s)
+	}
+	h := &fakeHost{now: 100, pushed: map[*RPC]float64{}, aborted: map[*RPC]bool{}}
+	h.b = New(h, s, 1)
+	var servers []*Server
+	var list []Listing
+	for i := range n {
+		servers = append(servers, &Server{})
+		list = append(list, ready(servers[i], i%2))
+	}
+	h.b.Listed(list, true)
+	return h, servers
+}
+
+// warmUp answers RPCs one after another in the time that each server takes.
+func (h *fakeHost) warmUp(n int, took func(*Server) float64) map[*Server]int {
+	got := map[*Server]int{}
+	for range n {
+		h.arrive(lookup)
+		p := h.last()
+		got[p.Server]++
+		h.until(h.now + took(p.Server))
+		if p.out {
+			h.done(p, OK)
+		}
+	}
+	return got
+}
+
+func always(t float64) func(*Server) float64 { return func(*Server) float64 { return t } }
--- /dev/null
+++ b/decide/host.go
@@ -0,0 +1,149 @@
+// Package decide holds the balancer's decisions (decide.go) and the interface between them and
+// whatever carries RPCs (this file).
+package decide
+
+// Host is what a Balancer acts through. All calls take effect at Now, in the order made.
+type Host interface {
+	// Now is the instance's only clock, in seconds from an arbitrary start.
+	Now() float64
+	// Send starts a pick; its result comes back through Balancer.Done. A timeout of 0 lasts till the
+	// client's deadline.
+	Send(p *Pick, timeout float64)
+	Cancel(p *Pick)
+	// PushBack ends an RPC with the promise that retrying is harmless; wait advises when.
+	PushBack(r *RPC, wait float64)
+	// Abort ends an RPC and promises nothing.
+	Abort(r *RPC)
+	// After calls Balancer.Wake with what, once the delay has passed. It cannot be taken back.
+	After(delay float64, what any)
+	Probe(s *Server)
+	// Watch subscribes to changes of the server list; Balancer.Listed or Balancer.ListFailed answers.
+	Watch()
+}
+
+// Repeat says what may happen to a method's RPC once it may have run.
+type Repeat int
+
+const (
+	Idempotent Repeat = iota
+	Deduplicated
+	NonIdempotent
+)
+
+// Scope is the group of servers that drops repeats of a deduplicated RPC.
+type Scope int
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Method is one kind of RPC. Times are in seconds.
+type Method struct {
+	LatencyTarget float64
+	Deadline      float64
+	Utility       float64
+	LateUtility   float64 // fraction of Utility for an ok after the target
+	Repeat        Repeat
+	Scope         Scope
+	Window        float64
+}
+
+// Tenant is one customer; Quota is its share in RPCs a second over all nodes.
+type Tenant struct {
+	Quota float64
+}
+
+// Settings is what an instance is told at its start.
+type Settings struct {
+	Methods []Method
+	Tenants []Tenant
+	Zone    int
+	Stage   int // tier this instance sends into; 0 is the one that clients reach
+
+	Instances      int
+	MaxPicks       int
+	MayCancel      bool
+	MayProbe       bool
+	SecondCopies   bool
+	RetryAfter     bool
+	MaxRetryAfter  float64
+	PassesDeadline bool
+	MarksRetry     bool
+	OverShare      float64 // fraction of the utility left to traffic beyond a tenant's quota
+	CrossZone      float64 // price of a pick that crosses zones
+	MustWatch      bool    // the server list has to be asked for
+	MustAskIn      float64
+
+	ColdFrom     float64
+	ColdFor      float64
+	FallMultiple float64
+	FallFor      float64
+}
+
+// State is a server's standing in the list.
+type State int
+
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Listing is one line of the server list.
+type Listing struct {
+	Server *Server
+	State  State
+	Zone   int
+	Cell   int
+	Weight float64
+	CameUp float64 // 0: long ago
+}
+
+// Result is how a pick or a probe ended.
+type Result int
+
+const (
+	OK Result = iota
+	Failed
+	Full
+	TimedOut
+	ConnectFailed
+	Reset
+	Canceled
+	Ignored
+)
+
+// NeverRan tells the results that prove a pick had no effect.
+func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Ignored }
+
+// Load is a server's report of itself. A value that was not reported is negative.
+type Load struct {
+	Queue      float64
+	Util       float64
+	Concurrent float64
+	Latency    float64 // seconds
+	Errors     float64 // a second
+}
+
+// Server is one server of the tier below. It lives as long as the instance.
+type Server struct {
+	server
+}
+
+// RPC is one request that the instance has taken and owes an answer.
+type RPC struct {
+	Method   int
+	Tenant   int
+	Deadline float64
+	Retry    bool // the client says that it has asked before
+	rpc
+}
+
+// Pick is one attempt of an RPC at a server.
+type Pick struct {
+	RPC    *RPC
+	Server *Server
+	pick
+}
--- /dev/null
+++ b/internal/simwire/wire.go
@@ -0,0 +1,334 @@
+// Package simwire speaks the bench's text wire: it turns lines into calls of decide.Balancer and the
+// calls of decide.Host into lines. It takes no decision.
+package simwire
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"robincart/decide"
+)
+
+// row is one entry of a numbered server list.
+type row struct {
+	addr           string
+	zone, cell     int
+	state          decide.State
+	weight, cameUp float64
+}
+
+// Hub reads batches and hosts the instances, which share nothing but the wire's numbered lists.
+type Hub struct {
+	in        *bufio.Reader
+	out       *bufio.Writer
+	now       float64
+	instances map[int]*instance
+	pages     map[int][]row
+	live      bool // inside a batch
+	fault     error
+}
+
+// NewHub makes a Hub over the two ends of the wire.
+func NewHub(in io.Reader, out io.Writer) *Hub {
+	return &Hub{
+		in:        bufio.NewReaderSize(in, 1<<20),
+		out:       bufio.NewWriterSize(out, 1<<18),
+		instances: map[int]*instance{},
+		pages:     map[int][]row{},
+	}
+}
+
+// Run answers batches until the input ends.
+func (h *Hub) Run() error {
+	for {
+		line, err := h.line()
+		if errors.Is(err, io.EOF) {
+			if h.live {
+				return errors.New("input ended inside a batch")
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := h.handle(line); err != nil {
+			return fmt.Errorf("line %.200q: %w", line, err)
+		}
+		if h.fault != nil {
+			return fmt.Errorf("after line %.200q: %w", line, h.fault)
+		}
+	}
+}
+
+func (h *Hub) line() (string, error) {
+	s, err := h.in.ReadString('\n')
+	if err != nil && (s == "" || !errors.Is(err, io.EOF)) {
+		if errors.Is(err, io.EOF) {
+			return "", io.EOF
+		}
+		return "", fmt.Errorf("reading the wire: %w", err)
+	}
+	return strings.TrimRight(s, "\r\n"), nil
+}
+
+func (h *Hub) handle(line string) error {
+	name, rest, _ := strings.Cut(line, " ")
+	if name == "SYNC" {
+		if h.live {
+			return errors.New("SYNC inside a batch")
+		}
+		f := fields{parts: strings.Split(rest, " ")}
+		now := f.ms()
+		if err := f.done(); err != nil {
+			return err
+		}
+		h.now, h.live = now, true
+		return nil
+	}
+	if !h.live {
+		return errors.New("event outside a batch")
+	}
+	switch name {
+	case "YOUR_TURN":
+		h.live = false
+		h.out.WriteString("NEXT\n")
+		if err := h.out.Flush(); err != nil {
+			return fmt.Errorf("writing the wire: %w", err)
+		}
+		return nil
+	case "SNAPSHOT_ROWS":
+		return h.snapshot(rest)
+	case "BEGIN":
+		return h.begin(rest)
+	}
+	f := fields{parts: strings.Split(rest, " ")}
+	id := f.integer()
+	if f.err != nil {
+		return f.err
+	}
+	if name == "DESTROY" {
+		delete(h.instances, id)
+		return f.done()
+	}
+	in := h.instances[id]
+	if in == nil {
+		return fmt.Errorf("instance %d was never begun", id)
+	}
+	return in.event(name, &f)
+}
+
+func (h *Hub) snapshot(rest string) error {
+	f := fields{parts: strings.Split(rest, " ")}
+	page, n := f.integer(), f.integer()
+	if err := f.done(); err != nil {
+		return err
+	}
+	if n < 0 {
+		return errors.New("negative number of entries")
+	}
+	rows := make([]row, 0, min(n, 4096))
+	for range n {
+		line, err := h.line()
+		if err != nil {
+			return fmt.Errorf("list cut short: %w", err)
+		}
+		e := fields{parts: strings.Split(line, " ")}
+		if tag := e.text(); tag != "M" {
+			return fmt.Errorf("entry %.200q does not start with M", line)
+		}
+		r := row{addr: e.text(), zone: e.integer()}
+		e.integer() // the kind: decisions go by what servers do, not by what they are called
+		r.cell = e.integer()
+		state := e.text()
+		r.weight = e.optional(1)
+		r.cameUp = e.optional(0) / 1000
+		switch state {
+		case "active":
+			r.state = decide.Ready
+		case "leaving":
+			r.state = decide.Draining
+		case "left":
+			r.state = decide.Gone
+		default:
+			e.fail("unknown readiness %q", state)
+		}
+		if err := e.done(); err != nil {
+			return fmt.Errorf("entry %.200q: %w", line, err)
+		}
+		rows = append(rows, r)
+	}
+	h.pages[page] = rows
+	return nil
+}
+
+func (h *Hub) begin(rest string) error {
+	parts := strings.SplitN(rest, " ", 3)
+	if len(parts) != 3 {
+		return errors.New("BEGIN needs an instance, a seed and settings")
+	}
+	f := fields{parts: parts[:2]}
+	id, seed := f.integer(), f.integer()
+	if err := f.done(); err != nil {
+		return err
+	}
+	c, err := readConf(parts[2])
+	if err != nil {
+		return err
+	}
+	in := &instance{hub: h, id: id, conf: c, servers: map[string]*server{}, rpcs: map[string]*request{},
+		names: map[*decide.Server]string{}, ids: map[*decide.RPC]*request{}, picks: map[*decide.Pick]int{},
+		wakes: map[int]any{}}
+	h.instances[id] = in
+	in.balancer = decide.New(in, c.settings(), int64(seed))
+	return nil
+}
+
+type fields struct {
+	parts []string
+	at    int
+	err   error
+}
+
+func (f *fields) fail(format string, args ...any) {
+	if f.err == nil {
+		f.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (f *fields) text() string {
+	if f.at >= len(f.parts) {
+		f.fail("too few values")
+		return ""
+	}
+	f.at++
+	return f.parts[f.at-1]
+}
+
+func (f *fields) integer() int {
+	s := f.text()
+	if s == "-" {
+		return 0
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		f.fail("%q is not a whole number", s)
+	}
+	return int(n)
+}
+
+func (f *fields) optional(absent float64) float64 {
+	s := f.text()
+	if s == "-" {
+		return absent
+	}
+	x, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+		f.fail("%q is not a number", s)
+	}
+	return x
+}
+
+func (f *fields) ms() float64 { return f.optional(0) / 1000 }
+
+func (f *fields) done() error {
+	if f.err == nil && f.at < len(f.parts) {
+		f.fail("%d values too many", len(f.parts)-f.at)
+	}
+	return f.err
+}
+
+type conf struct {
+	Classes []struct {
+		AimMs, AimStretch, DeadlineMs, LateWorth, WindowMs, Credit float64
+		Repeat, DedupScope                                         string
+	}
+	Clients      struct{ MarksRetry bool }
+	RegistryMode string
+	FamilyInfo   struct{ PassesDeadline bool }
+	Limits       struct {
+		MaxAttempts                                 int
+		MaxRetryAfterMs                             float64
+		MayCancel, Probes, RetryAfter, SecondCopies bool
+	}
+	Deductions     struct{ CrossZone float64 }
+	Report         struct{ Fields []string }
+	Rules          struct{ ColdFrom, ColdMs, FallMultiple, FallMs, MustAskInMs, StopSendingWithinMs float64 }
+	Tenants        []struct{ QuotaPerS float64 }
+	Instances      int
+	MyZone, Stage  int
+	OverShareWorth float64
+}
+
+var repeats = map[string]decide.Repeat{
+	"repeatable": decide.Idempotent, "by_key": decide.Deduplicated, "once": decide.NonIdempotent}
+
+var scopes = map[string]decide.Scope{
+	"": decide.ScopeAll, "all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell}
+
+func readConf(text string) (*conf, error) {
+	c := &conf{}
+	if err := json.Unmarshal([]byte(text), c); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if len(c.Classes) == 0 {
+		return nil, errors.New("setting Classes is missing or empty")
+	}
+	for i, k := range c.Classes {
+		_, known := repeats[k.Repeat]
+		_, scoped := scopes[k.DedupScope]
+		switch {
+		case !(k.DeadlineMs > 0):
+			return nil, fmt.Errorf("setting Classes[%d].DeadlineMs must be above 0", i)
+		case !(k.AimMs > 0):
+			return nil, fmt.Errorf("setting Classes[%d].AimMs must be above 0", i)
+		case k.Credit < 0:
+			return nil, fmt.Errorf("setting Classes[%d].Credit must not be negative", i)
+		case !known:
+			return nil, fmt.Errorf("setting Classes[%d].Repeat is %q", i, k.Repeat)
+		case !scoped:
+			return nil, fmt.Errorf("setting Classes[%d].DedupScope is %q", i, k.DedupScope)
+		case k.Repeat == "by_key" && !(k.WindowMs > 0):
+			return nil, fmt.Errorf("setting Classes[%d].WindowMs must be above 0", i)
+		}
+	}
+	switch {
+	case c.Instances < 1:
+		return nil, errors.New("setting Instances must be at least 1")
+	case c.Limits.MaxAttempts < 1:
+		return nil, errors.New("setting Limits.MaxAttempts must be at least 1")
+	case c.Rules.ColdMs < 0 || c.Rules.ColdFrom < 0 || c.Rules.ColdFrom > 1:
+		return nil, errors.New("settings Rules.ColdMs and Rules.ColdFrom are out of range")
+	case c.RegistryMode != "automatic" && c.RegistryMode != "subscribe":
+		return nil, fmt.Errorf("setting RegistryMode is %q", c.RegistryMode)
+	}
+	return c, nil
+}
+
+func (c *conf) settings() decide.Settings {
+	s := decide.Settings{
+		Zone: c.MyZone, Stage: c.Stage, Instances: c.Instances, MaxPicks: c.Limits.MaxAttempts,
+		MayCancel: c.Limits.MayCancel, MayProbe: c.Limits.Probes, SecondCopies: c.Limits.SecondCopies,
+		RetryAfter: c.Limits.RetryAfter, MaxRetryAfter: c.Limits.MaxRetryAfterMs / 1000,
+		PassesDeadline: c.FamilyInfo.PassesDeadline, MarksRetry: c.Clients.MarksRetry,
+		OverShare: c.OverShareWorth, CrossZone: c.Deductions.CrossZone,
+		MustWatch: c.RegistryMode == "subscribe", MustAskIn: c.Rules.MustAskInMs / 1000,
+		ColdFrom: c.Rules.ColdFrom, ColdFor: c.Rules.ColdMs / 1000,
+		FallMultiple: c.Rules.FallMultiple, FallFor: c.Rules.FallMs / 1000,
+	}
+	for _, k := range c.Classes {
+		s.Methods = append(s.Methods, decide.Method{
+			LatencyTarget: min(k.AimMs, k.DeadlineMs) / 1000, Deadline: k.DeadlineMs / 1000,
+			Utility: k.Credit, LateUtility: k.LateWorth, Repeat: repeats[k.Repeat],
+			Scope: scopes[k.DedupScope], Window: k.WindowMs / 1000})
+	}
+	for _, t := range c.Tenants {
+		s.Tenants = append(s.Tenants, decide.Tenant{Quota: t.QuotaPerS})
+	}
+	return s
+}
