--- a/decide/decide.go
+++ b/decide/decide.go
@@ -3,7 +3,7 @@
 // All decisions of a node, and nothing else. Whoever carries RPCs (in the bench internal/simwire, later the
 // real node) makes one Balancer an instance with New and calls one method for each thing that happens:
 // Listed and ListFailed for the server list, Arrived, Done, Started and Vanished for RPCs and their picks,
-// Wake for timers, Probed for probes. The Balancer acts at once through the Host that New was handed;
+// and Wake for timers. The Balancer acts at once through the Host that New was handed;
 // host.go defines that interface and the plain types. Nothing here knows a clock, a socket or an id.
 //
 // The ordinary path is the Q-router of DESIGN-robincart.md: choose sends to the server with the lowest
@@ -32,15 +32,28 @@
 	strikeOut = 3   // failures in a row that eject a server
 	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
 	ejectMax  = 8.0
-	comeBack  = 0.1 // of the latency target: when a client pushed back may ask again
-	spare     = 0.1 // second copies as a share of picks: copies must not carry a slowdown into overload
-	goal      = 0.6 // of the latency target: the mean wait that leaves most RPCs in time
-	roomMost  = 1.1 // times the usual: a burst fills a larger room before the first late answer tells of it
-	crowded   = 1.4 // times the base wait: more RPCs held would only queue
-	baseHalf  = 60.0
-	roomLeast = 0.5 // of the usual: below that, servers that jammed rest anyway
-	ableHalf  = 20.0
+	comeBack  = 0.1  // of the latency target: when a client pushed back may ask again
+	spare     = 0.1  // second copies as a share of picks: copies must not carry a slowdown into overload
 	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
+
+	// The room for RPCs held at the front. Waits are counted in latency targets.
+	goal      = 0.6  // a mean wait above it leaves too many RPCs late, and is where servers begin to jam
+	crowded   = 1.4  // times the base wait: more RPCs held would only queue
+	baseHalf  = 60.0 // the base rises, and the usual falls, by half in that time: a day changes in minutes
+	roomMost  = 1.1  // times the usual: a burst fills a larger room before the first late answer tells of it
+	roomLeast = 0.5  // of the usual: below that, servers that jammed rest anyway
+	roomUp    = 0.2  // a server's answer makes room for a part of the next: a fifth more a turn
+	roomDown  = 0.3  // and shrinks somewhat faster, since a crowd costs more than an idle server
+	ableHalf  = 20.0 // seconds that the room remembers servers which have gone
+	trickle   = 2.0  // RPCs held whatever the room
+	cheapest  = 0.65 // of the room is open to an RPC of no utility: the rest is kept for dearer ones
+
+	// Half-lives in seconds: the shortest still covers some answers of a small node.
+	recentHalf = 0.7 // of waits
+	doneHalf   = 5.0 // of times and rates that hardly change
+	extraHalf  = 5.0 // of the budget for second copies
+	shareHalf  = 3.0 // of a tenant's rate: short enough for a burst, long enough for chance
+	overQuota  = 1.2 // times its quota that a tenant may ask for: clients do not come evenly
 )
 
 // decaying is a sum that halves every half seconds, brought up to date when read.
@@ -114,6 +127,7 @@
 	row       int
 	out       bool
 	charged   bool // already counted as late
+	unran     bool // known not to have run
 }
 
 type watchAgain struct{}
@@ -135,7 +149,7 @@
 	coldFrom, coldFor      float64
 	coldPush               float64 // times its part that a cold server may be sent
 	floorRate              float64 // picks a second to a warm server when nothing is known
-	watch, watchBackoff    float64
+	watchBackoff           float64
 
 	open          int      // RPCs held
 	room          float64  // RPCs to hold at most
@@ -155,13 +169,6 @@
 	ests          []float64
 }
 
-const (
-	recentHalf = 0.7
-	doneHalf   = 5.0
-	extraHalf  = 5.0
-	shareHalf  = 3.0
-)
-
 // New starts an instance.
 func New(h Host, s Settings, seed int64) *Balancer {
 	b := &Balancer{host: h, rng: rand.New(rand.NewSource(seed)), inner: s.Stage > 0, copies: s.SecondCopies,
@@ -192,8 +199,7 @@
 	b.rows = make([]row, len(s.Methods)*max(1, len(s.Tenants))*levels)
 	if s.MustWatch {
 		// All nodes start together and the list is one slow service: each waits a random part of the time.
-		b.watch = min(s.MustAskIn/4, 0.1*float64(s.Instances))
-		h.After(b.rng.Float64()*b.watch, watchAgain{})
+		h.After(b.rng.Float64()*min(s.MustAskIn/4, 0.1*float64(s.Instances)), watchAgain{})
 	}
 	return b
 }
@@ -265,7 +271,7 @@
 	if r.Tenant < len(b.tenants) && !b.inner {
 		t := &b.tenants[r.Tenant]
 		t.asked.add(1, now, shareHalf)
-		if t.quota > 0 && t.asked.sum*math.Ln2/shareHalf > 1.2*t.quota {
+		if t.quota > 0 && t.asked.sum*math.Ln2/shareHalf > overQuota*t.quota {
 			r.value *= b.overShare
 		}
 	}
@@ -277,9 +283,10 @@
 	b.pickOr(r, now)
 }
 
-// admit takes an RPC only if it is predicted in time. The prediction is what the last ones waited, those given
-// up on included; the less an RPC is worth, the earlier it gives way. It guards against a crowd in which all
-// are late. Inner nodes take all that can still be in time: a pushback there wastes the work above.
+// admit takes an RPC only if there is room and it is predicted in time. The prediction is what the last ones
+// waited, those given up on included; the less an RPC is worth, the earlier it gives way. It guards against a
+// crowd in which all are late. Inner nodes take all that can still be in time: a pushback there wastes the
+// work above.
 func (b *Balancer) admit(r *RPC, now float64) bool {
 	m := &b.methods[r.Method]
 	left := r.useful - now
@@ -292,11 +299,12 @@
 	if b.inner {
 		return true
 	}
-	if float64(b.open) > b.room*b.able(now)*(0.65+0.35*math.Cbrt(r.value)) {
+	room := b.room * b.able(now) * (cheapest + (1-cheapest)*math.Cbrt(r.value))
+	if float64(b.open) > max(room, trickle) {
 		return false
 	}
+	// Never nobody, here and above: without picks nothing would be learnt of the recovery.
 	x := b.waited(now) * m.LatencyTarget / left
-	// Never nobody: without picks nothing would be learnt of the recovery.
 	return x < 1 || b.rng.Float64() < max(0.05, 1-2*(x-1))
 }
 
@@ -306,13 +314,13 @@
 }
 
 // able is the part of the usual servers that can work now. The room goes by it: what a jammed, cold or lost
-// server no longer does would otherwise be spilt over the rest and jam them one after another. More servers than
-// usual make no more room by themselves, since the tier behind them may not have grown.
+// server no longer does would otherwise be spilt over the rest and jam them one after another. More servers
+// than usual make no more room by themselves, since the tier behind them may not have grown.
 func (b *Balancer) able(now float64) float64 {
 	sum := 0.0
 	for _, s := range b.servers {
-		// A server that cannot be reached does not count as jammed: behind a cut between zones the nodes there can
-		// no longer reach ours either.
+		// A server that cannot be reached does not count as jammed: behind a cut between zones the nodes there
+		// can no longer reach ours either.
 		if s.state == Ready && (s.cut || now >= s.ejected) {
 			sum += b.cold(s, now) * s.weight
 		}
@@ -329,8 +337,8 @@
 	return min(1, sum/b.ables)
 }
 
-// leastRoom is room that no crowd takes away: enough to keep this node's part of the servers at work, so that a
-// slowdown of all servers is not answered by idling them.
+// leastRoom is room that no crowd takes away: enough to keep this node's part of the servers at work, so that
+// a slowdown of all servers is not answered by idling them.
 func (b *Balancer) leastRoom() float64 { return max(2, 2*float64(b.ready)*b.part) }
 
 // ended notes how long an RPC was held that found a server, and moves the room: RPCs are held only as many as
@@ -355,9 +363,9 @@
 	case w > crowded*b.base:
 		// By Little's law a slowdown of all servers needs no more RPCs held than usual to keep them at work, and
 		// no fewer either.
-		b.room = max(b.room*(1-0.3/max(float64(b.open), 4)), min(b.room, b.usual))
+		b.room = max(b.room*(1-roomDown/max(float64(b.open), 4)), min(b.room, b.usual))
 	case held > 0.6*b.room:
-		b.room *= 1 + 0.2/max(float64(b.open), 4)
+		b.room *= 1 + roomUp/max(float64(b.open), 4)
 	}
 	b.room = min(b.room, roomMost*b.usual+2*math.Sqrt(b.usual))
 	b.room = max(b.room, b.leastRoom(), roomLeast*b.usual)
@@ -531,8 +539,8 @@
 }
 
 // warm guards a cold server: it gets picks no faster than its part of what a warm one answers this node.
-// Since every node keeps to its own part, all together keep under the multiple that pushes it over; half of the
-// multiple is left for chance, and the other half lets a fleet grow out of being cold all together.
+// Since every node keeps to its own part, all together keep under the multiple that pushes it over; half of
+// the multiple is left for chance, and the other half lets a fleet grow out of being cold all together.
 func (b *Balancer) warm(s *Server, unit, now float64) bool {
 	part := b.cold(s, now)
 	if part >= 1 {
@@ -654,7 +662,9 @@
 			break
 		}
 	}
-	b.report(s, load, now)
+	if load != nil && load.Queue >= 0 {
+		s.queue, s.qTime = load.Queue, now
+	}
 	if res.NeverRan() {
 		b.unrun(r, p)
 	}
@@ -689,14 +699,9 @@
 
 // unrun finds the first pick that may have run, now that p is known not to have.
 func (b *Balancer) unrun(r *RPC, p *Pick) {
-	for i, o := range r.picks {
-		if o == p {
-			r.picks[i] = &Pick{RPC: r, Server: p.Server} // counts as a try, but ran nowhere
-		}
-	}
-	r.ran = nil
+	p.unran, r.ran = true, nil
 	for _, o := range r.picks {
-		if o.sent > 0 {
+		if !o.unran {
 			r.ran = o
 			return
 		}
@@ -760,20 +765,9 @@
 	*e = entry{}
 }
 
-func (b *Balancer) report(s *Server, load *Load, now float64) {
-	if load != nil && load.Queue >= 0 {
-		s.queue, s.qTime = load.Queue, now
-	}
-}
-
 // Vanished is a client that has left: nothing is owed any more.
 func (b *Balancer) Vanished(r *RPC) { b.close(r) }
 
-// Probed is a probe's result; none are sent yet.
-func (b *Balancer) Probed(s *Server, res Result, took float64, load *Load) {
-	b.report(s, load, b.host.Now())
-}
-
 // giveUp ends an RPC at once: with a pushback where retrying is harmless, else with an abort.
 func (b *Balancer) giveUp(r *RPC) {
 	m := &b.methods[r.Method]
--- a/decide/host.go
+++ b/decide/host.go
@@ -16,7 +16,6 @@
 	Abort(r *RPC)
 	// After calls Balancer.Wake with what, once the delay has passed. It cannot be taken back.
 	After(delay float64, what any)
-	Probe(s *Server)
 	// Watch subscribes to changes of the server list; Balancer.Listed or Balancer.ListFailed answers.
 	Watch()
 }
@@ -62,19 +61,16 @@
 	Zone    int
 	Stage   int // tier this instance sends into; 0 is the one that clients reach
 
-	Instances      int
-	MaxPicks       int
-	MayCancel      bool
-	MayProbe       bool
-	SecondCopies   bool
-	RetryAfter     bool
-	MaxRetryAfter  float64
-	PassesDeadline bool
-	MarksRetry     bool
-	OverShare      float64 // fraction of the utility left to traffic beyond a tenant's quota
-	CrossZone      float64 // price of a pick that crosses zones
-	MustWatch      bool    // the server list has to be asked for
-	MustAskIn      float64
+	Instances     int
+	MaxPicks      int
+	MayCancel     bool
+	SecondCopies  bool
+	RetryAfter    bool
+	MaxRetryAfter float64
+	OverShare     float64 // fraction of the utility left to traffic beyond a tenant's quota
+	CrossZone     float64 // price of a pick that crosses zones
+	MustWatch     bool    // the server list has to be asked for
+	MustAskIn     float64
 
 	ColdFrom     float64
 	ColdFor      float64
@@ -118,13 +114,10 @@
 // NeverRan tells the results that prove a pick had no effect.
 func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Ignored }
 
-// Load is a server's report of itself. A value that was not reported is negative.
+// Load is a server's report of itself: the RPCs waiting there, negative if it did not say. Reports carry more
+// on some deployments; sending by it herded all nodes to the same servers.
 type Load struct {
-	Queue      float64
-	Util       float64
-	Concurrent float64
-	Latency    float64 // seconds
-	Errors     float64 // a second
+	Queue float64
 }
 
 // Server is one server of the tier below. It lives as long as the instance.
