--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,16 +23,14 @@
 	levels  = 5     // load levels: 0, 1-2, 3-6, 7-14, 15 and more
 	rowLife = 60.0  // an entry idle that long is dropped
 
-	fade      = 4.0  // half-life of what one sample says beyond its row's mean, in seconds
-	paceHalf  = 6.0  // half-life of a server's pace, long enough for a few samples at an inner node
-	paceDoubt = 2.0  // samples' worth of doubt that holds a pace near 1
-	usedHalf  = 30.0 // half-life of own picks at a server, long enough for a few even where hundreds share the work
-	even      = 1.5  // mean times that a server's whole fair share of own picks adds to its estimate
-	paceCap   = 4.0  // no sample counts as more than this many times its due: one outlier is no verdict
-	overdue   = 2.5  // times the expected: a pick out for longer is late
-	patience  = 1.2  // times the expected: by then a pick has had its chance
-	strikeOut = 3    // failures in a row that eject a server
-	ejectMin  = 1.0  // first ejection, in seconds; doubles while trials fail
+	fade      = 4.0 // half-life of what one sample says beyond its row's mean, in seconds
+	paceHalf  = 6.0 // half-life of a server's pace, long enough for a few samples at an inner node
+	paceDoubt = 2.0 // samples' worth of doubt that holds a pace near 1
+	paceCap   = 4.0 // no sample counts as more than this many times its due: one outlier is no verdict
+	overdue   = 2.5 // times the expected: a pick out for longer is late
+	patience  = 1.2 // times the expected: by then a pick has had its chance
+	strikeOut = 3   // failures in a row that eject a server
+	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
 	ejectMax  = 8.0
 	comeBack  = 0.1  // of the latency target: when a client pushed back may ask again
 	spare     = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
@@ -103,7 +101,6 @@
 	entries      []entry
 	pending      []*Pick // oldest first
 	cost, due    decaying
-	used         decaying // own picks
 	heard        float64
 	strikes      int
 	ejected      float64 // until then
@@ -167,7 +164,6 @@
 	weight        float64 // mean over ready servers
 	done          decaying
 	sent          decaying
-	used          decaying // picks, over all servers
 	extra         decaying
 	cands         []*Server
 	ests          []float64
@@ -252,7 +248,6 @@
 	// Every node hears of the start at about the same time: a random first part of a token keeps their
 	// first picks from arriving together.
 	s.tokens, s.tokensAt = b.rng.Float64(), now
-	s.used = decaying{b.used.read(now, usedHalf) / float64(max(1, len(b.servers))), now}
 }
 
 // ListFailed asks again, later each time, since the failure says that the list is overrun.
@@ -478,13 +473,11 @@
 		if now-e.at > rowLife {
 			b.forget(s, i)
 		} else {
-			trust := s.due.read(now, paceHalf)
-			q += (e.q - q) * math.Exp2((e.at-now)/fade) * trust / (trust + paceDoubt*b.typical(r.Method, now))
+			q += (e.q - q) * math.Exp2((e.at-now)/fade)
 		}
 	}
 	crowd := float64(b.out) / float64(max(1, b.ready))
-	load := 2*float64(len(s.pending)) + even*s.used.read(now, usedHalf)/(1+b.used.read(now, usedHalf)/float64(max(1, b.ready)))
-	q += b.typical(r.Method, now) * load * b.weight / s.weight / (1 + crowd)
+	q += 2 * b.typical(r.Method, now) * float64(len(s.pending)) * b.weight / s.weight / (1 + crowd)
 	// A hung server looks sound until its time-outs land: a late pick counts before it ends.
 	if len(s.pending) > 0 {
 		if p := s.pending[0]; now-p.sent > overdue*p.due {
@@ -572,8 +565,6 @@
 	r.out++
 	b.out++
 	b.sent.add(1, now, extraHalf)
-	b.used.add(1, now, usedHalf)
-	s.used.add(1, now, usedHalf)
 	s.pending = append(s.pending, p)
 	b.host.Send(p, 0)
 	if wait := b.lateAfter(p, now); now+wait < r.useful {
