--- a/decide/decide.go
+++ b/decide/decide.go
@@ -614,7 +614,8 @@
 	if !b.copies || !silent {
 		return
 	}
-	if b.extra.read(now, extraHalf) > 1+spare*b.sent.read(now, extraHalf) {
+	// A part of a copy is sent by chance: one always allowed would be hundreds at once over hundreds of nodes.
+	if b.extra.read(now, extraHalf)+b.rng.Float64() > spare*b.sent.read(now, extraHalf) {
 		return
 	}
 	if len(r.picks) < b.methods[r.Method].picks && b.mayRepeat(r, now) {
