--- a/decide/decide.go
+++ b/decide/decide.go
@@ -45,7 +45,7 @@
 	roomUp    = 0.2  // a server's answer makes room for a part of the next: a fifth more a turn
 	roomDown  = 0.3  // and shrinks somewhat faster, since a crowd costs more than an idle server
 	ableHalf  = 20.0 // seconds that the room remembers servers which have gone
-	trickle   = 2.0  // RPCs held whatever the room
+	trickle   = 0.5  // RPCs held for each server whatever the room, over all nodes
 	cheapest  = 0.65 // of the room is open to an RPC of no utility: the rest is kept for dearer ones
 
 	// Half-lives in seconds: the shortest still covers some answers of a small node.
@@ -155,6 +155,8 @@
 	room          float64  // RPCs to hold at most
 	part          float64  // this node's of the tier's nodes
 	waits, ends   decaying // of RPCs, given up or ok
+	longWaits     decaying // the same over a longer time
+	longEnds      decaying
 	held          decaying // RPCs held when others ended
 	ables, ableAt float64  // the weight of servers able to work, lately
 	base, baseAt  float64  // the lowest mean wait of late
@@ -300,7 +302,8 @@
 		return true
 	}
 	room := b.room * b.able(now) * (cheapest + (1-cheapest)*math.Cbrt(r.value))
-	if float64(b.open) > max(room, trickle) {
+	// By chance where the room is a fraction: one RPC held always would be hundreds over hundreds of nodes.
+	if float64(b.open-1)+b.rng.Float64() > max(room, trickle*float64(b.ready)*b.part) {
 		return false
 	}
 	// Never nobody, here and above: without picks nothing would be learnt of the recovery.
@@ -310,7 +313,9 @@
 
 // waited is what the last RPCs waited, as a part of their latency targets.
 func (b *Balancer) waited(now float64) float64 {
-	return (b.waits.read(now, recentHalf) + 2*goal/2) / (b.ends.read(now, recentHalf) + 2)
+	// A node with an RPC a second has one recent wait or none: two of the longer mean stand beside them.
+	long := (b.longWaits.read(now, doneHalf) + goal/2) / (b.longEnds.read(now, doneHalf) + 1)
+	return (b.waits.read(now, recentHalf) + 2*long) / (b.ends.read(now, recentHalf) + 2)
 }
 
 // able is the part of the usual servers that can work now. The room goes by it: what a jammed, cold or lost
@@ -339,7 +344,7 @@
 
 // leastRoom is room that no crowd takes away: enough to keep this node's part of the servers at work, so that
 // a slowdown of all servers is not answered by idling them.
-func (b *Balancer) leastRoom() float64 { return max(2, 2*float64(b.ready)*b.part) }
+func (b *Balancer) leastRoom() float64 { return 2 * max(1, float64(b.ready)) * b.part }
 
 // ended notes how long an RPC was held that found a server, and moves the room: RPCs are held only as many as
 // keep the waits near the goal. A crowd above that would be late to the last one, and tip servers over.
@@ -347,9 +352,12 @@
 	if len(r.picks) == 0 {
 		return
 	}
-	b.waits.add((now-r.came)/b.methods[r.Method].LatencyTarget, now, recentHalf)
+	wait := (now - r.came) / b.methods[r.Method].LatencyTarget
+	b.waits.add(wait, now, recentHalf)
 	b.ends.add(1, now, recentHalf)
-	w, held := b.waited(now), float64(b.open)
+	b.longWaits.add(wait, now, doneHalf)
+	b.longEnds.add(1, now, doneHalf)
+	w, held := b.waited(now), float64(b.open-1) // without this one, or a node that holds one or none overstates it
 	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), w)
 	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
 	b.baseAt = now
