Held RPCs weighed by how many they are: thin nodes shed gradually

A node that holds one or two by chance knows little of a crowd: the count is weighed against the mean of late by how many are held.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,16 +37,17 @@
 	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
 
 	// The room for RPCs held at the front. Waits are counted in latency targets.
-	goal      = 0.6  // a mean wait above it leaves too many RPCs late, and is where servers begin to jam
-	crowded   = 1.4  // times the base wait: more RPCs held would only queue
-	baseHalf  = 60.0 // the base rises, and the usual falls, by half in that time: a day changes in minutes
-	roomMost  = 1.1  // times the usual: a burst fills a larger room before the first late answer tells of it
-	roomLeast = 0.5  // of the usual: below that, servers that jammed rest anyway
-	roomUp    = 0.2  // a server's answer makes room for a part of the next: a fifth more a turn
-	roomDown  = 0.3  // and shrinks somewhat faster, since a crowd costs more than an idle server
-	ableHalf  = 20.0 // seconds that the room remembers servers which have gone
-	trickle   = 0.5  // RPCs held for each server whatever the room, over all nodes
-	cheapest  = 0.65 // of the room is open to an RPC of no utility: the rest is kept for dearer ones
+	goal       = 0.6  // a mean wait above it leaves too many RPCs late, and is where servers begin to jam
+	crowded    = 1.4  // times the base wait: more RPCs held would only queue
+	baseHalf   = 60.0 // the base rises, and the usual falls, by half in that time: a day changes in minutes
+	roomMost   = 1.1  // times the usual: a burst fills a larger room before the first late answer tells of it
+	roomLeast  = 0.5  // of the usual: below that, servers that jammed rest anyway
+	countTrust = 0.25 // a crowd doubles the RPCs held, chance moves them by their root: the weight of a count of one
+	roomUp     = 0.2  // a server's answer makes room for a part of the next: a fifth more a turn
+	roomDown   = 0.3  // and shrinks somewhat faster, since a crowd costs more than an idle server
+	ableHalf   = 20.0 // seconds that the room remembers servers which have gone
+	trickle    = 0.5  // RPCs held for each server whatever the room, over all nodes
+	cheapest   = 0.65 // of the room is open to an RPC of no utility: the rest is kept for dearer ones
 
 	// Half-lives in seconds: the shortest still covers some answers of a small node.
 	recentHalf = 0.7 // of waits
@@ -157,7 +158,7 @@
 	waits, ends   decaying // of RPCs, given up or ok
 	longWaits     decaying // the same over a longer time
 	longEnds      decaying
-	held          decaying // RPCs held when others ended
+	held, asked   decaying // RPCs held when others came, and how many came
 	ables, ableAt float64  // the weight of servers able to work, lately
 	base, baseAt  float64  // the lowest mean wait of late
 	usual         float64  // RPCs held at most while waits were near the base
@@ -302,8 +303,15 @@
 		return true
 	}
 	room := b.room * b.able(now) * (cheapest + (1-cheapest)*math.Cbrt(r.value))
-	// By chance where the room is a fraction: one RPC held always would be hundreds over hundreds of nodes.
-	if float64(b.open-1)+b.rng.Float64() > max(room, trickle*float64(b.ready)*b.part) {
+	room = max(room, trickle*float64(b.ready)*b.part)
+	// A node that holds one or two by chance knows little of a crowd: the fewer, the more the mean of late counts
+	// and the more gradually RPCs are turned away, since all nodes of the tier do the same.
+	n := float64(b.open - 1)
+	b.held.add(n, now, doneHalf)
+	b.asked.add(1, now, doneHalf)
+	mean := b.held.sum / b.asked.sum
+	exact := countTrust * mean
+	if (exact*n+mean)/(exact+1) > room*(1+b.rng.Float64()/(exact+1)) {
 		return false
 	}
 	// Never nobody, here and above: without picks nothing would be learnt of the recovery.
@@ -361,9 +369,9 @@
 	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), w)
 	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
 	b.baseAt = now
-	b.held.add(held, now, recentHalf)
+	mean := b.held.read(now, doneHalf) / max(b.asked.read(now, doneHalf), 1)
 	if w < 1.3*b.base {
-		b.usual = max(b.usual, b.held.sum/max(b.ends.sum, 1))
+		b.usual = max(b.usual, mean)
 	}
 	switch {
 	case w > goal:
@@ -375,7 +383,8 @@
 	case held > 0.6*b.room:
 		b.room *= 1 + roomUp/max(float64(b.open), 4)
 	}
-	b.room = min(b.room, roomMost*b.usual+2*math.Sqrt(b.usual))
+	exact := countTrust * b.usual
+	b.room = min(b.room, roomMost*b.usual+2*math.Sqrt(b.usual)*exact/(exact+1))
 	b.room = max(b.room, b.leastRoom(), roomLeast*b.usual)
 }
 
