--- a/decide/decide.go
+++ b/decide/decide.go
@@ -322,7 +322,7 @@
 // waited is what the last RPCs waited, as a part of their latency targets.
 func (b *Balancer) waited(now float64) float64 {
 	// A node with an RPC a second has one recent wait or none: two of the longer mean stand beside them.
-	long := (b.longWaits.read(now, doneHalf) + goal/2) / (b.longEnds.read(now, doneHalf) + 1)
+	long := max(goal/2, b.longWaits.read(now, doneHalf)/max(b.longEnds.read(now, doneHalf), 1))
 	return (b.waits.read(now, recentHalf) + 2*long) / (b.ends.read(now, recentHalf) + 2)
 }
 
