Undo the longer means of waits: a fixed prior of two samples is best

Conclusion: the prior pulls a jammed node's wait down as its ends get rare, which brings the room back; keep it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -156,8 +156,6 @@
 	room          float64  // RPCs to hold at most
 	part          float64  // this node's of the tier's nodes
 	waits, ends   decaying // of RPCs, given up or ok
-	longWaits     decaying // the same over a longer time
-	longEnds      decaying
 	held, asked   decaying // RPCs held when others came, and how many came
 	ables, ableAt float64  // the weight of servers able to work, lately
 	base, baseAt  float64  // the lowest mean wait of late
@@ -321,9 +319,7 @@
 
 // waited is what the last RPCs waited, as a part of their latency targets.
 func (b *Balancer) waited(now float64) float64 {
-	// A node with an RPC a second has one recent wait or none: two of the longer mean stand beside them.
-	long := max(goal/2, b.longWaits.read(now, doneHalf)/max(b.longEnds.read(now, doneHalf), 1))
-	return (b.waits.read(now, recentHalf) + 2*long) / (b.ends.read(now, recentHalf) + 2)
+	return (b.waits.read(now, recentHalf) + 2*goal/2) / (b.ends.read(now, recentHalf) + 2)
 }
 
 // able is the part of the usual servers that can work now. The room goes by it: what a jammed, cold or lost
@@ -360,11 +356,8 @@
 	if len(r.picks) == 0 {
 		return
 	}
-	wait := (now - r.came) / b.methods[r.Method].LatencyTarget
-	b.waits.add(wait, now, recentHalf)
+	b.waits.add((now-r.came)/b.methods[r.Method].LatencyTarget, now, recentHalf)
 	b.ends.add(1, now, recentHalf)
-	b.longWaits.add(wait, now, doneHalf)
-	b.longEnds.add(1, now, doneHalf)
 	w, held := b.waited(now), float64(b.open-1) // without this one, or a node that holds one or none overstates it
 	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), w)
 	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
