--- a/decide/decide.go
+++ b/decide/decide.go
@@ -156,6 +156,7 @@
 	room          float64  // RPCs to hold at most
 	part          float64  // this node's of the tier's nodes
 	waits, ends   decaying // of RPCs, given up or ok
+	steady, count decaying // the same over a longer time
 	held, asked   decaying // RPCs held when others came, and how many came
 	ables, ableAt float64  // the weight of servers able to work, lately
 	base, baseAt  float64  // the lowest mean wait of late
@@ -358,12 +359,16 @@
 	}
 	b.waits.add((now-r.came)/b.methods[r.Method].LatencyTarget, now, recentHalf)
 	b.ends.add(1, now, recentHalf)
+	b.steady.add((now-r.came)/b.methods[r.Method].LatencyTarget, now, doneHalf)
+	b.count.add(1, now, doneHalf)
 	w, held := b.waited(now), float64(b.open-1) // without this one, or a node that holds one or none overstates it
-	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), w)
+	// The lowest of a few waits is chance, and a base found by chance lies under what any room can keep to.
+	long := (b.steady.sum + goal) / (b.count.sum + 2)
+	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), long)
 	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
 	b.baseAt = now
 	mean := b.held.read(now, doneHalf) / max(b.asked.read(now, doneHalf), 1)
-	if w < 1.3*b.base {
+	if long < 1.3*b.base {
 		b.usual = max(b.usual, mean)
 	}
 	switch {
