--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,7 +54,7 @@
 	doneHalf   = 5.0 // of times and rates that hardly change
 	extraHalf  = 5.0 // of the budget for second copies
 	shareHalf  = 3.0 // of a tenant's rate: short enough for a burst, long enough for chance
-	overQuota  = 1.2 // times its quota that a tenant may ask for: clients do not come evenly
+	overQuota  = 2.0 // roots beyond what its quota lets expect that a tenant may ask for: clients come by chance
 )
 
 // decaying is a sum that halves every half seconds, brought up to date when read.
@@ -156,7 +156,6 @@
 	room          float64  // RPCs to hold at most
 	part          float64  // this node's of the tier's nodes
 	waits, ends   decaying // of RPCs, given up or ok
-	steady, count decaying // the same over a longer time
 	held, asked   decaying // RPCs held when others came, and how many came
 	ables, ableAt float64  // the weight of servers able to work, lately
 	base, baseAt  float64  // the lowest mean wait of late
@@ -273,7 +272,9 @@
 	if r.Tenant < len(b.tenants) && !b.inner {
 		t := &b.tenants[r.Tenant]
 		t.asked.add(1, now, shareHalf)
-		if t.quota > 0 && t.asked.sum*math.Ln2/shareHalf > overQuota*t.quota {
+		// A node's part of a small quota is less than one RPC: judged by the rate alone, each would be beyond it.
+		due := t.quota * shareHalf / math.Ln2
+		if t.quota > 0 && t.asked.sum > 1+due+overQuota*math.Sqrt(due) {
 			r.value *= b.overShare
 		}
 	}
@@ -359,16 +360,12 @@
 	}
 	b.waits.add((now-r.came)/b.methods[r.Method].LatencyTarget, now, recentHalf)
 	b.ends.add(1, now, recentHalf)
-	b.steady.add((now-r.came)/b.methods[r.Method].LatencyTarget, now, doneHalf)
-	b.count.add(1, now, doneHalf)
 	w, held := b.waited(now), float64(b.open-1) // without this one, or a node that holds one or none overstates it
-	// The lowest of a few waits is chance, and a base found by chance lies under what any room can keep to.
-	long := (b.steady.sum + goal) / (b.count.sum + 2)
-	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), long)
+	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), w)
 	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
 	b.baseAt = now
 	mean := b.held.read(now, doneHalf) / max(b.asked.read(now, doneHalf), 1)
-	if long < 1.3*b.base {
+	if w < 1.3*b.base {
 		b.usual = max(b.usual, mean)
 	}
 	switch {
