--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,7 +25,6 @@
 
 	fade      = 4.0 // half-life of what one sample says beyond its row's mean, in seconds
 	paceHalf  = 6.0 // half-life of a server's pace, long enough for a few samples at an inner node
-	rounds    = 1.0 // times a node's round of all servers that it remembers one of them, if that is longer
 	paceDoubt = 2.0 // samples' worth of doubt that holds a pace near 1
 	paceCap   = 4.0 // no sample counts as more than this many times its due: one outlier is no verdict
 	overdue   = 2.5 // times the expected: a pick out for longer is late
@@ -167,7 +166,6 @@
 	done          decaying
 	sent          decaying
 	extra         decaying
-	keepPace      float64
 	cands         []*Server
 	ests          []float64
 }
@@ -176,7 +174,7 @@
 func New(h Host, s Settings, seed int64) *Balancer {
 	b := &Balancer{host: h, rng: rand.New(rand.NewSource(seed)), inner: s.Stage > 0, copies: s.SecondCopies,
 		cancels: s.MayCancel, overShare: s.OverShare, cross: s.CrossZone, zone: s.Zone,
-		coldFrom: s.ColdFrom, coldFor: s.ColdFor, part: 1 / float64(s.Instances), keepPace: paceHalf}
+		coldFrom: s.ColdFrom, coldFor: s.ColdFor, part: 1 / float64(s.Instances)}
 	if s.RetryAfter {
 		b.maxWait = s.MaxRetryAfter
 	}
@@ -421,8 +419,7 @@
 // choose is the Q-router: the lowest time-to-go at the present load, near-ties and exploration at random.
 func (b *Balancer) choose(r *RPC, now float64) *Server {
 	m := &b.methods[r.Method]
-	unit, keep := b.unit(now), b.memory(fade, now)
-	b.keepPace = b.memory(paceHalf, now)
+	unit := b.unit(now)
 	for pass := range 2 {
 		b.cands, b.ests = b.cands[:0], b.ests[:0]
 		best := math.Inf(1)
@@ -438,7 +435,7 @@
 			if pass == 1 && r.pendingAt(s) {
 				continue
 			}
-			e := b.estimate(r, s, keep, now)
+			e := b.estimate(r, s, now)
 			best = min(best, e)
 			b.cands, b.ests = append(b.cands, s), append(b.ests, e)
 		}
@@ -479,16 +476,16 @@
 }
 
 // estimate is the time-to-go of an RPC at a server.
-func (b *Balancer) estimate(r *RPC, s *Server, keep, now float64) float64 {
+func (b *Balancer) estimate(r *RPC, s *Server, now float64) float64 {
 	i := b.row(r, s, now)
-	q := b.mean(i, r.Method, now) * s.pace(b.typical(r.Method, now), b.keepPace, now)
+	q := b.mean(i, r.Method, now) * s.pace(b.typical(r.Method, now), now)
 	// One sample counts for seven tenths of an entry, so an old one misleads: it fades towards the mean of
 	// the row at the server's own pace, which is also where a new entry starts.
 	if e := &s.entries[i]; e.at > 0 {
 		if now-e.at > rowLife {
 			b.forget(s, i)
 		} else {
-			q += (e.q - q) * math.Exp2((e.at-now)/keep)
+			q += (e.q - q) * math.Exp2((e.at-now)/fade)
 		}
 	}
 	crowd := float64(b.out) / float64(max(1, b.ready))
@@ -505,14 +502,6 @@
 	return q
 }
 
-// memory is a half-life stretched to the time that a node's picks take to go once round its servers. A node with
-// few picks for many servers would else forget a bad one before it has another to try, and try it again with
-// every other pick.
-func (b *Balancer) memory(half, now float64) float64 {
-	rate := b.sent.read(now, extraHalf) * math.Ln2 / extraHalf
-	return max(half, min(rounds*float64(b.ready)/max(rate, 1e-3), rowLife))
-}
-
 func (b *Balancer) row(r *RPC, s *Server, now float64) int {
 	load := float64(len(s.pending))
 	if s.queue > 0 {
@@ -537,9 +526,9 @@
 }
 
 // pace is how long a server takes over what its rows lead to expect, whatever the method or tenant.
-func (s *Server) pace(typical, half, now float64) float64 {
+func (s *Server) pace(typical, now float64) float64 {
 	doubt := paceDoubt * typical
-	return (s.cost.read(now, half) + doubt) / (s.due.read(now, half) + doubt)
+	return (s.cost.read(now, paceHalf) + doubt) / (s.due.read(now, paceHalf) + doubt)
 }
 
 // cold is the part of its capacity that a server is sure to have.
@@ -757,8 +746,8 @@
 }
 
 func (b *Balancer) pay(p *Pick, cost, now float64) {
-	p.Server.cost.add(cost, now, b.keepPace)
-	p.Server.due.add(p.due, now, b.keepPace)
+	p.Server.cost.add(cost, now, paceHalf)
+	p.Server.due.add(p.due, now, paceHalf)
 }
 
 // learn is the Q-router's update of the entry that the pick used.
