Cold servers get their part of a warm server's best rate

Little gained yet, since the jam itself stays: eleven choked servers hold fifteen RPCs each and answer a quarter.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -50,11 +50,12 @@
 	cheapest   = 0.65 // of the room is open to an RPC of no utility: the rest is kept for dearer ones
 
 	// Half-lives in seconds: the shortest still covers some answers of a small node.
-	recentHalf = 0.7 // of waits
-	doneHalf   = 5.0 // of times and rates that hardly change
-	extraHalf  = 5.0 // of the budget for second copies
-	shareHalf  = 3.0 // of a tenant's rate: short enough for a burst, long enough for chance
-	overQuota  = 2.0 // roots beyond what its quota lets expect that a tenant may ask for: clients come by chance
+	recentHalf = 0.7  // of waits
+	doneHalf   = 5.0  // of times and rates that hardly change
+	unitHalf   = 10.0 // of a server's rate: its best must not be chance at a node with an RPC a second
+	extraHalf  = 5.0  // of the budget for second copies
+	shareHalf  = 3.0  // of a tenant's rate: short enough for a burst, long enough for chance
+	overQuota  = 2.0  // roots beyond what its quota lets expect that a tenant may ask for: clients come by chance
 )
 
 // decaying is a sum that halves every half seconds, brought up to date when read.
@@ -164,6 +165,7 @@
 	ready         int
 	weight        float64 // mean over ready servers
 	done          decaying
+	best, bestAt  float64 // rate of one warm server
 	sent          decaying
 	extra         decaying
 	cands         []*Server
@@ -539,7 +541,8 @@
 	return b.coldFrom + (1-b.coldFrom)*max(0, now-s.cameUp)/b.coldFor
 }
 
-// unit is the rate at which one warm server answers this node.
+// unit is the rate at which one warm server answers this node at its best: a jam lowers the present rate, and cold
+// servers kept to their part of that could not take over from the jammed ones.
 func (b *Balancer) unit(now float64) float64 {
 	sum := 0.0
 	for _, s := range b.servers {
@@ -547,7 +550,10 @@
 			sum += b.cold(s, now)
 		}
 	}
-	return max(b.done.read(now, doneHalf)*math.Ln2/doneHalf/max(sum, 1), b.floorRate)
+	rate := b.done.read(now, unitHalf) * math.Ln2 / unitHalf / max(sum, 1)
+	b.best = max(b.best*math.Exp2((b.bestAt-now)/baseHalf), rate)
+	b.bestAt = now
+	return max(b.best, b.floorRate)
 }
 
 // warm guards a cold server: it gets picks no faster than its part of what a warm one answers this node.
@@ -727,7 +733,7 @@
 	s.heard, s.strikes, s.backoff = now, 0, 0
 	m.took.add(took, now, doneHalf)
 	m.oks.add(1, now, doneHalf)
-	b.done.add(1, now, doneHalf)
+	b.done.add(1, now, unitHalf)
 	b.pay(p, min(took, paceCap*p.due), now)
 	b.learn(p, took, false, now)
 }
