--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,7 +41,7 @@
 	crowded    = 1.4  // times the base wait: more RPCs held would only queue
 	baseHalf   = 60.0 // the base rises, and the usual falls, by half in that time: a day changes in minutes
 	roomMost   = 1.1  // times the usual: a burst fills a larger room before the first late answer tells of it
-	roomLeast  = 0.5  // of the usual: below that, servers that jammed rest anyway
+	roomLeast  = 0.25 // of the usual: below that, servers that jammed rest anyway
 	countTrust = 0.25 // a crowd doubles the RPCs held, chance moves them by their root: the weight of a count of one
 	roomUp     = 0.2  // a server's answer makes room for a part of the next: a fifth more a turn
 	roomDown   = 0.3  // and shrinks somewhat faster, since a crowd costs more than an idle server
