Where few waits are recent older ones stand in, and a guess only for the rest

The mean that moves the room and predicts now fills up with older waits first. The base, which compares one time with another, keeps its steady guess.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,7 +41,7 @@
 	crowded    = 1.4  // times the base wait: more RPCs held would only queue
 	baseHalf   = 60.0 // the base rises, and the usual falls, by half in that time: a day changes in minutes
 	roomMost   = 1.1  // times the usual: a burst fills a larger room before the first late answer tells of it
-	roomLeast  = 0.25 // of the usual: below that, servers that jammed rest anyway
+	roomLeast  = 0.5  // of the usual: below that, servers that jammed rest anyway
 	countTrust = 0.25 // a crowd doubles the RPCs held, chance moves them by their root: the weight of a count of one
 	roomUp     = 0.2  // a server's answer makes room for a part of the next: a fifth more a turn
 	roomDown   = 0.3  // and shrinks somewhat faster, since a crowd costs more than an idle server
@@ -50,6 +50,7 @@
 	cheapest   = 0.65 // of the room is open to an RPC of no utility: the rest is kept for dearer ones
 
 	// Half-lives in seconds: the shortest still covers some answers of a small node.
+	fewWaits   = 6.0  // fewer waits than that say little
 	recentHalf = 0.7  // of waits
 	doneHalf   = 5.0  // of times and rates that hardly change
 	unitHalf   = 10.0 // of a server's rate: its best must not be chance at a node with an RPC a second
@@ -157,6 +158,8 @@
 	room          float64  // RPCs to hold at most
 	part          float64  // this node's of the tier's nodes
 	waits, ends   decaying // of RPCs, given up or ok
+	oldWaits      decaying // the same over a longer time
+	oldEnds       decaying
 	held, asked   decaying // RPCs held when others came, and how many came
 	ables, ableAt float64  // the weight of servers able to work, lately
 	base, baseAt  float64  // the lowest mean wait of late
@@ -321,8 +324,21 @@
 	return x < 1 || b.rng.Float64() < max(0.05, 1-2*(x-1))
 }
 
-// waited is what the last RPCs waited, as a part of their latency targets.
+// waited is what the last RPCs waited, as a part of their latency targets. Where few are recent, older ones stand
+// in, and a guess only for what is lacking then: at an RPC a second it would hide a jam that makes all of them late.
 func (b *Balancer) waited(now float64) float64 {
+	sum, n := b.waits.read(now, recentHalf), b.ends.read(now, recentHalf)
+	if old := b.oldEnds.read(now, doneHalf); old > 0 {
+		k := min(max(0, fewWaits-n), old)
+		sum += k * b.oldWaits.read(now, doneHalf) / old
+		n += k
+	}
+	guess := max(0, fewWaits-n)
+	return (sum + guess*goal/2) / (n + guess)
+}
+
+// eager is the same with a steady guess, for comparing one time with another.
+func (b *Balancer) eager(now float64) float64 {
 	return (b.waits.read(now, recentHalf) + 2*goal/2) / (b.ends.read(now, recentHalf) + 2)
 }
 
@@ -360,9 +376,12 @@
 	if len(r.picks) == 0 {
 		return
 	}
-	b.waits.add((now-r.came)/b.methods[r.Method].LatencyTarget, now, recentHalf)
+	wait := (now - r.came) / b.methods[r.Method].LatencyTarget
+	b.waits.add(wait, now, recentHalf)
+	b.oldWaits.add(wait, now, doneHalf)
+	b.oldEnds.add(1, now, doneHalf)
 	b.ends.add(1, now, recentHalf)
-	w, held := b.waited(now), float64(b.open-1) // without this one, or a node that holds one or none overstates it
+	w, held := b.eager(now), float64(b.open-1) // without this one, or a node that holds one or none overstates it
 	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), w)
 	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
 	b.baseAt = now
@@ -371,8 +390,8 @@
 		b.usual = max(b.usual, mean)
 	}
 	switch {
-	case w > goal:
-		b.room *= 1 + max(goal-w, -0.5)/max(float64(b.open), 4)
+	case b.waited(now) > goal:
+		b.room *= 1 + max(goal-b.waited(now), -0.5)/max(float64(b.open), 4)
 	case w > crowded*b.base:
 		// By Little's law a slowdown of all servers needs no more RPCs held than usual to keep them at work, and
 		// no fewer either.
