--- a/decide/decide.go
+++ b/decide/decide.go
@@ -56,7 +56,7 @@
 	unitHalf   = 10.0 // of a server's rate: its best must not be chance at a node with an RPC a second
 	extraHalf  = 5.0  // of the budget for second copies
 	shareHalf  = 3.0  // of a tenant's rate: short enough for a burst, long enough for chance
-	overQuota  = 2.0  // roots beyond what its quota lets expect that a tenant may ask for: clients come by chance
+	overQuota  = 1.0  // roots beyond what its quota lets expect that a tenant may ask for: clients come by chance
 )
 
 // decaying is a sum that halves every half seconds, brought up to date when read.
