--- a/decide/decide.go
+++ b/decide/decide.go
@@ -337,10 +337,9 @@
 	return (sum + guess*goal/2) / (n + guess)
 }
 
-// eager is the same with a steady guess, for comparing one time with another. The guess is high: where it decides,
-// a base too low would take the ordinary wait for a crowd for as long as the base lasts.
+// eager is the same with a steady guess, for comparing one time with another.
 func (b *Balancer) eager(now float64) float64 {
-	return (b.waits.read(now, recentHalf) + 2*goal) / (b.ends.read(now, recentHalf) + 2)
+	return (b.waits.read(now, recentHalf) + 2*goal/2) / (b.ends.read(now, recentHalf) + 2)
 }
 
 // able is the part of the usual servers that can work now. The room goes by it: what a jammed, cold or lost
@@ -383,11 +382,13 @@
 	b.oldEnds.add(1, now, doneHalf)
 	b.ends.add(1, now, recentHalf)
 	w, held := b.eager(now), float64(b.open-1) // without this one, or a node that holds one or none overstates it
-	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), w)
+	// The lowest of a few waits is chance, and a base found by chance lies under what any room can keep to.
+	long := (b.oldWaits.sum + 2*goal/2) / (b.oldEnds.sum + 2)
+	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), long)
 	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
 	b.baseAt = now
 	mean := b.held.read(now, doneHalf) / max(b.asked.read(now, doneHalf), 1)
-	if w < 1.3*b.base {
+	if long < 1.3*b.base {
 		b.usual = max(b.usual, mean)
 	}
 	switch {
