--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,18 +23,19 @@
 	levels  = 5     // load levels: 0, 1-2, 3-6, 7-14, 15 and more
 	rowLife = 60.0  // an entry idle that long is dropped
 
-	fade      = 4.0 // half-life of what one sample says beyond its row's mean, in seconds
-	paceHalf  = 6.0 // half-life of a server's pace, long enough for a few samples at an inner node
-	paceDoubt = 2.0 // samples' worth of doubt that holds a pace near 1
-	paceCap   = 4.0 // no sample counts as more than this many times its due: one outlier is no verdict
-	overdue   = 2.5 // times the expected: a pick out for longer is late
-	patience  = 1.2 // times the expected: by then a pick has had its chance
-	strikeOut = 3   // failures in a row that eject a server
-	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
-	ejectMax  = 8.0
-	comeBack  = 0.1  // of the latency target: when a client pushed back may ask again
-	spare     = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
-	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
+	fade       = 4.0  // half-life of what one sample says beyond its row's mean, in seconds
+	paceHalf   = 6.0  // half-life of a server's pace, long enough for a few samples at an inner node
+	othersHalf = 20.0 // half-life of the pace of all servers tried
+	paceDoubt  = 2.0  // samples' worth of doubt that holds a pace near 1
+	paceCap    = 4.0  // no sample counts as more than this many times its due: one outlier is no verdict
+	overdue    = 2.5  // times the expected: a pick out for longer is late
+	patience   = 1.2  // times the expected: by then a pick has had its chance
+	strikeOut  = 3    // failures in a row that eject a server
+	ejectMin   = 1.0  // first ejection, in seconds; doubles while trials fail
+	ejectMax   = 8.0
+	comeBack   = 0.1  // of the latency target: when a client pushed back may ask again
+	spare      = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
+	margin     = 0.01 // seconds before the deadline by which an answer must be on its way
 
 	// The room for RPCs held at the front. Waits are counted in latency targets.
 	goal       = 0.6  // a mean wait above it leaves too many RPCs late, and is where servers begin to jam
@@ -168,7 +169,9 @@
 	ready         int
 	weight        float64 // mean over ready servers
 	done          decaying
-	best, bestAt  float64 // rate of one warm server
+	best, bestAt  float64  // rate of one warm server
+	cost, due     decaying // of all servers
+	others        float64  // what a server not known is taken for
 	sent          decaying
 	extra         decaying
 	cands         []*Server
@@ -443,6 +446,8 @@
 func (b *Balancer) choose(r *RPC, now float64) *Server {
 	m := &b.methods[r.Method]
 	unit := b.unit(now)
+	few := paceDoubt * b.typical(r.Method, now)
+	b.others = max(1, (b.cost.read(now, othersHalf)+few)/(b.due.read(now, othersHalf)+few))
 	for pass := range 2 {
 		b.cands, b.ests = b.cands[:0], b.ests[:0]
 		best := math.Inf(1)
@@ -501,7 +506,7 @@
 // estimate is the time-to-go of an RPC at a server.
 func (b *Balancer) estimate(r *RPC, s *Server, now float64) float64 {
 	i := b.row(r, s, now)
-	q := b.mean(i, r.Method, now) * s.pace(b.typical(r.Method, now), now)
+	q := b.mean(i, r.Method, now) * b.pace(s, b.typical(r.Method, now), now)
 	// One sample counts for seven tenths of an entry, so an old one misleads: it fades towards the mean of
 	// the row at the server's own pace, which is also where a new entry starts.
 	if e := &s.entries[i]; e.at > 0 {
@@ -548,10 +553,12 @@
 	return (m.took.read(now, doneHalf) + 0.3*m.LatencyTarget) / (n + 1)
 }
 
-// pace is how long a server takes over what its rows lead to expect, whatever the method or tenant.
-func (s *Server) pace(typical, now float64) float64 {
+// pace is how long a server takes over what its rows lead to expect, whatever the method or tenant. One that is not
+// known is expected to be as those tried lately, failures included: at their best, each node would try every jammed
+// one in turn, and hundreds of nodes would keep it jammed.
+func (b *Balancer) pace(s *Server, typical, now float64) float64 {
 	doubt := paceDoubt * typical
-	return (s.cost.read(now, paceHalf) + doubt) / (s.due.read(now, paceHalf) + doubt)
+	return (s.cost.read(now, paceHalf) + doubt*b.others) / (s.due.read(now, paceHalf) + doubt)
 }
 
 // cold is the part of its capacity that a server is sure to have.
@@ -775,6 +782,8 @@
 func (b *Balancer) pay(p *Pick, cost, now float64) {
 	p.Server.cost.add(cost, now, paceHalf)
 	p.Server.due.add(p.due, now, paceHalf)
+	b.cost.add(cost, now, othersHalf)
+	b.due.add(p.due, now, othersHalf)
 }
 
 // learn is the Q-router's update of the entry that the pick used.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -304,6 +304,44 @@
 	assert.Less(t, copies, picks/20, "a slowdown of all makes every node's pick late at once")
 }
 
+// tier plays n nodes of one tier for some seconds, each with an RPC every gap seconds, all answered as told.
+func tier(n int, seconds, gap float64, took func(*Server) float64) (held, pushed, taken int) {
+	for seed := range int64(n) {
+		h, _ := seeded(seed, n/4, func(s *Settings) { s.Instances, s.Tenants = n, []Tenant{{Quota: float64(n)}} })
+		h.now += float64(seed%10) * gap / 10
+		more, back := h.load(seconds, gap, took)
+		taken, pushed, held = taken+more, pushed+back, held+h.b.open
+	}
+	return held, pushed, taken
+}
+
+func TestHundredsOfThinNodesDoNotHoldTwoEachThroughAJam(t *testing.T) {
+	held, _, _ := tier(200, 40, 0.8, always(-1))
+	assert.Less(t, held, 300, "a floor kept by each node adds up to a jam that never ends")
+}
+
+func TestThinNodesPushNothingBackOnACalmDay(t *testing.T) {
+	_, pushed, taken := tier(100, 20, 0.8, always(0.6))
+	assert.Less(t, pushed, taken/50, "one or two held by chance are no crowd")
+}
+
+func TestOneRPCOfASmallTenantIsNotBeyondItsQuota(t *testing.T) {
+	h, _ := story(4, func(s *Settings) { s.Instances, s.OverShare, s.Tenants = 300, 0.1, []Tenant{{Quota: 15}} })
+	assert.Equal(t, 1.0, h.arrive(lookup).value)
+	for range 5 {
+		h.arrive(lookup)
+	}
+	assert.Less(t, h.arrive(lookup).value, 1.0)
+}
+
+func TestColdServerKeepsItsPartWhileWarmOnesJam(t *testing.T) {
+	h, _ := story(3, nil)
+	h.warmUp(400, always(0.1))
+	calm := h.b.unit(h.now)
+	h.until(h.now + 8)
+	assert.Greater(t, h.b.unit(h.now), calm*0.8, "the jammed ones' rate would leave it idle beside them")
+}
+
 func TestAnsweringServersPickGetsNoCopy(t *testing.T) {
 	h, s := story(2, nil)
 	h.warmUp(40, always(0.2))
