--- a/decide/decide.go
+++ b/decide/decide.go
@@ -473,22 +473,14 @@
 		if b.rng.Float64() < explore {
 			return b.cands[b.rng.Intn(len(b.cands))]
 		}
-		// Ties go by weight: a node that knows nothing yet would else give small servers as much as large ones, and
-		// over hundreds of nodes they jam before their first answers tell.
-		sum := 0.0
+		n := 0
 		for i, s := range b.cands {
 			if b.ests[i] <= best*nearTie {
-				sum += s.weight
-			}
-		}
-		at := sum * b.rng.Float64()
-		for i, s := range b.cands {
-			if b.ests[i] <= best*nearTie {
-				if at -= s.weight; at <= 0 {
-					return s
-				}
+				b.cands[n] = s
+				n++
 			}
 		}
+		return b.cands[b.rng.Intn(n)]
 	}
 	return nil
 }
