A node remembers a server for one round of its picks

With unknown servers priced as those tried lately, a longer memory now tells: a node with two picks a second for 65 servers no longer tries each jammed one again every few seconds.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,6 +26,7 @@
 	fade       = 4.0  // half-life of what one sample says beyond its row's mean, in seconds
 	paceHalf   = 6.0  // half-life of a server's pace, long enough for a few samples at an inner node
 	othersHalf = 20.0 // half-life of the pace of all servers tried
+	rounds     = 1.0  // times a node's round of all servers that it remembers one of them, if that is longer
 	paceDoubt  = 2.0  // samples' worth of doubt that holds a pace near 1
 	paceCap    = 4.0  // no sample counts as more than this many times its due: one outlier is no verdict
 	overdue    = 2.5  // times the expected: a pick out for longer is late
@@ -155,34 +156,36 @@
 	floorRate              float64 // picks a second to a warm server when nothing is known
 	watchBackoff           float64
 
-	open          int      // RPCs held
-	room          float64  // RPCs to hold at most
-	part          float64  // this node's of the tier's nodes
-	waits, ends   decaying // of RPCs, given up or ok
-	oldWaits      decaying // the same over a longer time
-	oldEnds       decaying
-	held, asked   decaying // RPCs held when others came, and how many came
-	ables, ableAt float64  // the weight of servers able to work, lately
-	base, baseAt  float64  // the lowest mean wait of late
-	usual         float64  // RPCs held at most while waits were near the base
-	out           int      // picks out
-	ready         int
-	weight        float64 // mean over ready servers
-	done          decaying
-	best, bestAt  float64  // rate of one warm server
-	cost, due     decaying // of all servers
-	others        float64  // what a server not known is taken for
-	sent          decaying
-	extra         decaying
-	cands         []*Server
-	ests          []float64
+	open           int      // RPCs held
+	room           float64  // RPCs to hold at most
+	part           float64  // this node's of the tier's nodes
+	waits, ends    decaying // of RPCs, given up or ok
+	oldWaits       decaying // the same over a longer time
+	oldEnds        decaying
+	held, asked    decaying // RPCs held when others came, and how many came
+	ables, ableAt  float64  // the weight of servers able to work, lately
+	base, baseAt   float64  // the lowest mean wait of late
+	usual          float64  // RPCs held at most while waits were near the base
+	out            int      // picks out
+	ready          int
+	weight         float64 // mean over ready servers
+	done           decaying
+	keep, keepPace float64  // half-lives of entries and paces
+	best, bestAt   float64  // rate of one warm server
+	cost, due      decaying // of all servers
+	others         float64  // what a server not known is taken for
+	sent           decaying
+	extra          decaying
+	cands          []*Server
+	ests           []float64
 }
 
 // New starts an instance.
 func New(h Host, s Settings, seed int64) *Balancer {
 	b := &Balancer{host: h, rng: rand.New(rand.NewSource(seed)), inner: s.Stage > 0, copies: s.SecondCopies,
 		cancels: s.MayCancel, overShare: s.OverShare, cross: s.CrossZone, zone: s.Zone,
-		coldFrom: s.ColdFrom, coldFor: s.ColdFor, part: 1 / float64(s.Instances)}
+		coldFrom: s.ColdFrom, coldFor: s.ColdFor, part: 1 / float64(s.Instances),
+		keep: fade, keepPace: paceHalf}
 	if s.RetryAfter {
 		b.maxWait = s.MaxRetryAfter
 	}
@@ -446,6 +449,7 @@
 func (b *Balancer) choose(r *RPC, now float64) *Server {
 	m := &b.methods[r.Method]
 	unit := b.unit(now)
+	b.keep, b.keepPace = b.memory(fade, now), b.memory(paceHalf, now)
 	few := paceDoubt * b.typical(r.Method, now)
 	b.others = max(1, (b.cost.read(now, othersHalf)+few)/(b.due.read(now, othersHalf)+few))
 	for pass := range 2 {
@@ -513,7 +517,7 @@
 		if now-e.at > rowLife {
 			b.forget(s, i)
 		} else {
-			q += (e.q - q) * math.Exp2((e.at-now)/fade)
+			q += (e.q - q) * math.Exp2((e.at-now)/b.keep)
 		}
 	}
 	crowd := float64(b.out) / float64(max(1, b.ready))
@@ -530,6 +534,14 @@
 	return q
 }
 
+// memory is a half-life stretched to the time that a node's picks take to go once round its servers. A node with
+// few picks for many servers would else forget a bad one before it has another to try, and try it again with
+// every other pick.
+func (b *Balancer) memory(half, now float64) float64 {
+	rate := b.sent.read(now, extraHalf) * math.Ln2 / extraHalf
+	return max(half, min(rounds*float64(b.ready)/max(rate, 1e-3), rowLife))
+}
+
 func (b *Balancer) row(r *RPC, s *Server, now float64) int {
 	load := float64(len(s.pending))
 	if s.queue > 0 {
@@ -558,7 +570,7 @@
 // one in turn, and hundreds of nodes would keep it jammed.
 func (b *Balancer) pace(s *Server, typical, now float64) float64 {
 	doubt := paceDoubt * typical
-	return (s.cost.read(now, paceHalf) + doubt*b.others) / (s.due.read(now, paceHalf) + doubt)
+	return (s.cost.read(now, b.keepPace) + doubt*b.others) / (s.due.read(now, b.keepPace) + doubt)
 }
 
 // cold is the part of its capacity that a server is sure to have.
@@ -780,8 +792,8 @@
 }
 
 func (b *Balancer) pay(p *Pick, cost, now float64) {
-	p.Server.cost.add(cost, now, paceHalf)
-	p.Server.due.add(p.due, now, paceHalf)
+	p.Server.cost.add(cost, now, b.keepPace)
+	p.Server.due.add(p.due, now, b.keepPace)
 	b.cost.add(cost, now, othersHalf)
 	b.due.add(p.due, now, othersHalf)
 }
