--- a/decide/decide.go
+++ b/decide/decide.go
@@ -313,7 +313,7 @@
 	if b.inner {
 		return true
 	}
-	room := b.room * b.able(r.Method, now) * (cheapest + (1-cheapest)*math.Cbrt(r.value))
+	room := b.room * b.able(now) * (cheapest + (1-cheapest)*math.Cbrt(r.value))
 	room = max(room, trickle*float64(b.ready)*b.part)
 	// A node that holds one or two by chance knows little of a crowd: the fewer, the more the mean of late counts
 	// and the more gradually RPCs are turned away, since all nodes of the tier do the same.
@@ -351,14 +351,13 @@
 // able is the part of the usual servers that can work now. The room goes by it: what a jammed, cold or lost
 // server no longer does would otherwise be spilt over the rest and jam them one after another. More servers
 // than usual make no more room by themselves, since the tier behind them may not have grown.
-func (b *Balancer) able(method int, now float64) float64 {
-	sum, typical := 0.0, b.typical(method, now)
+func (b *Balancer) able(now float64) float64 {
+	sum := 0.0
 	for _, s := range b.servers {
 		// A server that cannot be reached does not count as jammed: behind a cut between zones the nodes there
 		// can no longer reach ours either.
 		if s.state == Ready && (s.cut || now >= s.ejected) {
-			// A thin node has ejected none when half have jammed: what it knows of their pace counts before that.
-			sum += b.cold(s, now) * s.weight / max(1, b.pace(s, typical, now))
+			sum += b.cold(s, now) * s.weight
 		}
 	}
 	keep := math.Exp2((b.ableAt - now) / ableHalf)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -194,9 +194,9 @@
 	h, s := story(4, nil)
 	h.load(20, 0.05, always(0.5))
 	h.b.Listed([]Listing{{Server: s[0], State: Gone}, {Server: s[1], State: Gone}}, false)
-	assert.InDelta(t, 0.5, h.b.able(lookup, h.now), 0.05)
+	assert.InDelta(t, 0.5, h.b.able(h.now), 0.05)
 	h.b.Listed([]Listing{ready(s[0], 0), ready(s[1], 1), ready(&Server{}, 0)}, false)
-	assert.Equal(t, 1.0, h.b.able(lookup, h.now), "more servers make no more room: the next tier may not have grown")
+	assert.Equal(t, 1.0, h.b.able(h.now), "more servers make no more room: the next tier may not have grown")
 }
 
 func TestTrafficBeyondAQuotaGivesWayFirst(t *testing.T) {
@@ -265,7 +265,7 @@
 		}
 	}
 	assert.Greater(t, max(s[1].ejected, s[3].ejected), h.now)
-	assert.Greater(t, h.b.able(lookup, h.now), 0.9, "the nodes there cannot reach our servers either")
+	assert.Greater(t, h.b.able(h.now), 0.9, "the nodes there cannot reach our servers either")
 }
 
 func TestSecondCopiesKeepTheRulesOfTheirMethod(t *testing.T) {
