--- a/decide/decide.go
+++ b/decide/decide.go
@@ -794,13 +794,13 @@
 func (b *Balancer) pay(p *Pick, cost, now float64) {
 	p.Server.cost.add(cost, now, b.keepPace)
 	p.Server.due.add(p.due, now, b.keepPace)
+	b.cost.add(cost, now, othersHalf)
+	b.due.add(p.due, now, othersHalf)
 }
 
 // learn is the Q-router's update of the entry that the pick used.
 func (b *Balancer) learn(p *Pick, cost float64, failed bool, now float64) {
 	s := p.Server
-	b.cost.add(cost, now, othersHalf)
-	b.due.add(p.due, now, othersHalf)
 	e := &s.entries[p.row]
 	q := p.due
 	if e.at > 0 {
