--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,7 +39,7 @@
 	margin     = 0.01 // seconds before the deadline by which an answer must be on its way
 
 	// The room for RPCs held at the front. Waits are counted in latency targets.
-	goal       = 0.6  // a mean wait above it leaves too many RPCs late, and is where servers begin to jam
+	goal       = 0.7  // a mean wait above it leaves too many RPCs late, and is where servers begin to jam
 	crowded    = 1.4  // times the base wait: more RPCs held would only queue
 	baseHalf   = 60.0 // the base rises, and the usual falls, by half in that time: a day changes in minutes
 	roomMost   = 1.1  // times the usual: a burst fills a larger room before the first late answer tells of it
