--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,7 +39,8 @@
 	margin     = 0.01 // seconds before the deadline by which an answer must be on its way
 
 	// The room for RPCs held at the front. Waits are counted in latency targets.
-	goal       = 0.7  // a mean wait above it leaves too many RPCs late, and is where servers begin to jam
+	goal       = 0.6  // a mean wait above it leaves too many RPCs late, and is where servers begin to jam
+	lateGoal   = 0.25 // more where a late answer still earns all: being late costs less than being turned away
 	crowded    = 1.4  // times the base wait: more RPCs held would only queue
 	baseHalf   = 60.0 // the base rises, and the usual falls, by half in that time: a day changes in minutes
 	roomMost   = 1.1  // times the usual: a burst fills a larger room before the first late answer tells of it
@@ -156,7 +157,8 @@
 	floorRate              float64 // picks a second to a warm server when nothing is known
 	watchBackoff           float64
 
-	open           int      // RPCs held
+	open           int // RPCs held
+	goal           float64
 	room           float64  // RPCs to hold at most
 	part           float64  // this node's of the tier's nodes
 	waits, ends    decaying // of RPCs, given up or ok
@@ -185,7 +187,7 @@
 	b := &Balancer{host: h, rng: rand.New(rand.NewSource(seed)), inner: s.Stage > 0, copies: s.SecondCopies,
 		cancels: s.MayCancel, overShare: s.OverShare, cross: s.CrossZone, zone: s.Zone,
 		coldFrom: s.ColdFrom, coldFor: s.ColdFor, part: 1 / float64(s.Instances),
-		keep: fade, keepPace: paceHalf}
+		keep: fade, keepPace: paceHalf, goal: goal}
 	if s.RetryAfter {
 		b.maxWait = s.MaxRetryAfter
 	}
@@ -204,6 +206,7 @@
 		}
 		k.picks = 1 + int(math.Ceil(float64(s.MaxPicks-1)*math.Cbrt(k.value)))
 		b.methods = append(b.methods, k)
+		b.goal += lateGoal * m.LateUtility / float64(len(s.Methods))
 	}
 	for _, t := range s.Tenants {
 		b.tenants = append(b.tenants, tenant{quota: t.Quota / float64(s.Instances)})
@@ -398,8 +401,8 @@
 		b.usual = max(b.usual, mean)
 	}
 	switch {
-	case b.waited(now) > goal:
-		b.room *= 1 + max(goal-b.waited(now), -0.5)/max(float64(b.open), 4)
+	case b.waited(now) > b.goal:
+		b.room *= 1 + max(b.goal-b.waited(now), -0.5)/max(float64(b.open), 4)
 	case w > crowded*b.base:
 		// By Little's law a slowdown of all servers needs no more RPCs held than usual to keep them at work, and
 		// no fewer either.
