--- a/decide/decide.go
+++ b/decide/decide.go
@@ -391,11 +391,13 @@
 	b.oldEnds.add(1, now, doneHalf)
 	b.ends.add(1, now, recentHalf)
 	w, held := b.eager(now), float64(b.open-1) // without this one, or a node that holds one or none overstates it
-	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), w)
+	// The lowest of a few waits is chance, and a base found by chance lies under what any room can keep to.
+	long := (b.oldWaits.sum + 2*goal/2) / (b.oldEnds.sum + 2)
+	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), long)
 	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
 	b.baseAt = now
 	mean := b.held.read(now, doneHalf) / max(b.asked.read(now, doneHalf), 1)
-	if w < 1.3*b.base {
+	if long < 1.3*b.base {
 		b.usual = max(b.usual, mean)
 	}
 	switch {
