A server not known costs 1.3 times those known

Known and unknown servers tied within a tenth. Told from repeats by counting tries by node and server.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,6 +25,7 @@
 
 	fade       = 4.0  // half-life of what one sample says beyond its row's mean, in seconds
 	paceHalf   = 6.0  // half-life of a server's pace, long enough for a few samples at an inner node
+	strange    = 1.3  // times that for a server not known: one that ties with those known is tried by every node
 	othersHalf = 20.0 // half-life of the pace of all servers tried
 	rounds     = 1.0  // times a node's round of all servers that it remembers one of them, if that is longer
 	paceDoubt  = 2.0  // samples' worth of doubt that holds a pace near 1
@@ -454,7 +455,7 @@
 	unit := b.unit(now)
 	b.keep, b.keepPace = b.memory(fade, now), b.memory(paceHalf, now)
 	few := paceDoubt * b.typical(r.Method, now)
-	b.others = max(1, (b.cost.read(now, othersHalf)+few)/(b.due.read(now, othersHalf)+few))
+	b.others = strange * max(1, (b.cost.read(now, othersHalf)+few)/(b.due.read(now, othersHalf)+few))
 	for pass := range 2 {
 		b.cands, b.ests = b.cands[:0], b.ests[:0]
 		best := math.Inf(1)
