--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,7 +25,7 @@
 
 	fade       = 4.0  // half-life of what one sample says beyond its row's mean, in seconds
 	paceHalf   = 6.0  // half-life of a server's pace, long enough for a few samples at an inner node
-	strange    = 1.3  // times that for a server not known: one that ties with those known is tried by every node
+	strange    = 1.6  // times that for a server not known: one that ties with those known is tried by every node
 	othersHalf = 20.0 // half-life of the pace of all servers tried
 	rounds     = 1.0  // times a node's round of all servers that it remembers one of them, if that is longer
 	paceDoubt  = 2.0  // samples' worth of doubt that holds a pace near 1
@@ -573,8 +573,11 @@
 // known is expected to be as those tried lately, failures included: at their best, each node would try every jammed
 // one in turn, and hundreds of nodes would keep it jammed.
 func (b *Balancer) pace(s *Server, typical, now float64) float64 {
-	doubt := paceDoubt * typical
-	return (s.cost.read(now, b.keepPace) + doubt*b.others) / (s.due.read(now, b.keepPace) + doubt)
+	doubt, unknown := paceDoubt*typical, b.others
+	if b.cold(s, now) < 1 {
+		unknown = 1 // it cannot have jammed yet, and a deploy leaves no others
+	}
+	return (s.cost.read(now, b.keepPace) + doubt*unknown) / (s.due.read(now, b.keepPace) + doubt)
 }
 
 // cold is the part of its capacity that a server is sure to have.
