--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,7 +25,7 @@
 
 	fade       = 4.0  // half-life of what one sample says beyond its row's mean, in seconds
 	paceHalf   = 6.0  // half-life of a server's pace, long enough for a few samples at an inner node
-	strange    = 1.6  // times that for a server not known: one that ties with those known is tried by every node
+	strange    = 1.4  // times that for a server not known: one that ties with those known is tried by every node
 	othersHalf = 20.0 // half-life of the pace of all servers tried
 	rounds     = 1.0  // times a node's round of all servers that it remembers one of them, if that is longer
 	paceDoubt  = 2.0  // samples' worth of doubt that holds a pace near 1
