--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -295,6 +295,7 @@
 	for seed := range int64(300) {
 		h, _ := seeded(seed, 100, func(s *Settings) { s.Instances = 300 })
 		h.warmUp(5, always(0.9))
+		h.until(h.now + 0.01)
 		h.arrive(lookup)
 		picks += len(h.sent)
 		h.until(h.now + 2.4)
@@ -334,6 +335,31 @@
 	assert.Less(t, h.arrive(lookup).value, 1.0)
 }
 
+func TestServerNotKnownIsNoBetterThanOneKnownGood(t *testing.T) {
+	met := map[*Server]bool{}
+	h, s := story(100, func(s *Settings) { s.Instances = 300 })
+	for range 60 {
+		h.arrive(lookup)
+		met[h.last().Server] = true
+		h.until(h.now + 0.5)
+		h.done(h.last(), OK)
+		h.until(h.now + 0.5)
+	}
+	assert.Less(t, len(met), 30, "each node would try every jammed server once, and hundreds of nodes keep it jammed")
+	started := &Server{}
+	h.b.Listed([]Listing{{Server: started, Weight: 1, CameUp: h.now}}, false)
+	assert.Less(t, h.b.pace(started, 0.5, h.now), h.b.pace(s[99], 0.5, h.now), "one just started cannot have jammed")
+}
+
+func TestJamOfAThinNodeIsNotHiddenByAGuess(t *testing.T) {
+	h, _ := story(100, func(s *Settings) { s.Instances = 300 })
+	for range 8 {
+		h.arrive(lookup)
+		h.until(h.now + 2.6)
+	}
+	assert.Greater(t, h.b.waited(h.now), h.b.goal)
+}
+
 func TestColdServerKeepsItsPartWhileWarmOnesJam(t *testing.T) {
 	h, _ := story(3, nil)
 	h.warmUp(400, always(0.1))
