Resets tell a lost zone from a cut one

Unreachable servers counted as able to work, as behind a cut, so all traffic fell on the other half and choked it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -147,7 +147,8 @@
 	tenants []tenant
 	servers []*Server
 	rows    []row
-	list    int // lists seen
+	resets  map[int]float64 // the last one of each zone
+	list    int             // lists seen
 
 	inner, copies, cancels bool
 	overShare, cross       float64
@@ -212,6 +213,7 @@
 	for _, t := range s.Tenants {
 		b.tenants = append(b.tenants, tenant{quota: t.Quota / float64(s.Instances)})
 	}
+	b.resets = map[int]float64{}
 	b.rows = make([]row, len(s.Methods)*max(1, len(s.Tenants))*levels)
 	if s.MustWatch {
 		// All nodes start together and the list is one slow service: each waits a random part of the time.
@@ -359,8 +361,10 @@
 	sum := 0.0
 	for _, s := range b.servers {
 		// A server that cannot be reached does not count as jammed: behind a cut between zones the nodes there
-		// can no longer reach ours either.
-		if s.state == Ready && (s.cut || now >= s.ejected) {
+		// can no longer reach ours either. Resets tell a lost zone from a cut one: its share falls on ours.
+		at, reset := b.resets[s.zone]
+		cut := s.cut && !(reset && now < at+ableHalf)
+		if s.state == Ready && (cut || now >= s.ejected) {
 			sum += b.cold(s, now) * s.weight
 		}
 	}
@@ -465,10 +469,10 @@
 			}
 			// The second pass takes what is left when all sound servers have been tried: an ejected one is
 			// better than none, and where all fail the fault lies elsewhere.
-			if pass == 0 && (now < s.ejected || s.strikes >= strikeOut && len(s.pending) > 0 || r.tried(s)) {
+			if pass == 0 && (now < s.ejected || s.strikes >= strikeOut && len(s.pending) > 0 || r.met(s, false)) {
 				continue
 			}
-			if pass == 1 && r.pendingAt(s) {
+			if pass == 1 && r.met(s, true) {
 				continue
 			}
 			e := b.estimate(r, s, now)
@@ -493,18 +497,10 @@
 	return nil
 }
 
-func (r *RPC) tried(s *Server) bool {
+// met tells whether a server has had a pick of the RPC, or has one out.
+func (r *RPC) met(s *Server, out bool) bool {
 	for _, p := range r.picks {
-		if p.Server == s {
-			return true
-		}
-	}
-	return false
-}
-
-func (r *RPC) pendingAt(s *Server) bool {
-	for _, p := range r.picks {
-		if p.Server == s && p.out {
+		if p.Server == s && (p.out || !out) {
 			return true
 		}
 	}
@@ -735,7 +731,9 @@
 	if res.NeverRan() {
 		b.unrun(r, p)
 	}
-	s.cut = res == ConnectFailed
+	if s.cut = res == ConnectFailed; res == Reset {
+		b.resets[s.zone] = now
+	}
 	switch res {
 	case OK:
 		b.ok(p, took, now)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -266,6 +266,8 @@
 	}
 	assert.Greater(t, max(s[1].ejected, s[3].ejected), h.now)
 	assert.Greater(t, h.b.able(h.now), 0.9, "the nodes there cannot reach our servers either")
+	h.b.resets[1] = h.now
+	assert.Less(t, h.b.able(h.now), 0.7, "resets before tell that the zone is lost and its share is ours")
 }
 
 func TestSecondCopiesKeepTheRulesOfTheirMethod(t *testing.T) {
