One second copy more at once for every four servers, over all nodes

Cause: with the budget by chance alone a quiet node has less than two copies where it had one more. It is a part of the servers and not one a node, so that it does not grow with the nodes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,6 +37,7 @@
 	ejectMax   = 8.0
 	comeBack   = 0.1  // of the latency target: when a client pushed back may ask again
 	spare      = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
+	atOnce     = 0.25 // and at once for each server, over all nodes: a quiet node would else have none
 	margin     = 0.01 // seconds before the deadline by which an answer must be on its way
 
 	// The room for RPCs held at the front. Waits are counted in latency targets.
@@ -676,7 +677,8 @@
 		return
 	}
 	// A part of a copy is sent by chance: one always allowed would be hundreds at once over hundreds of nodes.
-	if b.extra.read(now, extraHalf)+b.rng.Float64() > spare*b.sent.read(now, extraHalf) {
+	most := spare*b.sent.read(now, extraHalf) + min(1, atOnce*float64(b.ready)*b.part)
+	if b.extra.read(now, extraHalf)+b.rng.Float64() > most {
 		return
 	}
 	if len(r.picks) < b.methods[r.Method].picks && b.mayRepeat(r, now) {
