--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,7 +47,7 @@
 	baseHalf   = 60.0 // the base rises, and the usual falls, by half in that time: a day changes in minutes
 	roomMost   = 1.1  // times the usual: a burst fills a larger room before the first late answer tells of it
 	roomLeast  = 0.5  // of the usual: below that, servers that jammed rest anyway
-	countTrust = 0.25 // a crowd doubles the RPCs held, chance moves them by their root: the weight of a count of one
+	countTrust = 0.25 // weight of a count of one: a crowd doubles the RPCs held, chance moves them by their root
 	roomUp     = 0.2  // a server's answer makes room for a part of the next: a fifth more a turn
 	roomDown   = 0.3  // and shrinks somewhat faster, since a crowd costs more than an idle server
 	ableHalf   = 20.0 // seconds that the room remembers servers which have gone
@@ -61,7 +61,7 @@
 	unitHalf   = 10.0 // of a server's rate: its best must not be chance at a node with an RPC a second
 	extraHalf  = 5.0  // of the budget for second copies
 	shareHalf  = 3.0  // of a tenant's rate: short enough for a burst, long enough for chance
-	overQuota  = 1.0  // roots beyond what its quota lets expect that a tenant may ask for: clients come by chance
+	overQuota  = 1.0  // roots beyond its quota that a tenant may ask for: clients come by chance
 )
 
 // decaying is a sum that halves every half seconds, brought up to date when read.
@@ -189,13 +189,15 @@
 func New(h Host, s Settings, seed int64) *Balancer {
 	b := &Balancer{host: h, rng: rand.New(rand.NewSource(seed)), inner: s.Stage > 0, copies: s.SecondCopies,
 		cancels: s.MayCancel, overShare: s.OverShare, cross: s.CrossZone, zone: s.Zone,
-		coldFrom: s.ColdFrom, coldFor: s.ColdFor, part: 1 / float64(s.Instances),
+		coldFrom: s.ColdFrom, coldFor: s.ColdFor, part: 1 / float64(max(1, s.Instances)),
 		keep: fade, keepPace: paceHalf, goal: goal}
 	if s.RetryAfter {
 		b.maxWait = s.MaxRetryAfter
 	}
-	if s.FallFor > 0 {
-		b.floorRate = s.FallMultiple / s.FallFor / float64(s.Instances)
+	if s.FallFor <= 0 || s.FallMultiple <= 0 {
+		b.coldFor = 0 // nothing pushes a cold server over
+	} else {
+		b.floorRate = s.FallMultiple / s.FallFor * b.part
 	}
 	b.coldPush = max(1, s.FallMultiple/2)
 	top := 0.0
@@ -212,7 +214,7 @@
 		b.goal += lateGoal * m.LateUtility / float64(len(s.Methods))
 	}
 	for _, t := range s.Tenants {
-		b.tenants = append(b.tenants, tenant{quota: t.Quota / float64(s.Instances)})
+		b.tenants = append(b.tenants, tenant{quota: t.Quota * b.part})
 	}
 	b.resets = map[int]float64{}
 	b.rows = make([]row, len(s.Methods)*max(1, len(s.Tenants))*levels)
@@ -322,8 +324,8 @@
 	}
 	room := b.room * b.able(now) * (cheapest + (1-cheapest)*math.Cbrt(r.value))
 	room = max(room, trickle*float64(b.ready)*b.part)
-	// A node that holds one or two by chance knows little of a crowd: the fewer, the more the mean of late counts
-	// and the more gradually RPCs are turned away, since all nodes of the tier do the same.
+	// A node that holds one or two by chance knows little of a crowd: the fewer, the more the mean of late
+	// counts and the more gradually RPCs are turned away, since all nodes of the tier do the same.
 	n := float64(b.open - 1)
 	b.held.add(n, now, doneHalf)
 	b.asked.add(1, now, doneHalf)
@@ -337,8 +339,8 @@
 	return x < 1 || b.rng.Float64() < max(0.05, 1-2*(x-1))
 }
 
-// waited is what the last RPCs waited, as a part of their latency targets. Where few are recent, older ones stand
-// in, and a guess only for what is lacking then: at an RPC a second it would hide a jam that makes all of them late.
+// waited is what the last RPCs waited, as a part of their latency targets. Where few are recent, older ones
+// stand in, and a guess only for what is lacking then: at an RPC a second it would hide that all are late.
 func (b *Balancer) waited(now float64) float64 {
 	sum, n := b.waits.read(now, recentHalf), b.ends.read(now, recentHalf)
 	if old := b.oldEnds.read(now, doneHalf); old > 0 {
@@ -350,11 +352,6 @@
 	return (sum + guess*goal/2) / (n + guess)
 }
 
-// eager is the same with a steady guess, for comparing one time with another.
-func (b *Balancer) eager(now float64) float64 {
-	return (b.waits.read(now, recentHalf) + 2*goal/2) / (b.ends.read(now, recentHalf) + 2)
-}
-
 // able is the part of the usual servers that can work now. The room goes by it: what a jammed, cold or lost
 // server no longer does would otherwise be spilt over the rest and jam them one after another. More servers
 // than usual make no more room by themselves, since the tier behind them may not have grown.
@@ -396,7 +393,8 @@
 	b.oldWaits.add(wait, now, doneHalf)
 	b.oldEnds.add(1, now, doneHalf)
 	b.ends.add(1, now, recentHalf)
-	w, held := b.eager(now), float64(b.open-1) // without this one, or a node that holds one or none overstates it
+	// Without this one, or a node that holds one or none overstates it.
+	w, held := b.waited(now), float64(b.open-1)
 	// The lowest of a few waits is chance, and a base found by chance lies under what any room can keep to.
 	long := (b.oldWaits.sum + 2*goal/2) / (b.oldEnds.sum + 2)
 	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), long)
@@ -407,8 +405,8 @@
 		b.usual = max(b.usual, mean)
 	}
 	switch {
-	case b.waited(now) > b.goal:
-		b.room *= 1 + max(b.goal-b.waited(now), -0.5)/max(float64(b.open), 4)
+	case w > b.goal:
+		b.room *= 1 + max(b.goal-w, -0.5)/max(float64(b.open), 4)
 	case w > crowded*b.base:
 		// By Little's law a slowdown of all servers needs no more RPCs held than usual to keep them at work, and
 		// no fewer either.
@@ -535,9 +533,8 @@
 	return q
 }
 
-// memory is a half-life stretched to the time that a node's picks take to go once round its servers. A node with
-// few picks for many servers would else forget a bad one before it has another to try, and try it again with
-// every other pick.
+// memory is a half-life stretched to the time that a node's picks take to go once round its servers. With few
+// picks for many servers it would else forget a bad one, and try it again with every other pick.
 func (b *Balancer) memory(half, now float64) float64 {
 	rate := b.sent.read(now, extraHalf) * math.Ln2 / extraHalf
 	return max(half, min(rounds*float64(b.ready)/max(rate, 1e-3), rowLife))
@@ -566,9 +563,9 @@
 	return (m.took.read(now, doneHalf) + 0.3*m.LatencyTarget) / (n + 1)
 }
 
-// pace is how long a server takes over what its rows lead to expect, whatever the method or tenant. One that is not
-// known is expected to be as those tried lately, failures included: at their best, each node would try every jammed
-// one in turn, and hundreds of nodes would keep it jammed.
+// pace is how long a server takes over what its rows lead to expect, whatever the method or tenant. One not known
+// is taken for more than those tried lately, failures included: on a par, each node would try every jammed one
+// once, and hundreds of nodes would keep it jammed.
 func (b *Balancer) pace(s *Server, typical, now float64) float64 {
 	doubt, unknown := paceDoubt*typical, b.others
 	if b.cold(s, now) < 1 {
@@ -585,8 +582,8 @@
 	return b.coldFrom + (1-b.coldFrom)*max(0, now-s.cameUp)/b.coldFor
 }
 
-// unit is the rate at which one warm server answers this node at its best: a jam lowers the present rate, and cold
-// servers kept to their part of that could not take over from the jammed ones.
+// unit is the rate at which one warm server answers this node at its best: a jam lowers the present rate, and
+// cold servers kept to their part of that could not take over from the jammed ones.
 func (b *Balancer) unit(now float64) float64 {
 	sum := 0.0
 	for _, s := range b.servers {
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -296,10 +296,12 @@
 		}
 	}
 	switch {
-	case c.Instances < 1:
-		return nil, errors.New("setting Instances must be at least 1")
-	case c.Limits.MaxAttempts < 1:
-		return nil, errors.New("setting Limits.MaxAttempts must be at least 1")
+	case c.Instances < 0:
+		return nil, errors.New("setting Instances must not be negative")
+	case c.Limits.MaxAttempts < 0 || c.Limits.MaxRetryAfterMs < 0:
+		return nil, errors.New("settings Limits.MaxAttempts and Limits.MaxRetryAfterMs must not be negative")
+	case c.Rules.FallMultiple < 0 || c.Rules.FallMs < 0 || c.Rules.MustAskInMs < 0:
+		return nil, errors.New("settings Rules.FallMultiple, Rules.FallMs and Rules.MustAskInMs must not be negative")
 	case c.Rules.ColdMs < 0 || c.Rules.ColdFrom < 0 || c.Rules.ColdFrom > 1:
 		return nil, errors.New("settings Rules.ColdMs and Rules.ColdFrom are out of range")
 	case c.RegistryMode != "automatic" && c.RegistryMode != "subscribe":
@@ -310,7 +312,7 @@
 
 func (c *conf) settings() decide.Settings {
 	s := decide.Settings{
-		Zone: c.MyZone, Stage: c.Stage, Instances: c.Instances, MaxPicks: c.Limits.MaxAttempts,
+		Zone: c.MyZone, Stage: c.Stage, Instances: max(1, c.Instances), MaxPicks: max(1, c.Limits.MaxAttempts),
 		MayCancel: c.Limits.MayCancel, SecondCopies: c.Limits.SecondCopies,
 		RetryAfter: c.Limits.RetryAfter, MaxRetryAfter: c.Limits.MaxRetryAfterMs / 1000,
 		OverShare: c.OverShareWorth, CrossZone: c.Deductions.CrossZone,
