--- a/decide/decide.go
+++ b/decide/decide.go
@@ -563,9 +563,9 @@
 	return (m.took.read(now, doneHalf) + 0.3*m.LatencyTarget) / (n + 1)
 }
 
-// pace is how long a server takes over what its rows lead to expect, whatever the method or tenant. One not known
-// is taken for more than those tried lately, failures included: on a par, each node would try every jammed one
-// once, and hundreds of nodes would keep it jammed.
+// pace is how long a server takes over what its rows lead to expect, whatever the method or tenant. One not
+// known is taken for more than those tried lately, failures included: on a par, each node would try every
+// jammed one once, and hundreds of nodes would keep it jammed.
 func (b *Balancer) pace(s *Server, typical, now float64) float64 {
 	doubt, unknown := paceDoubt*typical, b.others
 	if b.cold(s, now) < 1 {
