--- a/decide/decide.go
+++ b/decide/decide.go
@@ -161,7 +161,7 @@
 	watchBackoff           float64
 
 	open           int // RPCs held
-	goal, since    float64
+	goal           float64
 	room           float64  // RPCs to hold at most
 	part           float64  // this node's of the tier's nodes
 	waits, ends    decaying // of RPCs, given up or ok
@@ -256,7 +256,6 @@
 	b.weight /= float64(max(1, b.ready))
 	if b.room == 0 {
 		b.room, b.base, b.baseAt = 5*b.leastRoom(), goal, b.host.Now()
-		b.since = b.baseAt
 		b.usual = b.room / roomMost
 	}
 }
@@ -398,10 +397,7 @@
 	w, held := b.waited(now), float64(b.open-1)
 	// The lowest of a few waits is chance, and a base found by chance lies under what any room can keep to.
 	long := (b.oldWaits.sum + 2*goal/2) / (b.oldEnds.sum + 2)
-	b.base *= math.Exp2((now - b.baseAt) / baseHalf)
-	if now > b.since+b.methods[r.Method].LatencyTarget {
-		b.base = min(b.base, long) // not before: the first to end are the short ones
-	}
+	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), long)
 	b.usual *= math.Exp2((b.baseAt - now) / baseHalf)
 	b.baseAt = now
 	mean := b.held.read(now, doneHalf) / max(b.asked.read(now, doneHalf), 1)
