--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,9 +25,8 @@
 
 	fade       = 4.0  // half-life of what one sample says beyond its row's mean, in seconds
 	paceHalf   = 6.0  // half-life of a server's pace, long enough for a few samples at an inner node
-	strange    = 1.4  // times that for a server not known: one that ties with those known is tried by every node
-	othersHalf = 20.0 // half-life of the pace of all servers tried
-	rounds     = 1.0  // times a node's round of all servers that it remembers one of them, if that is longer
+	othersHalf = 20.0 // half-life of the pace of all servers tried, the jammed ones included
+	strange    = 1.4  // times that for a server not known: on a par with those known, every node tries it
 	paceDoubt  = 2.0  // samples' worth of doubt that holds a pace near 1
 	paceCap    = 4.0  // no sample counts as more than this many times its due: one outlier is no verdict
 	overdue    = 2.5  // times the expected: a pick out for longer is late
@@ -55,7 +54,7 @@
 	cheapest   = 0.65 // of the room is open to an RPC of no utility: the rest is kept for dearer ones
 
 	// Half-lives in seconds: the shortest still covers some answers of a small node.
-	fewWaits   = 6.0  // fewer waits than that say little
+	fewWaits   = 6.0  // fewer waits than that say little; below it older ones stand in
 	recentHalf = 0.7  // of waits
 	doneHalf   = 5.0  // of times and rates that hardly change
 	unitHalf   = 10.0 // of a server's rate: its best must not be chance at a node with an RPC a second
@@ -537,7 +536,7 @@
 // picks for many servers it would else forget a bad one, and try it again with every other pick.
 func (b *Balancer) memory(half, now float64) float64 {
 	rate := b.sent.read(now, extraHalf) * math.Ln2 / extraHalf
-	return max(half, min(rounds*float64(b.ready)/max(rate, 1e-3), rowLife))
+	return max(half, min(float64(b.ready)/max(rate, 1e-3), rowLife))
 }
 
 func (b *Balancer) row(r *RPC, s *Server, now float64) int {
