--- a/decide/decide.go
+++ b/decide/decide.go
@@ -359,9 +359,7 @@
 	for _, s := range b.servers {
 		// A server that cannot be reached does not count as jammed: behind a cut between zones the nodes there
 		// can no longer reach ours either. Resets tell a lost zone from a cut one: its share falls on ours.
-		at, reset := b.resets[s.zone]
-		cut := s.cut && !(reset && now < at+ableHalf)
-		if s.state == Ready && (cut || now >= s.ejected) {
+		if s.state == Ready && (s.cut && !b.lost(s, now) || now >= s.ejected) {
 			sum += b.cold(s, now) * s.weight
 		}
 	}
@@ -377,6 +375,12 @@
 	return min(1, sum/b.ables)
 }
 
+// lost tells whether the zone of a server has reset picks lately: its processes have died.
+func (b *Balancer) lost(s *Server, now float64) bool {
+	at, reset := b.resets[s.zone]
+	return reset && now < at+ableHalf
+}
+
 // leastRoom is room that no crowd takes away: enough to keep this node's part of the servers at work, so that
 // a slowdown of all servers is not answered by idling them.
 func (b *Balancer) leastRoom() float64 { return 2 * max(1, float64(b.ready)) * b.part }
@@ -732,6 +736,9 @@
 	if s.cut = res == ConnectFailed; res == Reset {
 		b.resets[s.zone] = now
 	}
+	if s.cut && b.lost(s, now) {
+		s.strikes = strikeOut // its zone has told: two more tries of every server there would find the same
+	}
 	switch res {
 	case OK:
 		b.ok(p, took, now)
