--- a/decide/decide.go
+++ b/decide/decide.go
@@ -357,8 +357,8 @@
 func (b *Balancer) able(now float64) float64 {
 	sum := 0.0
 	for _, s := range b.servers {
-		// A server that cannot be reached does not count as jammed: behind a cut between zones the nodes there
-		// can no longer reach ours either. Resets tell a lost zone from a cut one: its share falls on ours.
+		// One that cannot be reached does not count as jammed: behind a cut the nodes there cannot reach ours
+		// either. Resets tell a lost zone from a cut one: its share falls on ours.
 		if s.state == Ready && (s.cut && !b.lost(s, now) || now >= s.ejected) {
 			sum += b.cold(s, now) * s.weight
 		}
@@ -447,7 +447,6 @@
 	return m.Repeat == Idempotent || m.Repeat == Deduplicated && now < r.ran.sent+m.Window-margin
 }
 
-// within tells whether a server drops repeats of what first may have run.
 func (m *method) within(s, first *Server) bool {
 	if m.Repeat == Idempotent || m.Scope == ScopeAll {
 		return true
@@ -536,8 +535,8 @@
 	return q
 }
 
-// memory is a half-life stretched to the time that a node's picks take to go once round its servers. With few
-// picks for many servers it would else forget a bad one, and try it again with every other pick.
+// memory is a half-life stretched to a node's round of all its servers. With few picks for many servers it would
+// else forget a bad one, and try it again with every other pick.
 func (b *Balancer) memory(half, now float64) float64 {
 	rate := b.sent.read(now, extraHalf) * math.Ln2 / extraHalf
 	return max(half, min(float64(b.ready)/max(rate, 1e-3), rowLife))
@@ -733,10 +732,10 @@
 	if res.NeverRan() {
 		b.unrun(r, p)
 	}
-	if s.cut = res == ConnectFailed; res == Reset {
+	if res == Reset {
 		b.resets[s.zone] = now
 	}
-	if s.cut && b.lost(s, now) {
+	if s.cut = res == ConnectFailed; (s.cut || res == Reset) && b.lost(s, now) {
 		s.strikes = strikeOut // its zone has told: two more tries of every server there would find the same
 	}
 	switch res {
@@ -837,7 +836,7 @@
 	*e = entry{}
 }
 
-// Vanished is a client that has left: nothing is owed any more.
+// Vanished is a client that has left.
 func (b *Balancer) Vanished(r *RPC) { b.close(r) }
 
 // giveUp ends an RPC at once: with a pushback where retrying is harmless, else with an abort.
