--- a/decide/decide.go
+++ b/decide/decide.go
@@ -50,7 +50,6 @@
 	roomUp     = 0.2  // a server's answer makes room for a part of the next: a fifth more a turn
 	roomDown   = 0.3  // and shrinks somewhat faster, since a crowd costs more than an idle server
 	ableHalf   = 20.0 // seconds that the room remembers servers which have gone
-	trickle    = 0.5  // RPCs held for each server whatever the room, over all nodes
 	cheapest   = 0.65 // of the room is open to an RPC of no utility: the rest is kept for dearer ones
 
 	// Half-lives in seconds: the shortest still covers some answers of a small node.
@@ -322,7 +321,7 @@
 		return true
 	}
 	room := b.room * b.able(now) * (cheapest + (1-cheapest)*math.Cbrt(r.value))
-	room = max(room, trickle*float64(b.ready)*b.part)
+	room = max(room, b.leastRoom()/4)
 	// A node that holds one or two by chance knows little of a crowd: the fewer, the more the mean of late
 	// counts and the more gradually RPCs are turned away, since all nodes of the tier do the same.
 	n := float64(b.open - 1)
@@ -396,8 +395,7 @@
 	b.oldWaits.add(wait, now, doneHalf)
 	b.oldEnds.add(1, now, doneHalf)
 	b.ends.add(1, now, recentHalf)
-	// Without this one, or a node that holds one or none overstates it.
-	w, held := b.waited(now), float64(b.open-1)
+	w := b.waited(now)
 	// The lowest of a few waits is chance, and a base found by chance lies under what any room can keep to.
 	long := (b.oldWaits.sum + 2*goal/2) / (b.oldEnds.sum + 2)
 	b.base = min(b.base*math.Exp2((now-b.baseAt)/baseHalf), long)
@@ -414,7 +412,7 @@
 		// By Little's law a slowdown of all servers needs no more RPCs held than usual to keep them at work, and
 		// no fewer either.
 		b.room = max(b.room*(1-roomDown/max(float64(b.open), 4)), min(b.room, b.usual))
-	case held > 0.6*b.room:
+	case float64(b.open-1) > 0.6*b.room:
 		b.room *= 1 + roomUp/max(float64(b.open), 4)
 	}
 	exact := countTrust * b.usual
@@ -447,6 +445,7 @@
 	return m.Repeat == Idempotent || m.Repeat == Deduplicated && now < r.ran.sent+m.Window-margin
 }
 
+// within tells whether a server drops repeats of what first may have run.
 func (m *method) within(s, first *Server) bool {
 	if m.Repeat == Idempotent || m.Scope == ScopeAll {
 		return true
@@ -535,8 +534,8 @@
 	return q
 }
 
-// memory is a half-life stretched to a node's round of all its servers. With few picks for many servers it would
-// else forget a bad one, and try it again with every other pick.
+// memory is a half-life stretched to a node's round of all its servers. With few picks for many servers it
+// would else forget a bad one, and try it again with every other pick.
 func (b *Balancer) memory(half, now float64) float64 {
 	rate := b.sent.read(now, extraHalf) * math.Ln2 / extraHalf
 	return max(half, min(float64(b.ready)/max(rate, 1e-3), rowLife))
@@ -735,7 +734,7 @@
 	if res == Reset {
 		b.resets[s.zone] = now
 	}
-	if s.cut = res == ConnectFailed; (s.cut || res == Reset) && b.lost(s, now) {
+	if s.cut = res == ConnectFailed; s.cut && b.lost(s, now) {
 		s.strikes = strikeOut // its zone has told: two more tries of every server there would find the same
 	}
 	switch res {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -270,6 +270,25 @@
 	assert.Less(t, h.b.able(h.now), 0.7, "resets before tell that the zone is lost and its share is ours")
 }
 
+func TestLostZoneIsEjectedByOneFailedConnectEach(t *testing.T) {
+	h, s := story(40, nil)
+	h.warmUp(10, always(0.2))
+	h.arrive(lookup)
+	lost := h.last().Server.zone
+	h.done(h.last(), Reset)
+	for range 60 {
+		h.arrive(lookup)
+		for h.last().Server.zone == lost && h.last().out {
+			h.done(h.last(), ConnectFailed)
+		}
+	}
+	for _, x := range s {
+		if x.cut {
+			assert.Greater(t, x.ejected, h.now, "three tries each would spend the picks of every RPC")
+		}
+	}
+}
+
 func TestSecondCopiesKeepTheRulesOfTheirMethod(t *testing.T) {
 	for method, most := range map[int]int{lookup: 2, commit: 1, charge: 1} {
 		h, _ := story(6, nil)
