--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,20 +23,21 @@
 	levels  = 5     // load levels: 0, 1-2, 3-6, 7-14, 15 and more
 	rowLife = 60.0  // an entry idle that long is dropped
 
-	fade      = 4.0 // half-life of what one sample says beyond its row's mean, in seconds
-	paceHalf  = 6.0 // half-life of a server's pace, long enough for a few samples at an inner node
-	strange   = 1.4 // times that for a server not known: on a par with those known, every node tries it
-	paceDoubt = 2.0 // samples' worth of doubt that holds a pace near 1
-	paceCap   = 4.0 // no sample counts as more than this many times its due: one outlier is no verdict
-	overdue   = 2.5 // times the expected: a pick out for longer is late
-	patience  = 1.2 // times the expected: by then a pick has had its chance
-	strikeOut = 3   // failures in a row that eject a server
-	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
-	ejectMax  = 8.0
-	comeBack  = 0.1  // of the latency target: when a client pushed back may ask again
-	spare     = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
-	atOnce    = 0.25 // and at once for each server, over all nodes: a quiet node would else have none
-	margin    = 0.01 // seconds before the deadline by which an answer must be on its way
+	fade       = 4.0  // half-life of what one sample says beyond its row's mean, in seconds
+	paceHalf   = 6.0  // half-life of a server's pace, long enough for a few samples at an inner node
+	othersHalf = 20.0 // half-life of the pace of all servers tried, the jammed ones included
+	strange    = 1.4  // times that for a server not known: on a par with those known, every node tries it
+	paceDoubt  = 2.0  // samples' worth of doubt that holds a pace near 1
+	paceCap    = 4.0  // no sample counts as more than this many times its due: one outlier is no verdict
+	overdue    = 2.5  // times the expected: a pick out for longer is late
+	patience   = 1.2  // times the expected: by then a pick has had its chance
+	strikeOut  = 3    // failures in a row that eject a server
+	ejectMin   = 1.0  // first ejection, in seconds; doubles while trials fail
+	ejectMax   = 8.0
+	comeBack   = 0.1  // of the latency target: when a client pushed back may ask again
+	spare      = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
+	atOnce     = 0.25 // and at once for each server, over all nodes: a quiet node would else have none
+	margin     = 0.01 // seconds before the deadline by which an answer must be on its way
 
 	// The room for RPCs held at the front. Waits are counted in latency targets.
 	goal       = 0.6  // a mean wait above it leaves too many RPCs late, and is where servers begin to jam
@@ -172,8 +173,9 @@
 	ready          int
 	weight         float64 // mean over ready servers
 	done           decaying
-	keep, keepPace float64 // half-lives of entries and paces
-	best, bestAt   float64 // rate of one warm server
+	keep, keepPace float64  // half-lives of entries and paces
+	cost, due      decaying // of all servers
+	others         float64  // what a server not known is taken for
 	sent           decaying
 	extra          decaying
 	cands          []*Server
@@ -455,6 +457,8 @@
 	m := &b.methods[r.Method]
 	unit := b.unit(now)
 	b.keep, b.keepPace = b.memory(fade, now), b.memory(paceHalf, now)
+	few := paceDoubt * b.typical(r.Method, now)
+	b.others = strange * max(1, (b.cost.read(now, othersHalf)+few)/(b.due.read(now, othersHalf)+few))
 	for pass := range 2 {
 		b.cands, b.ests = b.cands[:0], b.ests[:0]
 		best := math.Inf(1)
@@ -563,7 +567,7 @@
 // known is taken for more than those tried lately, failures included: on a par, each node would try every
 // jammed one once, and hundreds of nodes would keep it jammed.
 func (b *Balancer) pace(s *Server, typical, now float64) float64 {
-	doubt, unknown := paceDoubt*typical, strange
+	doubt, unknown := paceDoubt*typical, b.others
 	if b.cold(s, now) < 1 {
 		unknown = 1 // it cannot have jammed yet, and a deploy leaves no others
 	}
@@ -588,9 +592,7 @@
 		}
 	}
 	rate := b.done.read(now, unitHalf) * math.Ln2 / unitHalf / max(sum, 1)
-	b.best = max(b.best*math.Exp2((b.bestAt-now)/baseHalf), rate)
-	b.bestAt = now
-	return max(b.best, b.floorRate)
+	return max(rate, b.floorRate)
 }
 
 // warm guards a cold server: it gets picks no faster than its part of what a warm one answers this node.
@@ -797,6 +799,8 @@
 func (b *Balancer) pay(p *Pick, cost, now float64) {
 	p.Server.cost.add(cost, now, b.keepPace)
 	p.Server.due.add(p.due, now, b.keepPace)
+	b.cost.add(cost, now, othersHalf)
+	b.due.add(p.due, now, othersHalf)
 }
 
 // learn is the Q-router's update of the entry that the pick used.
