--- a/decide/decide.go
+++ b/decide/decide.go
@@ -174,6 +174,7 @@
 	weight         float64 // mean over ready servers
 	done           decaying
 	keep, keepPace float64  // half-lives of entries and paces
+	best, bestAt   float64  // rate of one warm server
 	cost, due      decaying // of all servers
 	others         float64  // what a server not known is taken for
 	sent           decaying
@@ -592,7 +593,9 @@
 		}
 	}
 	rate := b.done.read(now, unitHalf) * math.Ln2 / unitHalf / max(sum, 1)
-	return max(rate, b.floorRate)
+	b.best = max(b.best*math.Exp2((b.bestAt-now)/baseHalf), rate)
+	b.bestAt = now
+	return max(b.best, b.floorRate)
 }
 
 // warm guards a cold server: it gets picks no faster than its part of what a warm one answers this node.
