--- /dev/null
+++ b/cmd/robincart/main.go
@@ -0,0 +1,99 @@
+// Command robincart is one real node: callers and servers on sockets, the decisions of package decide between them.
+// One program serves every tier; its settings tell it which.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"robincart/internal/frontend"
+	"robincart/internal/limits"
+	"robincart/internal/node"
+	"robincart/internal/registry"
+	"robincart/internal/upstream"
+)
+
+func main() {
+	// Callers can write to connections whose other end has gone: that is an error there, not the program's end.
+	signal.Ignore(syscall.SIGPIPE)
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "robincart:", err)
+		os.Exit(1)
+	}
+}
+
+// clock is the machine's: time.Since reads its monotonic part.
+type clock struct{ start time.Time }
+
+func (c clock) Now() time.Duration                  { return time.Since(c.start) }
+func (c clock) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
+
+func run() error {
+	c, err := readConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	logs := zap.NewProductionConfig()
+	logs.DisableStacktrace = true
+	log, err := logs.Build(zap.Fields(zap.String("node", c.Name)))
+	if err != nil {
+		return fmt.Errorf("log: %w", err)
+	}
+	defer log.Sync()
+	l := c.limits
+	runtime.GOMAXPROCS(l.Cores)
+	debug.SetMemoryLimit(l.Memory)
+	debug.SetGCPercent(400) // little lives long here: collecting rarely costs a few MB and saves the one core
+
+	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+
+	clk := clock{time.Now()}
+	budget := limits.NewBudget(l.Descriptors)
+	watcher := registry.New(c.Discovery, c.node.ZoneNames, l, budget, log)
+	core := node.New(c.node, c.seed(), clk, time.Now(), watcher.Ask)
+	watcher.Start(core, c.list)
+	pool := upstream.NewPool(core, l, budget, log)
+	front := frontend.New(c.node, l, budget, core, pool, clk.Now, log)
+
+	life, end := context.WithCancel(context.Background())
+	var owned sync.WaitGroup
+	for _, f := range []func(){func() { watcher.Run(life) }, func() { pool.Run(life) }} {
+		owned.Go(f)
+	}
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(ln) }()
+	log.Info("serving", zap.String("listen", c.Listen), zap.Int("tier", c.node.Stage),
+		zap.Int("servers", len(c.list.Members)), zap.Int("descriptors", l.Descriptors), zap.Int64("memory", l.Memory))
+
+	<-term.Done()
+	log.Info("stopping", zap.Int("open", core.Open()))
+	most, cancel := context.WithTimeout(context.Background(), l.StopMost)
+	defer cancel()
+	front.Stop()
+	time.Sleep(l.StopTaking)
+	ln.Close()
+	<-served
+	if err := front.Drain(most); err != nil {
+		log.Warn("stopped before all was answered", zap.Error(err))
+	}
+	core.Close()
+	end()
+	owned.Wait()
+	log.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/frontend/conn.go
@@ -0,0 +1,189 @@
+package frontend
+
+import (
+	"errors"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"robincart/decide"
+	"robincart/internal/httpwire"
+	"robincart/internal/node"
+)
+
+// conn is one caller's connection. Its goroutine is the only one that reads its requests and writes to it.
+type conn struct {
+	net.Conn
+	server *Server
+	reader *httpwire.Reader
+	refuse bool // over the budget: its first request is refused
+}
+
+// serve answers a connection's requests, one after another.
+func (c *conn) serve() {
+	f := c.server
+	for f.between(c, true) {
+		c.SetReadDeadline(time.Now().Add(f.limits.CallerIdle))
+		if !f.between(c, true) {
+			return // the stop came between the look and the new deadline
+		}
+		if err := c.reader.First(); err != nil {
+			return
+		}
+		f.between(c, false)
+		if !c.request() {
+			return
+		}
+	}
+}
+
+// request is the life of one request: it is read, the module decides, what it orders is done, and the caller gets
+// the one answer. It returns whether the connection can be used again.
+func (c *conn) request() bool {
+	f := c.server
+	came := f.now() // the caller's time runs since it sent the request, so not from the last byte on
+	c.SetReadDeadline(time.Now().Add(f.limits.CallerRead))
+	q, err := c.reader.ReadRequest()
+	if err != nil {
+		return c.unread(err)
+	}
+	method, tenant, bad := f.check(q)
+	if bad != nil {
+		return c.answer(q, bad)
+	}
+	if c.refuse {
+		return c.answer(q, &httpwire.Answer{Status: 503, RetryAfter: time.Second, Close: true})
+	}
+
+	rpc := f.core.Arrived(method, tenant, came+q.Left, q.SecondTry)
+	gone, release := c.watch()
+	for {
+		select {
+		case o := <-rpc.Orders:
+			switch o.Kind {
+			case node.Send:
+				go f.picks.Exchange(o.Pick, q)
+				continue
+			case node.Served:
+				release()
+				return c.answer(q, &httpwire.Answer{Status: 200, Type: o.Answer.Type, Body: o.Answer.Body})
+			case node.PushBack:
+				release()
+				return c.answer(q, &httpwire.Answer{Status: 503, RetryAfter: o.Wait})
+			case node.Abort:
+				release()
+				return c.answer(q, &httpwire.Answer{Status: 504})
+			}
+		case <-gone:
+			f.core.Vanished(rpc)
+			f.leftOver(rpc)
+			return false
+		}
+	}
+}
+
+// leftOver ends the picks that were ordered while their caller left: nobody sends them any more.
+func (f *Server) leftOver(rpc *node.RPC) {
+	for {
+		select {
+		case o := <-rpc.Orders:
+			if o.Kind == node.Send {
+				f.core.Done(o.Pick, decide.Ignored, nil)
+			}
+		default:
+			return
+		}
+	}
+}
+
+// check finds what a request asks for, or the answer to one that can't be taken. None of those answers is 429 or
+// 503: they would promise that asking the same again helps.
+func (f *Server) check(q *httpwire.Request) (method, tenant int, bad *httpwire.Answer) {
+	if q.Path == httpwire.PathReady {
+		switch {
+		case q.Verb != "GET" && q.Verb != "HEAD":
+			return 0, 0, &httpwire.Answer{Status: 405, Allow: "GET"}
+		case f.stopping.Load():
+			return 0, 0, &httpwire.Answer{Status: 503}
+		}
+		return 0, 0, &httpwire.Answer{Status: 200}
+	}
+	first, _, _ := strings.Cut(strings.TrimPrefix(q.Path, "/"), "/")
+	method, known := f.methods[first]
+	if !known {
+		return 0, 0, &httpwire.Answer{Status: 404}
+	}
+	allow := "POST"
+	if f.settings.Methods[method].Repeat == decide.Idempotent {
+		allow = "GET"
+	}
+	tenant, paying := f.tenants[q.Tenant]
+	switch {
+	case q.Verb != allow:
+		return 0, 0, &httpwire.Answer{Status: 405, Allow: allow}
+	case q.Method != first, q.Trace == "", !q.HasLeft, q.Left > f.limits.MostLeft,
+		len(f.tenants) > 0 && !paying,
+		f.settings.Methods[method].Repeat == decide.Deduplicated && q.Key == "",
+		allow == "GET" && len(q.Body) > 0:
+		return 0, 0, &httpwire.Answer{Status: 400}
+	}
+	return method, tenant, nil
+}
+
+// watch tells of a caller that closes its connection while its request is out. The release ends the watching;
+// what the caller sent meanwhile is its next request.
+func (c *conn) watch() (gone chan struct{}, release func()) {
+	gone = make(chan struct{})
+	ended := make(chan struct{})
+	c.SetReadDeadline(time.Time{})
+	go func() {
+		defer close(ended)
+		if err := c.reader.Wait(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			close(gone)
+		}
+	}()
+	return gone, func() {
+		c.SetReadDeadline(time.Unix(1, 0))
+		<-ended
+	}
+}
+
+// unread answers what could not be read as a request. Its framing is lost, so the connection ends.
+func (c *conn) unread(err error) bool {
+	a, ok := httpwire.Refusal(err)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		a, ok = httpwire.Answer{Status: 408, Close: true}, true
+	}
+	if ok {
+		c.write(&a, false)
+		c.linger()
+	}
+	return false
+}
+
+// linger takes in what the caller is still sending: closed with bytes unread, the connection would be reset and
+// the answer lost with it.
+func (c *conn) linger() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+	c.SetReadDeadline(time.Now().Add(c.server.limits.CallerLinger))
+	c.reader.Discard()
+}
+
+// answer writes a request's one answer.
+func (c *conn) answer(q *httpwire.Request, a *httpwire.Answer) bool {
+	a.Close = a.Close || q.Close || c.refuse || c.server.stopping.Load()
+	return c.write(a, q.Verb == "HEAD") && !a.Close
+}
+
+func (c *conn) write(a *httpwire.Answer, headOnly bool) bool {
+	c.SetWriteDeadline(time.Now().Add(c.server.limits.CallerWrite))
+	msg := net.Buffers{a.AppendHead(make([]byte, 0, 256))}
+	if len(a.Body) > 0 && !headOnly {
+		msg = append(msg, a.Body)
+	}
+	_, err := msg.WriteTo(c.Conn)
+	return err == nil
+}
--- /dev/null
+++ b/internal/httpwire/message.go
@@ -0,0 +1,254 @@
+package httpwire
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Request is a caller's request. Its slices lie in the buffer that it was read into.
+type Request struct {
+	Verb      string
+	Target    string // path and query, as they came
+	Path      string
+	Host      string
+	Trace     string
+	Key       string
+	Method    string // the RPC's method
+	Tenant    string
+	Left      time.Duration // how long the caller waits
+	HasLeft   bool
+	SecondTry bool
+	Close     bool // the caller wants the connection closed
+	Type      string
+	Body      []byte
+}
+
+// ReadRequest reads one request.
+func (r *Reader) ReadRequest() (*Request, error) {
+	head, err := r.ReadHead()
+	if err != nil {
+		return nil, err
+	}
+	verb, rest, ok1 := strings.Cut(head.Line, " ")
+	target, version, ok2 := strings.Cut(rest, " ")
+	if !ok1 || !ok2 || !token(verb) || !origin(target) || version != "HTTP/1.1" && version != "HTTP/1.0" {
+		return nil, fmt.Errorf("%w: request line %.80q", ErrMalformed, head.Line)
+	}
+	q := &Request{Verb: verb, Target: target, Close: version == "HTTP/1.0"}
+	q.Path, _, _ = strings.Cut(target, "?")
+	if q.Body, _, err = r.ReadBody(head.Header); err != nil {
+		return nil, err
+	}
+	for name, to := range map[string]*string{HeaderTrace: &q.Trace, HeaderKey: &q.Key, HeaderMethod: &q.Method,
+		HeaderTenant: &q.Tenant, headerType: &q.Type, "Host": &q.Host} {
+		if *to, err = one(head.Header, name); err != nil {
+			return nil, err
+		}
+	}
+	left, err := one(head.Header, HeaderLeft)
+	if err != nil {
+		return nil, err
+	}
+	if left != "" {
+		n, err := digits(left, 10, 1<<30)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %s is %.20q", ErrMalformed, HeaderLeft, left)
+		}
+		q.Left, q.HasLeft = time.Duration(n)*time.Millisecond, true
+	}
+	second, err := one(head.Header, HeaderSecondTry)
+	if err != nil {
+		return nil, err
+	}
+	q.SecondTry = second == "1"
+	q.Close = q.Close || asksClose(head.Header[headerConnection])
+	return q, nil
+}
+
+func asksClose(values []string) bool {
+	for _, v := range values {
+		for _, part := range strings.Split(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), "close") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func token(s string) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// origin tells a target in origin form: it goes on to servers as it came, so nothing in it may end a line.
+func origin(s string) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c == 0x7f || c == '#' {
+			return false
+		}
+	}
+	return strings.HasPrefix(s, "/")
+}
+
+// AppendHead writes the request's head as it goes on to a server, which is told how long this node waits.
+func (q *Request) AppendHead(to []byte, host string, left time.Duration) []byte {
+	if q.Host != "" {
+		host = q.Host
+	}
+	to = append(to, q.Verb...)
+	to = append(to, ' ')
+	to = append(to, q.Target...)
+	to = append(to, " HTTP/1.1\r\n"...)
+	to = header(to, "Host", host)
+	to = header(to, HeaderTrace, q.Trace)
+	to = header(to, HeaderKey, q.Key)
+	to = header(to, HeaderMethod, q.Method)
+	to = header(to, HeaderTenant, q.Tenant)
+	to = header(to, headerType, q.Type)
+	to = append(to, HeaderLeft+": "...)
+	to = strconv.AppendInt(to, max(1, left.Milliseconds()), 10)
+	to = append(to, "\r\n"...)
+	if q.Verb != "GET" || len(q.Body) > 0 {
+		to = length(to, len(q.Body))
+	}
+	return append(to, "\r\n"...)
+}
+
+func header(to []byte, name, value string) []byte {
+	if value == "" {
+		return to
+	}
+	to = append(to, name...)
+	to = append(to, ": "...)
+	to = append(to, value...)
+	return append(to, "\r\n"...)
+}
+
+func length(to []byte, n int) []byte {
+	to = append(to, headerLength+": "...)
+	to = strconv.AppendInt(to, int64(n), 10)
+	return append(to, "\r\n"...)
+}
+
+// Response is a server's answer.
+type Response struct {
+	Status   int
+	NeverRan bool
+	Close    bool // the connection can't be used again
+	Type     string
+	Body     []byte
+}
+
+// ReadResponse reads one answer. One whose end only the end of its connection tells is refused: a server that
+// died in it would look like one that had finished.
+func (r *Reader) ReadResponse() (*Response, error) {
+	for {
+		head, status, err := r.readStatus()
+		if err != nil {
+			return nil, err
+		}
+		if status >= 100 && status < 200 && status != 101 {
+			continue
+		}
+		p := &Response{Status: status, Close: strings.HasPrefix(head.Line, "HTTP/1.0") ||
+			asksClose(head.Header[headerConnection])}
+		bounded := status == 204 || status == 304
+		if !bounded {
+			if p.Body, bounded, err = r.ReadBody(head.Header); err != nil {
+				return nil, err
+			}
+		}
+		if !bounded {
+			return nil, fmt.Errorf("%w: an answer without a length", ErrMalformed)
+		}
+		if p.Type, err = one(head.Header, headerType); err != nil {
+			return nil, err
+		}
+		never, err := one(head.Header, HeaderNeverRan)
+		p.NeverRan = never == "1"
+		return p, err
+	}
+}
+
+func (r *Reader) readStatus() (Head, int, error) {
+	head, err := r.ReadHead()
+	if err != nil {
+		return head, 0, err
+	}
+	version, rest, ok := strings.Cut(head.Line, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	if !ok || version != "HTTP/1.1" && version != "HTTP/1.0" || len(code) != 3 {
+		return head, 0, fmt.Errorf("%w: status line %.80q", ErrMalformed, head.Line)
+	}
+	status, err := digits(code, 10, 999)
+	if err != nil || status < 100 {
+		return head, 0, fmt.Errorf("%w: status line %.80q", ErrMalformed, head.Line)
+	}
+	return head, status, nil
+}
+
+// ReadStream reads the head of an answer that goes on in pieces.
+func (r *Reader) ReadStream() (int, *Stream, error) {
+	head, status, err := r.readStatus()
+	if err != nil || status != 200 {
+		return status, nil, err
+	}
+	s, err := r.Stream(head.Header)
+	return status, s, err
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+	500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout"}
+
+// Answer is what a node says to a caller.
+type Answer struct {
+	Status     int
+	RetryAfter time.Duration
+	Allow      string
+	Type       string
+	Close      bool
+	Body       []byte
+}
+
+// AppendHead writes the answer's head.
+func (a *Answer) AppendHead(to []byte) []byte {
+	to = append(to, "HTTP/1.1 "...)
+	to = strconv.AppendInt(to, int64(a.Status), 10)
+	to = append(to, ' ')
+	to = append(to, reasons[a.Status]...)
+	to = append(to, "\r\n"...)
+	to = header(to, "Allow", a.Allow)
+	to = header(to, headerType, a.Type)
+	if a.RetryAfter > 0 {
+		to = append(to, HeaderRetryAfter+": "...)
+		to = strconv.AppendFloat(to, a.RetryAfter.Seconds(), 'f', 3, 64)
+		to = append(to, "\r\n"...)
+	}
+	if a.Close {
+		to = header(to, headerConnection, "close")
+	}
+	return append(length(to, len(a.Body)), "\r\n"...)
+}
+
+// Refusal is the answer to what could not be read as a request, and false if the connection itself failed.
+func Refusal(err error) (Answer, bool) {
+	a := Answer{Status: 400, Close: true}
+	switch {
+	case errors.Is(err, ErrHeadLarge):
+		a.Status = 431
+	case errors.Is(err, ErrBodyLarge):
+		a.Status = 413
+	case !errors.Is(err, ErrMalformed):
+		return a, false
+	}
+	return a, true
+}
--- /dev/null
+++ b/internal/httpwire/names.go
@@ -0,0 +1,24 @@
+// Package httpwire reads and writes the HTTP/1.1 messages of the protocol, on net/textproto.
+package httpwire
+
+// The names of the protocol, as net/textproto spells them.
+const (
+	HeaderTrace      = "X-Trace-Id"
+	HeaderMethod     = "X-Qos"
+	HeaderTenant     = "X-Customer"
+	HeaderLeft       = "X-Expires-In-Ms"
+	HeaderKey        = "Idempotency-Key"
+	HeaderSecondTry  = "X-Second-Try"
+	HeaderNeverRan   = "X-Never-Ran"
+	HeaderRetryAfter = "Retry-After"
+
+	headerLength     = "Content-Length"
+	headerEncoding   = "Transfer-Encoding"
+	headerConnection = "Connection"
+	headerType       = "Content-Type"
+
+	PathReady  = "/health/ready"
+	PathList   = "/registry/instances"
+	QueryWatch = "follow"
+	QuerySince = "since"
+)
--- /dev/null
+++ b/internal/httpwire/reader.go
@@ -0,0 +1,405 @@
+package httpwire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// What a message can be refused for. Anything else that a Reader returns is the connection's own error.
+var (
+	ErrMalformed = errors.New("malformed message")
+	ErrHeadLarge = errors.New("headers too large")
+	ErrBodyLarge = errors.New("body too large")
+)
+
+// Sizes bounds what a Reader takes in.
+type Sizes struct{ Buffer, Head, Body int }
+
+// Reader reads the messages of one connection. Each message lies in a buffer of its own, which the message's
+// slices keep alive; what came beyond it is moved to the next one's buffer.
+type Reader struct {
+	src   io.Reader
+	sizes Sizes
+	buf   []byte
+	n     int // bytes of buf that hold something
+}
+
+// NewReader reads from src.
+func NewReader(src io.Reader, sizes Sizes) *Reader { return &Reader{src: src, sizes: sizes} }
+
+// Head is a message's start line and headers.
+type Head struct {
+	Line   string
+	Header textproto.MIMEHeader
+}
+
+// First waits for a message's first byte. An error without one is the end of a connection between messages.
+func (r *Reader) First() error {
+	if r.n > 0 {
+		return nil
+	}
+	return r.fill(r.sizes.Buffer)
+}
+
+// Wait returns once more has come after a message, or with the connection's error.
+func (r *Reader) Wait() error {
+	if r.n > 0 {
+		return nil
+	}
+	return r.fill(minRead)
+}
+
+// Discard reads until the connection ends, or its deadline.
+func (r *Reader) Discard() {
+	r.buf, r.n = nil, 0
+	for r.fill(r.sizes.Buffer) == nil {
+		r.n = 0
+	}
+}
+
+// Beyond tells whether bytes have come that no message has taken yet.
+func (r *Reader) Beyond() bool { return r.n > 0 }
+
+const minRead = 512 // room for a read whose length nobody knows
+
+// fill reads more, into a buffer that has room for want bytes at least.
+func (r *Reader) fill(want int) error {
+	if want <= r.n {
+		want = r.n + minRead
+	}
+	if len(r.buf) < want {
+		grown := make([]byte, max(want, min(2*len(r.buf), r.sizes.Head), r.sizes.Buffer))
+		copy(grown, r.buf[:r.n])
+		r.buf = grown
+	}
+	k, err := r.src.Read(r.buf[r.n:])
+	r.n += k
+	if k > 0 {
+		return nil
+	}
+	if err == nil {
+		err = io.ErrNoProgress
+	}
+	return err
+}
+
+// take hands out the first n bytes of the buffer and moves the rest to a fresh one.
+func (r *Reader) take(n int) []byte {
+	msg := r.buf[:n:n]
+	rest := r.buf[n:r.n]
+	r.buf, r.n = nil, 0
+	if len(rest) > 0 {
+		r.buf = make([]byte, max(len(rest), r.sizes.Buffer))
+		r.n = copy(r.buf, rest)
+	}
+	return msg
+}
+
+// headEnd finds where the headers end, and refuses lines that do not end as HTTP's do: two ends of a connection
+// that read a bare line feed differently disagree on where a message begins.
+func headEnd(b []byte) (int, error) {
+	for at := 0; ; {
+		i := bytes.IndexByte(b[at:], '\n')
+		if i < 0 {
+			return 0, nil
+		}
+		i += at
+		if i == 0 || b[i-1] != '\r' {
+			return 0, fmt.Errorf("%w: a line ends without CR LF", ErrMalformed)
+		}
+		if i == at+1 {
+			if at == 0 {
+				return 0, fmt.Errorf("%w: empty start line", ErrMalformed)
+			}
+			return i + 1, nil
+		}
+		if at > 0 && (b[at] == ' ' || b[at] == '\t') {
+			return 0, fmt.Errorf("%w: folded header", ErrMalformed)
+		}
+		at = i + 1
+	}
+}
+
+// parsers are net/textproto readers over one block of bytes. They copy the start line and each header's value
+// into strings; the body is never copied.
+var parsers = sync.Pool{New: func() any {
+	p := &parser{}
+	p.buffered = bufio.NewReaderSize(&p.block, 1024)
+	p.text = textproto.NewReader(p.buffered)
+	return p
+}}
+
+type parser struct {
+	block    bytes.Reader
+	buffered *bufio.Reader
+	text     *textproto.Reader
+}
+
+func parseHead(block []byte) (Head, error) {
+	p := parsers.Get().(*parser)
+	defer parsers.Put(p)
+	p.block.Reset(block)
+	p.buffered.Reset(&p.block)
+	line, err := p.text.ReadLine()
+	if err != nil {
+		return Head{}, fmt.Errorf("%w: start line: %w", ErrMalformed, err)
+	}
+	header, err := p.text.ReadMIMEHeader()
+	if err != nil {
+		return Head{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	for name := range header {
+		// net/textproto lets a blank before the colon pass; others read such a name as another header.
+		if name == "" || strings.ContainsAny(name, " \t") {
+			return Head{}, fmt.Errorf("%w: header name %q", ErrMalformed, name)
+		}
+	}
+	return Head{Line: line, Header: header}, nil
+}
+
+// ReadHead reads a start line and headers, and leaves what follows them.
+func (r *Reader) ReadHead() (Head, error) {
+	for {
+		end, err := headEnd(r.buf[:r.n])
+		if err != nil {
+			return Head{}, err
+		}
+		if end > r.sizes.Head || end == 0 && r.n >= r.sizes.Head {
+			return Head{}, ErrHeadLarge
+		}
+		if end > 0 {
+			head, err := parseHead(r.buf[:end])
+			if err == nil {
+				r.skip(end)
+			}
+			return head, err
+		}
+		if err := r.fill(0); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return Head{}, err
+		}
+	}
+}
+
+// skip moves past bytes in place: what textproto has read out of them is its own copy.
+func (r *Reader) skip(n int) {
+	r.buf = r.buf[n:]
+	r.n -= n
+}
+
+// one returns the only value of a header; a second, different one is a contradiction.
+func one(h textproto.MIMEHeader, name string) (string, error) {
+	v := h[name]
+	for _, other := range v[min(1, len(v)):] {
+		if other != v[0] {
+			return "", fmt.Errorf("%w: %s stands twice", ErrMalformed, name)
+		}
+	}
+	if len(v) == 0 {
+		return "", nil
+	}
+	return strings.TrimRight(v[0], " \t"), nil
+}
+
+// digits reads a whole number as HTTP writes it: no sign, no blanks.
+func digits(s string, base, most int) (int, error) {
+	if s == "" || len(s) > 9 {
+		return 0, fmt.Errorf("%w: %q is no length", ErrMalformed, s)
+	}
+	for _, c := range []byte(s) {
+		if !(c >= '0' && c <= '9' || base == 16 && (c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F')) {
+			return 0, fmt.Errorf("%w: %q is no length", ErrMalformed, s)
+		}
+	}
+	n, err := strconv.ParseInt(s, base, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %q is no length", ErrMalformed, s)
+	}
+	if n > int64(most) {
+		return 0, ErrBodyLarge
+	}
+	return int(n), nil
+}
+
+// framing tells how a message's body is bounded: by a length, by chunks, or not at all (length -1).
+func framing(h textproto.MIMEHeader) (length int, chunked bool, err error) {
+	te, err := one(h, headerEncoding)
+	if err != nil {
+		return 0, false, err
+	}
+	cl, err := one(h, headerLength)
+	switch {
+	case err != nil:
+		return 0, false, err
+	case te != "" && (len(h[headerLength]) > 0 || !strings.EqualFold(te, "chunked")):
+		return 0, false, fmt.Errorf("%w: contradictory or unknown framing", ErrMalformed)
+	case te != "":
+		return 0, true, nil
+	case len(h[headerLength]) == 0:
+		return -1, false, nil
+	}
+	length, err = digits(cl, 10, 1<<30)
+	return length, false, err
+}
+
+// ReadBody reads the body that the headers announce; bounded tells whether they do. The body is a slice of the
+// buffer that it was read into.
+func (r *Reader) ReadBody(h textproto.MIMEHeader) (body []byte, bounded bool, err error) {
+	length, chunked, err := framing(h)
+	switch {
+	case err != nil:
+		return nil, false, err
+	case chunked:
+		body, err = r.chunks()
+		return body, true, err
+	case length < 0:
+		return nil, false, nil
+	case length > r.sizes.Body:
+		return nil, true, ErrBodyLarge
+	}
+	if err := r.need(length); err != nil {
+		return nil, true, err
+	}
+	return r.take(length), true, nil
+}
+
+func (r *Reader) need(n int) error {
+	for r.n < n {
+		if err := r.fill(n); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+// line finds the next line at or after a place in the buffer; the end is past its line feed.
+func (r *Reader) line(at, most int) (text []byte, end int, err error) {
+	for {
+		if i := bytes.IndexByte(r.buf[min(at, r.n):r.n], '\n'); i >= 0 {
+			if i == 0 || r.buf[at+i-1] != '\r' {
+				return nil, 0, fmt.Errorf("%w: a line ends without CR LF", ErrMalformed)
+			}
+			return r.buf[at : at+i-1], at + i + 1, nil
+		}
+		if r.n-at > most {
+			return nil, 0, fmt.Errorf("%w: line too long", ErrMalformed)
+		}
+		if err := r.need(r.n + 1); err != nil {
+			return nil, 0, err
+		}
+	}
+}
+
+const chunkLine = 256 // more than any size with its extensions has a use for
+
+// chunkSize reads a chunk's size line at a place in the buffer.
+func (r *Reader) chunkSize(at, most int) (size, end int, err error) {
+	text, end, err := r.line(at, chunkLine)
+	if err != nil {
+		return 0, 0, err
+	}
+	text, _, _ = bytes.Cut(text, []byte(";"))
+	size, err = digits(string(bytes.TrimRight(text, " \t")), 16, most)
+	return size, end, err
+}
+
+// chunks puts a chunked body together inside the buffer.
+func (r *Reader) chunks() ([]byte, error) {
+	body, at := 0, 0
+	for {
+		size, end, err := r.chunkSize(at, r.sizes.Body)
+		if err != nil {
+			return nil, err
+		}
+		if size == 0 {
+			for at = end; ; at = end { // trailers
+				text, e, err := r.line(at, r.sizes.Head)
+				if err != nil {
+					return nil, err
+				}
+				if end = e; len(text) == 0 {
+					whole := r.take(end)
+					return whole[:body:body], nil
+				}
+				if end-at > r.sizes.Head || end > r.sizes.Body+2*r.sizes.Head {
+					return nil, ErrHeadLarge
+				}
+			}
+		}
+		if body+size > r.sizes.Body {
+			return nil, ErrBodyLarge
+		}
+		if err := r.need(end + size + 2); err != nil {
+			return nil, err
+		}
+		copy(r.buf[body:], r.buf[end:end+size])
+		body += size
+		if r.buf[end+size] != '\r' || r.buf[end+size+1] != '\n' {
+			return nil, fmt.Errorf("%w: chunk without its end", ErrMalformed)
+		}
+		// What was read of the framing is not kept: many small chunks would else fill the memory.
+		rest := copy(r.buf[body:], r.buf[end+size+2:r.n])
+		r.n, at = body+rest, body
+	}
+}
+
+// Stream reads the chunks of a watch as one stream of bytes.
+type Stream struct {
+	r    *Reader
+	left int
+	end  bool
+}
+
+// Stream reads a body in pieces; it must be chunked.
+func (r *Reader) Stream(h textproto.MIMEHeader) (*Stream, error) {
+	if _, chunked, err := framing(h); err != nil || !chunked {
+		return nil, errors.Join(fmt.Errorf("%w: not chunked", ErrMalformed), err)
+	}
+	return &Stream{r: r}, nil
+}
+
+// Read returns what has come of the stream.
+func (s *Stream) Read(to []byte) (int, error) {
+	if s.end {
+		return 0, io.EOF
+	}
+	if s.left == 0 {
+		size, end, err := s.r.chunkSize(0, 1<<30)
+		if err != nil {
+			return 0, err
+		}
+		s.r.skip(end)
+		if size == 0 {
+			s.end = true
+			return 0, io.EOF
+		}
+		s.left = size
+	}
+	if err := s.r.need(1); err != nil {
+		return 0, err
+	}
+	n := copy(to, s.r.buf[:min(s.left, s.r.n)])
+	s.r.skip(n)
+	if s.left -= n; s.left == 0 {
+		if err := s.r.need(2); err != nil {
+			return n, err
+		}
+		if s.r.buf[0] != '\r' || s.r.buf[1] != '\n' {
+			return n, fmt.Errorf("%w: chunk without its end", ErrMalformed)
+		}
+		s.r.skip(2)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,110 @@
+// Package limits holds every size, count and time that a node keeps to, and the budget of its descriptors.
+package limits
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"robincart/internal/settings"
+)
+
+// Machine is what the configuration says of the node's machine.
+type Machine struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Limits is filled once at start and handed down; nothing changes it later.
+type Limits struct {
+	Cores       int
+	Memory      int64 // bytes that Go's collector keeps to
+	Descriptors int   // for callers, servers and discovery together
+	Callers     int   // connections of callers that are served
+	Refused     int   // further ones that are told so at once
+	Open        int   // RPCs held; 0: as many as there are callers
+
+	HeadBytes   int // of a message: start line and headers
+	BodyBytes   int
+	BufferBytes int // that a buffer starts with
+	ListBytes   int // of one line of the list
+
+	CallerIdle   time.Duration // between requests
+	CallerRead   time.Duration // from a request's first byte to its last
+	CallerWrite  time.Duration // for an answer
+	CallerLinger time.Duration // for what follows a request that could not be read
+	MostLeft     time.Duration // that a caller may say it waits
+
+	Connect    time.Duration // to a server
+	ServerIdle time.Duration // after which a server's connection is closed
+	Sweep      time.Duration // between looks at the idle ones
+
+	ListConnect time.Duration
+	ListAnswer  time.Duration // for the first line of a watch, which may stand in a queue
+	ListSilence time.Duration // between lines: an empty one comes every 2 s
+
+	StopTaking time.Duration // after SIGTERM new connections may come for as long
+	StopMost   time.Duration // after SIGTERM the program ends, whatever is still out
+}
+
+const (
+	ownFiles   = 16 // standard streams, the poller, the listener, the watch and some to spare
+	refusedMax = 32
+	mb         = 1 << 20
+)
+
+// Fill makes the limits of a node from its machine and its settings.
+func Fill(m Machine, s *settings.Node) (Limits, error) {
+	switch {
+	case !(m.Cores > 0) || m.Cores > 1024:
+		return Limits{}, fmt.Errorf("limits.cores is %v", m.Cores)
+	case m.MemoryMB < 16:
+		return Limits{}, fmt.Errorf("limits.memory_mb is %d: a node needs 16 at least", m.MemoryMB)
+	case m.Sockets < 2*ownFiles:
+		return Limits{}, fmt.Errorf("limits.sockets is %d: a node needs %d at least", m.Sockets, 2*ownFiles)
+	}
+	l := Limits{
+		Cores: int(math.Ceil(m.Cores)),
+		// The collector works harder near its limit; stacks and the program itself need the rest.
+		Memory:       int64(m.MemoryMB) * mb * 7 / 10,
+		Descriptors:  m.Sockets - ownFiles,
+		Open:         s.MaxOpen,
+		HeadBytes:    16 << 10,
+		BodyBytes:    64 << 10,
+		BufferBytes:  2 << 10,
+		ListBytes:    4 * mb,
+		CallerIdle:   90 * time.Second,
+		CallerRead:   5 * time.Second,
+		CallerWrite:  2 * time.Second,
+		CallerLinger: 300 * time.Millisecond,
+		MostLeft:     time.Hour,
+		Connect:      time.Second,
+		ServerIdle:   20 * time.Second,
+		Sweep:        500 * time.Millisecond,
+		ListConnect:  2 * time.Second,
+		ListAnswer:   8 * time.Second,
+		ListSilence:  5 * time.Second,
+		StopTaking:   600 * time.Millisecond,
+	}
+	// Every RPC needs a connection on either side, and a second copy one more: callers get under a half.
+	l.Refused = min(refusedMax, l.Descriptors/8)
+	l.Callers = l.Descriptors*9/20 - l.Refused
+	if l.Callers < 1 {
+		return Limits{}, errors.New("limits.sockets leaves no caller a connection")
+	}
+	if s.ConnectTimeout > 0 {
+		l.Connect = s.ConnectTimeout
+	}
+	if s.ServerIdle > 0 {
+		// The server's clock starts with its answer and ours when that has come: a request must not cross the close.
+		l.ServerIdle = s.ServerIdle - min(time.Second, s.ServerIdle/4)
+	}
+	longest := 0.0
+	for _, m := range s.Methods {
+		longest = max(longest, m.Deadline)
+	}
+	l.StopMost = l.StopTaking + time.Duration(longest*float64(time.Second))
+	return l, nil
+}
--- /dev/null
+++ b/internal/registry/list.go
@@ -0,0 +1,86 @@
+// Package registry follows the list of servers at discovery.
+package registry
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"robincart/decide"
+	"robincart/internal/node"
+)
+
+// List is one message of discovery: the whole list, or the entries that changed.
+type List struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
+}
+
+type member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+var phases = map[string]decide.State{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
+
+// Parse reads one message.
+func Parse(text []byte) (*List, error) {
+	l := &List{}
+	if err := json.Unmarshal(text, l); err != nil {
+		return nil, fmt.Errorf("server list: %w", err)
+	}
+	if l.Revision < 0 {
+		return nil, fmt.Errorf("server list: revision %d", l.Revision)
+	}
+	return l, nil
+}
+
+// Entries turns a message into the core's words. A line that can't be used is left out and told: one bad line
+// must not cost the others.
+func (l *List) Entries(zones []string, log *zap.Logger) []node.Entry {
+	out := make([]node.Entry, 0, len(l.Members))
+	for _, m := range l.Members {
+		state, known := phases[m.Phase]
+		if err := checkAddress(m.HostPort); m.ID == "" || !known || err != nil && state != decide.Gone {
+			log.Warn("skipped an entry of the server list", zap.String("id", m.ID), zap.String("phase", m.Phase),
+				zap.String("host_port", m.HostPort), zap.Error(err))
+			continue
+		}
+		e := node.Entry{ID: m.ID, Addr: m.HostPort, State: state, Zone: slices.Index(zones, m.Locality),
+			Cell: m.Cell, Weight: m.Size}
+		if !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
+			e.Weight = 1
+		}
+		if m.UpSince > 0 {
+			e.Started = time.UnixMilli(m.UpSince)
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func checkAddress(hostPort string) error {
+	host, port, err := net.SplitHostPort(hostPort)
+	if err != nil {
+		return fmt.Errorf("address: %w", err)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("address: %q is no IP", host)
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+		return fmt.Errorf("address: %q is no port", port)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,140 @@
+// Package settings reads the object that tells an instance its tier, methods, tenants, limits and rules. The
+// simulator sends it in its first message, a real node finds it in its configuration; the names are the same.
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"robincart/decide"
+)
+
+// Node is what one instance is told: what its decisions use, and what only its door and its sockets need.
+type Node struct {
+	decide.Settings
+
+	MethodNames    []string // as callers name them, in the order of Methods
+	TenantNames    []string
+	ZoneNames      []string
+	ReportFields   []string
+	ConnectTimeout time.Duration // 0: not told
+	ServerIdle     time.Duration // a server closes an idle connection by then; 0: not told
+	MaxOpen        int           // RPCs held at once; 0: not told
+}
+
+type object struct {
+	Classes []struct {
+		Name                                           string
+		AimMs, DeadlineMs, LateWorth, WindowMs, Credit float64
+		Repeat, DedupScope                             string
+	}
+	RegistryMode string
+	Limits       struct {
+		MaxAttempts, MaxOpen                          int
+		MaxRetryAfterMs, ConnectTimeoutMs, ConnIdleMs float64
+		MayCancel, RetryAfter, SecondCopies           bool
+	}
+	Deductions struct{ CrossZone float64 }
+	Report     struct{ Fields []string }
+	Rules      struct{ ColdFrom, ColdMs, FallMultiple, FallMs, MustAskInMs float64 }
+	Tenants    []struct {
+		Name      string
+		QuotaPerS float64
+	}
+	Zones          []string
+	Instances      int
+	MyZone, Stage  int
+	OverShareWorth float64
+}
+
+var repeats = map[string]decide.Repeat{
+	"repeatable": decide.Idempotent, "by_key": decide.Deduplicated, "once": decide.NonIdempotent}
+
+var scopes = map[string]decide.Scope{
+	"": decide.ScopeAll, "all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell}
+
+// Parse reads the object and names the first setting that can't be worked with.
+func Parse(text []byte) (*Node, error) {
+	o := &object{}
+	if err := json.Unmarshal(text, o); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	return o.node(), nil
+}
+
+func (o *object) check() error {
+	if len(o.Classes) == 0 {
+		return errors.New("setting Classes is missing or empty")
+	}
+	for i, k := range o.Classes {
+		_, known := repeats[k.Repeat]
+		_, scoped := scopes[k.DedupScope]
+		switch {
+		case !(k.DeadlineMs > 0):
+			return fmt.Errorf("setting Classes[%d].DeadlineMs must be above 0", i)
+		case !(k.AimMs > 0):
+			return fmt.Errorf("setting Classes[%d].AimMs must be above 0", i)
+		case k.Credit < 0:
+			return fmt.Errorf("setting Classes[%d].Credit must not be negative", i)
+		case !known:
+			return fmt.Errorf("setting Classes[%d].Repeat is %q", i, k.Repeat)
+		case !scoped:
+			return fmt.Errorf("setting Classes[%d].DedupScope is %q", i, k.DedupScope)
+		case k.Repeat == "by_key" && !(k.WindowMs > 0):
+			return fmt.Errorf("setting Classes[%d].WindowMs must be above 0", i)
+		}
+	}
+	switch {
+	case o.Instances < 0:
+		return errors.New("setting Instances must not be negative")
+	case o.Limits.MaxAttempts < 0 || o.Limits.MaxRetryAfterMs < 0:
+		return errors.New("settings Limits.MaxAttempts and Limits.MaxRetryAfterMs must not be negative")
+	case o.Limits.ConnectTimeoutMs < 0 || o.Limits.ConnIdleMs < 0 || o.Limits.MaxOpen < 0:
+		return errors.New("settings Limits.ConnectTimeoutMs, ConnIdleMs and MaxOpen must not be negative")
+	case o.Rules.FallMultiple < 0 || o.Rules.FallMs < 0 || o.Rules.MustAskInMs < 0:
+		return errors.New("settings Rules.FallMultiple, Rules.FallMs and Rules.MustAskInMs must not be negative")
+	case o.Rules.ColdMs < 0 || o.Rules.ColdFrom < 0 || o.Rules.ColdFrom > 1:
+		return errors.New("settings Rules.ColdMs and Rules.ColdFrom are out of range")
+	case o.RegistryMode != "automatic" && o.RegistryMode != "subscribe":
+		return fmt.Errorf("setting RegistryMode is %q", o.RegistryMode)
+	}
+	return nil
+}
+
+func (o *object) node() *Node {
+	n := &Node{
+		Settings: decide.Settings{
+			Zone: o.MyZone, Stage: o.Stage, Instances: max(1, o.Instances), MaxPicks: max(1, o.Limits.MaxAttempts),
+			MayCancel: o.Limits.MayCancel, SecondCopies: o.Limits.SecondCopies,
+			RetryAfter: o.Limits.RetryAfter, MaxRetryAfter: o.Limits.MaxRetryAfterMs / 1000,
+			OverShare: o.OverShareWorth, CrossZone: o.Deductions.CrossZone,
+			MustWatch: o.RegistryMode == "subscribe", MustAskIn: o.Rules.MustAskInMs / 1000,
+			ColdFrom: o.Rules.ColdFrom, ColdFor: o.Rules.ColdMs / 1000,
+			FallMultiple: o.Rules.FallMultiple, FallFor: o.Rules.FallMs / 1000,
+		},
+		ZoneNames: o.Zones, ReportFields: o.Report.Fields, MaxOpen: o.Limits.MaxOpen,
+		ConnectTimeout: Millis(o.Limits.ConnectTimeoutMs), ServerIdle: Millis(o.Limits.ConnIdleMs),
+	}
+	for _, k := range o.Classes {
+		n.MethodNames = append(n.MethodNames, k.Name)
+		n.Methods = append(n.Methods, decide.Method{
+			LatencyTarget: min(k.AimMs, k.DeadlineMs) / 1000, Deadline: k.DeadlineMs / 1000,
+			Utility: k.Credit, LateUtility: k.LateWorth, Repeat: repeats[k.Repeat],
+			Scope: scopes[k.DedupScope], Window: k.WindowMs / 1000})
+	}
+	for _, t := range o.Tenants {
+		n.TenantNames = append(n.TenantNames, t.Name)
+		n.Tenants = append(n.Tenants, decide.Tenant{Quota: t.QuotaPerS})
+	}
+	return n
+}
+
+// Millis turns milliseconds of the settings into a Duration, a day at most: what is longer means never.
+func Millis(ms float64) time.Duration {
+	return time.Duration(min(ms, 86_400_000) * float64(time.Millisecond))
+}
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"robincart/decide"
+	"robincart/internal/settings"
 )
 
 type server struct {
@@ -26,7 +27,7 @@
 type instance struct {
 	hub      *Hub
 	id       int
-	conf     *conf
+	conf     *settings.Node
 	balancer *decide.Balancer
 	servers  map[string]*server
 	names    map[*decide.Server]string
@@ -149,7 +150,7 @@
 	r.Method = f.integer()
 	r.Tenant = f.integer()
 	f.integer() // the key: nothing decides by it
-	if r.Method < 0 || r.Method >= len(in.conf.Classes) {
+	if r.Method < 0 || r.Method >= len(in.conf.Methods) {
 		f.fail("class %d is not in the settings", r.Method)
 	}
 	if r.Tenant < 0 || r.Tenant >= max(1, len(in.conf.Tenants)) {
@@ -210,8 +211,8 @@
 	}
 	l := &decide.Load{Queue: -1}
 	parts := strings.Split(s, ",")
-	if len(parts) != len(in.conf.Report.Fields) {
-		f.fail("load report %q has %d values, not %d", s, len(parts), len(in.conf.Report.Fields))
+	if len(parts) != len(in.conf.ReportFields) {
+		f.fail("load report %q has %d values, not %d", s, len(parts), len(in.conf.ReportFields))
 		return nil
 	}
 	for i, part := range parts {
@@ -222,7 +223,7 @@
 		if err != nil {
 			f.fail("load value %q is not a number", part)
 		}
-		if in.conf.Report.Fields[i] == "depth" {
+		if in.conf.ReportFields[i] == "depth" {
 			l.Queue = x
 		}
 	}
@@ -289,7 +290,7 @@
 // Cancel writes an UNDO_SEND.
 func (in *instance) Cancel(p *decide.Pick) {
 	n, out := in.picks[p]
-	if !out || !in.conf.Limits.MayCancel {
+	if !out || !in.conf.MayCancel {
 		in.fault("cancel of a pick that is not out, or where cancels are not allowed")
 		return
 	}
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 	"strings"
 
 	"robincart/decide"
+	"robincart/internal/settings"
 )
 
 // row is one entry of a numbered server list.
@@ -177,7 +177,7 @@
 	if err := f.done(); err != nil {
 		return err
 	}
-	c, err := readConf(parts[2])
+	c, err := settings.Parse([]byte(parts[2]))
 	if err != nil {
 		return err
 	}
@@ -185,7 +185,7 @@
 		names: map[*decide.Server]string{}, ids: map[*decide.RPC]*request{}, picks: map[*decide.Pick]int{},
 		wakes: map[int]any{}}
 	h.instances[id] = in
-	in.balancer = decide.New(in, c.settings(), int64(seed))
+	in.balancer = decide.New(in, c.Settings, int64(seed))
 	return nil
 }
 
@@ -242,92 +242,3 @@
 	}
 	return f.err
 }
-
-type conf struct {
-	Classes []struct {
-		AimMs, AimStretch, DeadlineMs, LateWorth, WindowMs, Credit float64
-		Repeat, DedupScope                                         string
-	}
-	RegistryMode string
-	Limits       struct {
-		MaxAttempts                         int
-		MaxRetryAfterMs                     float64
-		MayCancel, RetryAfter, SecondCopies bool
-	}
-	Deductions     struct{ CrossZone float64 }
-	Report         struct{ Fields []string }
-	Rules          struct{ ColdFrom, ColdMs, FallMultiple, FallMs, MustAskInMs, StopSendingWithinMs float64 }
-	Tenants        []struct{ QuotaPerS float64 }
-	Instances      int
-	MyZone, Stage  int
-	OverShareWorth float64
-}
-
-var repeats = map[string]decide.Repeat{
-	"repeatable": decide.Idempotent, "by_key": decide.Deduplicated, "once": decide.NonIdempotent}
-
-var scopes = map[string]decide.Scope{
-	"": decide.ScopeAll, "all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell}
-
-func readConf(text string) (*conf, error) {
-	c := &conf{}
-	if err := json.Unmarshal([]byte(text), c); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
-	if len(c.Classes) == 0 {
-		return nil, errors.New("setting Classes is missing or empty")
-	}
-	for i, k := range c.Classes {
-		_, known := repeats[k.Repeat]
-		_, scoped := scopes[k.DedupScope]
-		switch {
-		case !(k.DeadlineMs > 0):
-			return nil, fmt.Errorf("setting Classes[%d].DeadlineMs must be above 0", i)
-		case !(k.AimMs > 0):
-			return nil, fmt.Errorf("setting Classes[%d].AimMs must be above 0", i)
-		case k.Credit < 0:
-			return nil, fmt.Errorf("setting Classes[%d].Credit must not be negative", i)
-		case !known:
-			return nil, fmt.Errorf("setting Classes[%d].Repeat is %q", i, k.Repeat)
-		case !scoped:
-			return nil, fmt.Errorf("setting Classes[%d].DedupScope is %q", i, k.DedupScope)
-		case k.Repeat == "by_key" && !(k.WindowMs > 0):
-			return nil, fmt.Errorf("setting Classes[%d].WindowMs must be above 0", i)
-		}
-	}
-	switch {
-	case c.Instances < 0:
-		return nil, errors.New("setting Instances must not be negative")
-	case c.Limits.MaxAttempts < 0 || c.Limits.MaxRetryAfterMs < 0:
-		return nil, errors.New("settings Limits.MaxAttempts and Limits.MaxRetryAfterMs must not be negative")
-	case c.Rules.FallMultiple < 0 || c.Rules.FallMs < 0 || c.Rules.MustAskInMs < 0:
-		return nil, errors.New("settings Rules.FallMultiple, Rules.FallMs and Rules.MustAskInMs must not be negative")
-	case c.Rules.ColdMs < 0 || c.Rules.ColdFrom < 0 || c.Rules.ColdFrom > 1:
-		return nil, errors.New("settings Rules.ColdMs and Rules.ColdFrom are out of range")
-	case c.RegistryMode != "automatic" && c.RegistryMode != "subscribe":
-		return nil, fmt.Errorf("setting RegistryMode is %q", c.RegistryMode)
-	}
-	return c, nil
-}
-
-func (c *conf) settings() decide.Settings {
-	s := decide.Settings{
-		Zone: c.MyZone, Stage: c.Stage, Instances: max(1, c.Instances), MaxPicks: max(1, c.Limits.MaxAttempts),
-		MayCancel: c.Limits.MayCancel, SecondCopies: c.Limits.SecondCopies,
-		RetryAfter: c.Limits.RetryAfter, MaxRetryAfter: c.Limits.MaxRetryAfterMs / 1000,
-		OverShare: c.OverShareWorth, CrossZone: c.Deductions.CrossZone,
-		MustWatch: c.RegistryMode == "subscribe", MustAskIn: c.Rules.MustAskInMs / 1000,
-		ColdFrom: c.Rules.ColdFrom, ColdFor: c.Rules.ColdMs / 1000,
-		FallMultiple: c.Rules.FallMultiple, FallFor: c.Rules.FallMs / 1000,
-	}
-	for _, k := range c.Classes {
-		s.Methods = append(s.Methods, decide.Method{
-			LatencyTarget: min(k.AimMs, k.DeadlineMs) / 1000, Deadline: k.DeadlineMs / 1000,
-			Utility: k.Credit, LateUtility: k.LateWorth, Repeat: repeats[k.Repeat],
-			Scope: scopes[k.DedupScope], Window: k.WindowMs / 1000})
-	}
-	for _, t := range c.Tenants {
-		s.Tenants = append(s.Tenants, decide.Tenant{Quota: t.QuotaPerS})
-	}
-	return s
-}
--- a/internal/simwire/wire_test.go
+++ b/internal/simwire/wire_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/assert"
 )
 
-const settings = `{"Classes":[{"AimMs":2500,"DeadlineMs":6000,"Credit":1,"Repeat":"repeatable"}],"Instances":1,` +
+const setup = `{"Classes":[{"AimMs":2500,"DeadlineMs":6000,"Credit":1,"Repeat":"repeatable"}],"Instances":1,` +
 	`"RegistryMode":"automatic","Limits":{"MaxAttempts":3,"SecondCopies":true,"MayCancel":true},"Novelty":{"x":1},` +
 	`"Report":{"Fields":["depth"]}}`
 
@@ -22,7 +22,7 @@
 }
 
 func begun(lines ...string) []string {
-	return append([]string{"SYNC 1000.5", "BEGIN 3 42 " + settings, "SNAPSHOT_ROWS 0 1",
+	return append([]string{"SYNC 1000.5", "BEGIN 3 42 " + setup, "SNAPSHOT_ROWS 0 1",
 		"M 10.0.0.1:7000 0 0 0 active 1 -", "TARGETS 3 SAVED 1 0"}, lines...)
 }
 
@@ -94,7 +94,7 @@
 }
 
 func TestListsFailRepeatShrinkAndAreAskedForAgain(t *testing.T) {
-	asks := strings.Replace(settings, `"automatic"`, `"subscribe"`, 1)
+	asks := strings.Replace(setup, `"automatic"`, `"subscribe"`, 1)
 	lines := []string{"SYNC 1000", "BEGIN 3 42 " + asks, "SNAPSHOT_ROWS 0 300"}
 	for i := range 300 {
 		lines = append(lines, fmt.Sprintf("M 10.0.%d.%d:7000 0 0 0 active 1 -", i/200, i%200))
