A caller past the limit takes an idle one's place; list silence at 3 s; one bad list entry costs no other

What discovery has to tell counts as told after 6 s: silence of 5 s plus a new call would come too late, 3 s does not (an empty line comes every 2 s).

--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -63,11 +63,11 @@
 	}
 
 	clk := clock{time.Now()}
-	budget := limits.NewBudget(l.Descriptors)
+	budget := limits.NewBudget(l.Descriptors, l.Refused)
 	watcher := registry.New(c.Discovery, c.node.ZoneNames, l, budget, log)
 	core := node.New(c.node, c.seed(), clk, time.Now(), watcher.Ask)
 	watcher.Start(core, c.list)
-	pool := upstream.NewPool(core, l, budget, log)
+	pool := upstream.NewPool(core, l, budget)
 	front := frontend.New(c.node, l, budget, core, pool, clk.Now, log)
 
 	life, end := context.WithCancel(context.Background())
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -15,18 +15,23 @@
 // conn is one caller's connection. Its goroutine is the only one that reads its requests and writes to it.
 type conn struct {
 	net.Conn
-	server *Server
-	reader *httpwire.Reader
-	refuse bool // over the budget: its first request is refused
+	server  *Server
+	reader  *httpwire.Reader
+	refuse  bool // over the limit: its request is refused
+	closing bool // the server has chosen it to end; guarded by the server's mutex
 }
 
 // serve answers a connection's requests, one after another.
 func (c *conn) serve() {
 	f := c.server
 	for f.between(c, true) {
-		c.SetReadDeadline(time.Now().Add(f.limits.CallerIdle))
+		idle := f.limits.CallerIdle
+		if c.refuse {
+			idle = f.limits.RefusedIdle
+		}
+		c.SetReadDeadline(time.Now().Add(idle))
 		if !f.between(c, true) {
-			return // the stop came between the look and the new deadline
+			return // the order to end came between the look and the new deadline
 		}
 		if err := c.reader.First(); err != nil {
 			return
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -82,25 +82,26 @@
 	}
 }
 
-// take finds a place for a new connection. Past the budget a caller is told so at once, on one of a few further
-// connections; past those the connection is closed, for then nothing can be read from it.
+// take finds a place for a new connection. A caller past the limit takes the place of one that is idle, or else is
+// told at once that the node is full, on one of a few further connections. Past those it has to wait for one of
+// them to end: closing its connection could lose a request that is already written to it.
 func (f *Server) take(raw net.Conn) {
 	c := &conn{Conn: raw, server: f}
 	c.reader = httpwire.NewReader(raw, httpwire.Sizes{Buffer: f.limits.BufferBytes, Head: f.limits.HeadBytes,
 		Body: f.limits.BodyBytes})
+	got, scarce := f.budget.TakeLast()
+	for ; !got; got, scarce = f.budget.TakeLast() {
+		f.closeIdle()
+		time.Sleep(5 * time.Millisecond)
+	}
 	f.mu.Lock()
-	n := len(f.conns)
-	full := n >= f.limits.Callers
+	full := scarce || len(f.conns) >= f.limits.Callers
 	if full != f.full {
 		f.full = full
-		f.log.Warn("callers at the limit of connections", zap.Bool("full", full), zap.Int("connections", n))
+		f.log.Warn("the limit of connections", zap.Bool("reached", full), zap.Int("callers", len(f.conns)))
 	}
 	f.mu.Unlock()
-	if n >= f.limits.Callers+f.limits.Refused || !f.budget.Take() {
-		raw.Close()
-		return
-	}
-	c.refuse = full
+	c.refuse = full && !f.closeIdle()
 	f.mu.Lock()
 	f.conns[c] = true
 	f.mu.Unlock()
@@ -116,6 +117,20 @@
 	}()
 }
 
+// closeIdle ends one connection that stands between requests; its caller opens another when it needs one.
+func (f *Server) closeIdle() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c, idle := range f.conns {
+		if idle && !c.closing {
+			c.closing = true
+			c.SetReadDeadline(time.Unix(1, 0))
+			return true
+		}
+	}
+	return false
+}
+
 // Stop begins the end: answers now close their connections. New ones go on being taken, since the front that deals
 // them out learns of the stop only later.
 func (f *Server) Stop() { f.stopping.Store(true) }
@@ -149,22 +164,10 @@
 	}
 }
 
-// Idle tells whether no connection is in the middle of a request.
-func (f *Server) Idle() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, idle := range f.conns {
-		if !idle {
-			return false
-		}
-	}
-	return true
-}
-
 // between notes whether a connection stands between requests; false if it must end there.
 func (f *Server) between(c *conn, idle bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.conns[c] = idle
-	return !(idle && f.drained)
+	return !idle || !f.drained && !c.closing
 }
--- a/internal/limits/budget.go
+++ b/internal/limits/budget.go
@@ -2,25 +2,37 @@
 
 import "sync"
 
-// Budget counts the descriptors of callers, servers and discovery, so that no call for one can fail.
+// Budget counts the descriptors of callers, servers and discovery, so that no call for one fails for want of them.
 type Budget struct {
 	mu    sync.Mutex
 	left  int
+	spare int
 	evict func() bool
 }
 
-// NewBudget starts with n descriptors free.
-func NewBudget(n int) *Budget { return &Budget{left: n} }
+// NewBudget starts with n descriptors free. The last few, spare, are for callers alone: one who finds the node
+// full has to be told so, and that takes a connection.
+func NewBudget(n, spare int) *Budget { return &Budget{left: n, spare: spare} }
 
 // Evict names what gives one descriptor back when none is left: it closes an idle server connection. It is set
 // before the first Take.
 func (b *Budget) Evict(f func() bool) { b.evict = f }
 
-// Take asks for one descriptor.
-func (b *Budget) Take() bool {
+// Take asks for a descriptor for a server or for discovery.
+func (b *Budget) Take() bool { return b.take(b.spare) }
+
+// TakeLast asks for a caller's descriptor, one of the spare ones included; scarce tells that it is one of those.
+func (b *Budget) TakeLast() (ok, scarce bool) {
+	if b.take(b.spare) {
+		return true, false
+	}
+	return b.take(0), true
+}
+
+func (b *Budget) take(keep int) bool {
 	for {
 		b.mu.Lock()
-		ok := b.left > 0
+		ok := b.left > keep
 		if ok {
 			b.left--
 		}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -32,6 +32,7 @@
 	ListBytes   int // of one line of the list
 
 	CallerIdle   time.Duration // between requests
+	RefusedIdle  time.Duration // for the request of one that is to be refused
 	CallerRead   time.Duration // from a request's first byte to its last
 	CallerWrite  time.Duration // for an answer
 	CallerLinger time.Duration // for what follows a request that could not be read
@@ -76,6 +77,7 @@
 		BufferBytes:  2 << 10,
 		ListBytes:    4 * mb,
 		CallerIdle:   90 * time.Second,
+		RefusedIdle:  time.Second,
 		CallerRead:   5 * time.Second,
 		CallerWrite:  2 * time.Second,
 		CallerLinger: 300 * time.Millisecond,
@@ -83,9 +85,9 @@
 		Connect:      time.Second,
 		ServerIdle:   20 * time.Second,
 		Sweep:        500 * time.Millisecond,
-		ListConnect:  2 * time.Second,
-		ListAnswer:   8 * time.Second,
-		ListSilence:  5 * time.Second,
+		ListConnect:  1500 * time.Millisecond,
+		ListAnswer:   6 * time.Second,
+		ListSilence:  3 * time.Second,
 		StopTaking:   600 * time.Millisecond,
 	}
 	// Every RPC needs a connection on either side, and a second copy one more: callers get under a half.
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -18,9 +19,9 @@
 
 // List is one message of discovery: the whole list, or the entries that changed.
 type List struct {
-	Revision int64    `json:"revision"`
-	Complete bool     `json:"complete"`
-	Members  []member `json:"members"`
+	Revision int64             `json:"revision"`
+	Complete bool              `json:"complete"`
+	Members  []json.RawMessage `json:"members"`
 }
 
 type member struct {
@@ -30,7 +31,7 @@
 	Cell     int     `json:"cell"`
 	Phase    string  `json:"phase"`
 	Size     float64 `json:"size"`
-	UpSince  int64   `json:"up_since_ms"`
+	UpSince  float64 `json:"up_since_ms"`
 }
 
 var phases = map[string]decide.State{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
@@ -51,11 +52,11 @@
 // must not cost the others.
 func (l *List) Entries(zones []string, log *zap.Logger) []node.Entry {
 	out := make([]node.Entry, 0, len(l.Members))
-	for _, m := range l.Members {
-		state, known := phases[m.Phase]
-		if err := checkAddress(m.HostPort); m.ID == "" || !known || err != nil && state != decide.Gone {
-			log.Warn("skipped an entry of the server list", zap.String("id", m.ID), zap.String("phase", m.Phase),
-				zap.String("host_port", m.HostPort), zap.Error(err))
+	for _, text := range l.Members {
+		var m member
+		state, err := m.read(text)
+		if err != nil {
+			log.Warn("skipped an entry of the server list", zap.ByteString("entry", text), zap.Error(err))
 			continue
 		}
 		e := node.Entry{ID: m.ID, Addr: m.HostPort, State: state, Zone: slices.Index(zones, m.Locality),
@@ -63,14 +64,30 @@
 		if !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
 			e.Weight = 1
 		}
-		if m.UpSince > 0 {
-			e.Started = time.UnixMilli(m.UpSince)
+		if m.UpSince > 0 && m.UpSince < 1e15 {
+			e.Started = time.UnixMilli(int64(m.UpSince))
 		}
 		out = append(out, e)
 	}
 	return out
 }
 
+func (m *member) read(text []byte) (decide.State, error) {
+	if err := json.Unmarshal(text, m); err != nil {
+		return 0, err
+	}
+	state, known := phases[m.Phase]
+	switch {
+	case m.ID == "":
+		return 0, errors.New("no id")
+	case !known:
+		return 0, fmt.Errorf("phase %q", m.Phase)
+	case state == decide.Gone:
+		return state, nil // nobody goes there any more
+	}
+	return state, checkAddress(m.HostPort)
+}
+
 func checkAddress(hostPort string) error {
 	host, port, err := net.SplitHostPort(hostPort)
 	if err != nil {
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -33,12 +33,13 @@
 
 	core     Core
 	revision int64 // of the list held
-	sound    bool  // the last watch brought something
+	failing  bool  // the last watch brought nothing, and that has been told
 }
 
 // New makes a Watcher; Run starts it.
 func New(addr string, zones []string, l limits.Limits, budget *limits.Budget, log *zap.Logger) *Watcher {
-	return &Watcher{addr: addr, zones: zones, limits: l, budget: budget, log: log, asked: make(chan struct{}, 1)}
+	return &Watcher{addr: addr, zones: zones, limits: l, budget: budget, log: log,
+		asked: make(chan struct{}, 1)}
 }
 
 // Ask wants a watch; it never waits. While one lasts, that is enough.
@@ -67,11 +68,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if w.sound {
-			w.log.Warn("the watch of the server list has ended; the list stays", zap.Error(err),
+		if !w.failing {
+			w.log.Warn("no watch of the server list; the list stays", zap.Error(err),
 				zap.Int64("revision", w.revision))
 		}
-		w.sound = false
+		w.failing = true
 		w.core.ListFailed()
 	}
 }
@@ -106,6 +107,7 @@
 	}
 	lines := bufio.NewScanner(stream)
 	lines.Buffer(make([]byte, 0, w.limits.BufferBytes), w.limits.ListBytes)
+	news := false
 	for lines.Scan() {
 		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
 			list, err := Parse(line)
@@ -113,8 +115,8 @@
 				return err
 			}
 			w.take(list)
-			if !w.sound {
-				w.sound = true
+			if !news {
+				news, w.failing = true, false
 				w.log.Info("watching the server list", zap.Int64("revision", w.revision))
 			}
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -21,7 +21,10 @@
 	ctx, cancel := context.WithTimeout(pick.Context, p.core.Left(pick))
 	defer cancel()
 
-	addr, _ := p.core.Address(pick.Server)
+	addr, ready := p.core.Address(pick.Server)
+	if !ready {
+		return decide.Ignored, nil
+	}
 	c := p.reuse(pick.Server, addr)
 	if c == nil {
 		if !p.budget.Take() {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,8 +8,6 @@
 	"syscall"
 	"time"
 
-	"go.uber.org/zap"
-
 	"robincart/decide"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
@@ -29,12 +27,10 @@
 	core   Core
 	limits limits.Limits
 	budget *limits.Budget
-	log    *zap.Logger
 	dialer net.Dialer
 
 	mu     sync.Mutex
 	idle   map[*node.Server][]*conn // last used last
-	count  int
 	closed bool
 }
 
@@ -46,8 +42,8 @@
 }
 
 // NewPool starts with no connection.
-func NewPool(core Core, l limits.Limits, budget *limits.Budget, log *zap.Logger) *Pool {
-	p := &Pool{core: core, limits: l, budget: budget, log: log, idle: map[*node.Server][]*conn{},
+func NewPool(core Core, l limits.Limits, budget *limits.Budget) *Pool {
+	p := &Pool{core: core, limits: l, budget: budget, idle: map[*node.Server][]*conn{},
 		dialer: net.Dialer{KeepAlive: -1}}
 	budget.Evict(p.evict)
 	return p
@@ -91,7 +87,6 @@
 			delete(p.idle, s)
 		}
 	}
-	p.count -= len(gone)
 	p.mu.Unlock()
 	for _, c := range gone {
 		p.close(c)
@@ -120,7 +115,6 @@
 	if p.idle[of] = p.idle[of][1:]; len(p.idle[of]) == 0 {
 		delete(p.idle, of)
 	}
-	p.count--
 	p.mu.Unlock()
 	p.close(oldest)
 	return true
@@ -140,7 +134,6 @@
 		if p.idle[s] = list[:len(list)-1]; len(p.idle[s]) == 0 {
 			delete(p.idle, s)
 		}
-		p.count--
 		p.mu.Unlock()
 		if c.addr == addr && time.Since(c.since) < p.limits.ServerIdle && !c.stale() {
 			return c
@@ -155,7 +148,6 @@
 	ok := !p.closed
 	if ok {
 		p.idle[s] = append(p.idle[s], c)
-		p.count++
 	}
 	p.mu.Unlock()
 	if !ok {
