--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -51,7 +51,7 @@
 }
 
 const (
-	ownFiles   = 16 // standard streams, the poller, the listener, the watch and some to spare
+	ownFiles   = 10 // standard streams, the poller, the listener, and some to spare
 	refusedMax = 32
 	mb         = 1 << 20
 )
@@ -90,9 +90,9 @@
 		ListSilence:  3 * time.Second,
 		StopTaking:   600 * time.Millisecond,
 	}
-	// Every RPC needs a connection on either side, and a second copy one more: callers get under a half.
+	// Every RPC needs a connection on either side, a second copy one more and discovery one: callers get under a half.
 	l.Refused = min(refusedMax, l.Descriptors/8)
-	l.Callers = l.Descriptors*9/20 - l.Refused
+	l.Callers = (l.Descriptors - l.Refused - 1) * 10 / 21
 	if l.Callers < 1 {
 		return Limits{}, errors.New("limits.sockets leaves no caller a connection")
 	}
