Program tests over sockets; requests, not connections, are refused past the budget

Seen in the program's tests: a connection chosen to make room, or closed at a stop, could have a request in it (reset); one that has never been used held a served place. Now the longest idle gives way after a last look, and what is counted is requests in the making.

At a stop, what is still out 0.25 s before the earliest SIGKILL is aborted: killed, it would be lost.

--- a/cmd/robincart/config.go
+++ b/cmd/robincart/config.go
@@ -55,7 +55,7 @@
 			return nil, fmt.Errorf("configuration %s: %s: %w", path, name, err)
 		}
 	}
-	if len(c.Settings) == 0 {
+	if len(c.Settings) == 0 || string(c.Settings) == "null" {
 		return nil, fmt.Errorf("configuration %s: settings are missing", path)
 	}
 	if c.node, err = settings.Parse(c.Settings); err != nil {
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -15,32 +15,41 @@
 // conn is one caller's connection. Its goroutine is the only one that reads its requests and writes to it.
 type conn struct {
 	net.Conn
-	server  *Server
-	reader  *httpwire.Reader
-	refuse  bool // over the limit: its request is refused
-	closing bool // the server has chosen it to end; guarded by the server's mutex
+	server *Server
+	reader *httpwire.Reader
+	last   bool // its next answer is its last
+
+	// Guarded by the server's mutex.
+	resting bool // between requests
+	since   time.Time
+	ending  bool // chosen to end
 }
 
 // serve answers a connection's requests, one after another.
 func (c *conn) serve() {
+	for !c.last && c.next() && c.request() {
+	}
+}
+
+// next waits for a request's first byte. A connection that has been idle for too long, or that was chosen to end, is
+// looked at once more: closed with a request in it, it would lose that.
+func (c *conn) next() bool {
 	f := c.server
-	for f.between(c, true) {
-		idle := f.limits.CallerIdle
-		if c.refuse {
-			idle = f.limits.RefusedIdle
-		}
-		c.SetReadDeadline(time.Now().Add(idle))
-		if !f.between(c, true) {
-			return // the order to end came between the look and the new deadline
+	c.SetReadDeadline(time.Now().Add(f.limits.CallerIdle))
+	if !f.rest(c) {
+		err := c.reader.First()
+		if err == nil {
+			f.busy(c)
+			return true
 		}
-		if err := c.reader.First(); err != nil {
-			return
-		}
-		f.between(c, false)
-		if !c.request() {
-			return
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
 		}
 	}
+	f.busy(c)
+	c.last = true
+	c.SetReadDeadline(time.Now().Add(f.limits.LastLook))
+	return c.reader.First() == nil
 }
 
 // request is the life of one request: it is read, the module decides, what it orders is done, and the caller gets
@@ -57,9 +66,10 @@
 	if bad != nil {
 		return c.answer(q, bad)
 	}
-	if c.refuse {
-		return c.answer(q, &httpwire.Answer{Status: 503, RetryAfter: time.Second, Close: true})
+	if !f.begin() {
+		return c.answer(q, &httpwire.Answer{Status: 503, RetryAfter: f.limits.ComeBack, Close: true})
 	}
+	defer f.end()
 
 	rpc := f.core.Arrived(method, tenant, came+q.Left, q.SecondTry)
 	gone, release := c.watch()
@@ -84,6 +94,11 @@
 			f.core.Vanished(rpc)
 			f.leftOver(rpc)
 			return false
+		case <-f.halt:
+			f.core.Vanished(rpc)
+			f.leftOver(rpc)
+			release()
+			return c.answer(q, &httpwire.Answer{Status: 504})
 		}
 	}
 }
@@ -179,7 +194,7 @@
 
 // answer writes a request's one answer.
 func (c *conn) answer(q *httpwire.Request, a *httpwire.Answer) bool {
-	a.Close = a.Close || q.Close || c.refuse || c.server.stopping.Load()
+	a.Close = a.Close || q.Close || c.last || c.server.stopping.Load()
 	return c.write(a, q.Verb == "HEAD") && !a.Close
 }
 
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -44,10 +44,12 @@
 	tenants  map[string]int
 
 	stopping atomic.Bool
+	making   atomic.Int64  // requests
+	halt     chan struct{} // closed when what is still out has to be aborted
 	mu       sync.Mutex
-	conns    map[*conn]bool // true while between requests
-	drained  bool           // idle connections are closed from now on
-	full     bool           // callers are being refused for want of descriptors
+	conns    map[*conn]struct{}
+	drained  bool // idle connections are closed from now on
+	full     bool // callers are being refused for want of descriptors
 	done     sync.WaitGroup
 }
 
@@ -55,7 +57,7 @@
 func New(s *settings.Node, l limits.Limits, budget *limits.Budget, core Core, picks Picks,
 	now func() time.Duration, log *zap.Logger) *Server {
 	f := &Server{settings: s, limits: l, budget: budget, core: core, picks: picks, now: now, log: log,
-		methods: map[string]int{}, tenants: map[string]int{}, conns: map[*conn]bool{}}
+		methods: map[string]int{}, tenants: map[string]int{}, conns: map[*conn]struct{}{}, halt: make(chan struct{})}
 	for i, name := range s.MethodNames {
 		f.methods[name] = i
 	}
@@ -82,65 +84,85 @@
 	}
 }
 
-// take finds a place for a new connection. A caller past the limit takes the place of one that is idle, or else is
-// told at once that the node is full, on one of a few further connections. Past those it has to wait for one of
-// them to end: closing its connection could lose a request that is already written to it.
+// take finds a place for a new connection. Where there is none, one that is idle has to give way; if all are in use
+// the new one waits for the first to end, since closing it could lose a request that is already written to it.
 func (f *Server) take(raw net.Conn) {
+	for !f.room() || !f.budget.TakeLast() {
+		f.closeIdle()
+		time.Sleep(f.limits.LastLook)
+	}
 	c := &conn{Conn: raw, server: f}
 	c.reader = httpwire.NewReader(raw, httpwire.Sizes{Buffer: f.limits.BufferBytes, Head: f.limits.HeadBytes,
 		Body: f.limits.BodyBytes})
-	got, scarce := f.budget.TakeLast()
-	for ; !got; got, scarce = f.budget.TakeLast() {
-		f.closeIdle()
-		time.Sleep(5 * time.Millisecond)
-	}
-	f.mu.Lock()
-	full := scarce || len(f.conns) >= f.limits.Callers
-	if full != f.full {
-		f.full = full
-		f.log.Warn("the limit of connections", zap.Bool("reached", full), zap.Int("callers", len(f.conns)))
-	}
-	f.mu.Unlock()
-	c.refuse = full && !f.closeIdle()
 	f.mu.Lock()
-	f.conns[c] = true
+	f.conns[c] = struct{}{}
 	f.mu.Unlock()
 	f.done.Add(1)
 	go func() {
 		defer f.done.Done()
 		c.serve()
+		raw.Close()
 		f.mu.Lock()
 		delete(f.conns, c)
 		f.mu.Unlock()
-		raw.Close()
 		f.budget.Give()
 	}()
 }
 
-// closeIdle ends one connection that stands between requests; its caller opens another when it needs one.
+// room tells whether callers may have one connection more. It leaves as many for servers as requests can be in the
+// making.
+func (f *Server) room() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	full := len(f.conns) >= f.limits.Callers+f.limits.Refused
+	if full != f.full {
+		f.full = full
+		f.log.Warn("the limit of callers' connections", zap.Bool("reached", full), zap.Int("connections", len(f.conns)))
+	}
+	return !full
+}
+
+// begin counts a request in, unless as many are in the making as the node has descriptors for; end counts it out.
+func (f *Server) begin() bool {
+	if f.making.Add(1) <= int64(f.limits.Callers) {
+		return true
+	}
+	f.making.Add(-1)
+	return false
+}
+
+func (f *Server) end() { f.making.Add(-1) }
+
+// closeIdle ends the connection that has stood longest between requests; its caller opens another when it needs one.
+// One that has only just come may have its request on the way.
 func (f *Server) closeIdle() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c, idle := range f.conns {
-		if idle && !c.closing {
-			c.closing = true
-			c.SetReadDeadline(time.Unix(1, 0))
-			return true
+	var oldest *conn
+	for c := range f.conns {
+		if c.resting && !c.ending && (oldest == nil || c.since.Before(oldest.since)) {
+			oldest = c
 		}
 	}
-	return false
+	if oldest == nil || time.Since(oldest.since) < f.limits.CallerRest {
+		return false
+	}
+	oldest.ending = true
+	oldest.SetReadDeadline(time.Unix(1, 0))
+	return true
 }
 
 // Stop begins the end: answers now close their connections. New ones go on being taken, since the front that deals
 // them out learns of the stop only later.
 func (f *Server) Stop() { f.stopping.Store(true) }
 
-// Drain closes idle connections, and those in use as they fall idle, and waits for the last, or for the context.
+// Drain closes idle connections, and those in use as they fall idle, and waits for the last. When the context ends
+// what is still out is aborted: the end by force would leave it with no answer at all.
 func (f *Server) Drain(ctx context.Context) error {
 	f.mu.Lock()
 	f.drained = true
-	for c, idle := range f.conns {
-		if idle {
+	for c := range f.conns {
+		if c.resting {
 			c.SetReadDeadline(time.Unix(1, 0))
 		}
 	}
@@ -154,20 +176,34 @@
 	case <-empty:
 		return nil
 	case <-ctx.Done():
+	}
+	f.mu.Lock()
+	n := len(f.conns)
+	f.mu.Unlock()
+	close(f.halt)
+	select {
+	case <-empty:
+	case <-time.After(f.limits.StopWrite):
 		f.mu.Lock()
-		defer f.mu.Unlock()
-		n := len(f.conns)
 		for c := range f.conns {
 			c.Close()
 		}
-		return fmt.Errorf("%d connections were still in use", n)
+		f.mu.Unlock()
 	}
+	return fmt.Errorf("%d connections were still in use", n)
+}
+
+// rest notes that a connection stands between requests, and tells whether it has to end there. Its deadline is set
+// before: one that is chosen later gets another.
+func (f *Server) rest(c *conn) (ends bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.resting, c.since = true, time.Now()
+	return c.ending || f.drained
 }
 
-// between notes whether a connection stands between requests; false if it must end there.
-func (f *Server) between(c *conn, idle bool) bool {
+func (f *Server) busy(c *conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.conns[c] = idle
-	return !idle || !f.drained && !c.closing
+	c.resting = false
 }
--- a/internal/limits/budget.go
+++ b/internal/limits/budget.go
@@ -21,13 +21,8 @@
 // Take asks for a descriptor for a server or for discovery.
 func (b *Budget) Take() bool { return b.take(b.spare) }
 
-// TakeLast asks for a caller's descriptor, one of the spare ones included; scarce tells that it is one of those.
-func (b *Budget) TakeLast() (ok, scarce bool) {
-	if b.take(b.spare) {
-		return true, false
-	}
-	return b.take(0), true
-}
+// TakeLast asks for a caller's descriptor, one of the spare ones included.
+func (b *Budget) TakeLast() bool { return b.take(0) }
 
 func (b *Budget) take(keep int) bool {
 	for {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -22,8 +22,8 @@
 	Cores       int
 	Memory      int64 // bytes that Go's collector keeps to
 	Descriptors int   // for callers, servers and discovery together
-	Callers     int   // connections of callers that are served
-	Refused     int   // further ones that are told so at once
+	Callers     int   // requests of callers in the making at once; each has a connection on either side
+	Refused     int   // further connections, on which callers are told at once that the node is full
 	Open        int   // RPCs held; 0: as many as there are callers
 
 	HeadBytes   int // of a message: start line and headers
@@ -32,8 +32,10 @@
 	ListBytes   int // of one line of the list
 
 	CallerIdle   time.Duration // between requests
-	RefusedIdle  time.Duration // for the request of one that is to be refused
+	CallerRest   time.Duration // between requests before a connection may give way to another
+	LastLook     time.Duration // at a connection that ends, for a request that crossed
 	CallerRead   time.Duration // from a request's first byte to its last
+	ComeBack     time.Duration // what a caller is told when the node is full
 	CallerWrite  time.Duration // for an answer
 	CallerLinger time.Duration // for what follows a request that could not be read
 	MostLeft     time.Duration // that a caller may say it waits
@@ -47,13 +49,18 @@
 	ListSilence time.Duration // between lines: an empty one comes every 2 s
 
 	StopTaking time.Duration // after SIGTERM new connections may come for as long
-	StopMost   time.Duration // after SIGTERM the program ends, whatever is still out
+	StopMost   time.Duration // after SIGTERM what is still out is aborted
+	StopWrite  time.Duration // for the last answers
 }
 
 const (
 	ownFiles   = 10 // standard streams, the poller, the listener, and some to spare
 	refusedMax = 32
 	mb         = 1 << 20
+
+	// SIGKILL may come 0.7 s after the longest deadline, and 3 s of that are the most it waits for.
+	stopLongest = 3 * time.Second
+	stopSpare   = 450 * time.Millisecond
 )
 
 // Fill makes the limits of a node from its machine and its settings.
@@ -77,8 +84,10 @@
 		BufferBytes:  2 << 10,
 		ListBytes:    4 * mb,
 		CallerIdle:   90 * time.Second,
-		RefusedIdle:  time.Second,
+		CallerRest:   100 * time.Millisecond,
+		LastLook:     5 * time.Millisecond,
 		CallerRead:   5 * time.Second,
+		ComeBack:     500 * time.Millisecond,
 		CallerWrite:  2 * time.Second,
 		CallerLinger: 300 * time.Millisecond,
 		MostLeft:     time.Hour,
@@ -89,6 +98,7 @@
 		ListAnswer:   6 * time.Second,
 		ListSilence:  3 * time.Second,
 		StopTaking:   600 * time.Millisecond,
+		StopWrite:    100 * time.Millisecond,
 	}
 	// Every RPC needs a connection on either side, a second copy one more and discovery one: callers get under a half.
 	l.Refused = min(refusedMax, l.Descriptors/8)
@@ -107,6 +117,6 @@
 	for _, m := range s.Methods {
 		longest = max(longest, m.Deadline)
 	}
-	l.StopMost = l.StopTaking + time.Duration(longest*float64(time.Second))
+	l.StopMost = min(settings.Millis(longest*1000), stopLongest) + stopSpare
 	return l, nil
 }
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,205 @@
+package registry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"robincart/decide"
+	"robincart/internal/limits"
+	"robincart/internal/node"
+)
+
+type news struct {
+	entries []node.Entry
+	full    bool
+	failed  bool
+}
+
+type fakeCore chan news
+
+func (c fakeCore) Listed(e []node.Entry, full bool) { c <- news{entries: e, full: full} }
+func (c fakeCore) ListFailed()                      { c <- news{failed: true} }
+
+func (c fakeCore) next(t *testing.T) news {
+	t.Helper()
+	select {
+	case n := <-c:
+		return n
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "no news came")
+		return news{}
+	}
+}
+
+const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func line(revision int, complete bool, members ...string) string {
+	return chunk(fmt.Sprintf(`{"revision":%d,"complete":%v,"members":[%s]}`+"\n", revision, complete,
+		strings.Join(members, ",")))
+}
+
+func member1(id, phase string) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":"127.0.0.1:80","locality":"south","flavor":"m2","cell":3,"phase":%q,`+
+		`"size":1.5,"up_since_ms":1800000000000}`, id, phase)
+}
+
+// watch starts a Watcher at a discovery that writes one text to each call, in turn, and then does as the last says.
+func watch(t *testing.T, known string, calls ...func(net.Conn)) (fakeCore, *Watcher, chan string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	asked := make(chan string, 9)
+	go func() {
+		for i := 0; ; i++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReader(c)
+			first, _ := r.ReadString('\n')
+			for l := first; l != "\r\n" && l != ""; l, _ = r.ReadString('\n') {
+			}
+			asked <- strings.TrimSpace(first)
+			calls[min(i, len(calls)-1)](c)
+		}
+	}()
+	l := limits.Limits{HeadBytes: 4096, BodyBytes: 4096, BufferBytes: 64, ListBytes: 1 << 16,
+		ListConnect: time.Second, ListAnswer: 200 * time.Millisecond, ListSilence: 100 * time.Millisecond}
+	w := New(ln.Addr().String(), []string{"north", "south"}, l, limits.NewBudget(1, 0), zap.NewNop())
+	core := make(fakeCore, 9)
+	list, err := Parse([]byte(known))
+	require.NoError(t, err)
+	w.Start(core, list)
+	core.next(t)
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan bool)
+	go func() { w.Run(ctx); close(done) }()
+	t.Cleanup(func() { end(); <-done; ln.Close() })
+	w.Ask()
+	return core, w, asked
+}
+
+func say(parts ...string) func(net.Conn) {
+	return func(c net.Conn) { io.WriteString(c, strings.Join(parts, "")) }
+}
+
+func sayAndClose(parts ...string) func(net.Conn) {
+	return func(c net.Conn) { io.WriteString(c, strings.Join(parts, "")); c.Close() }
+}
+
+const nothing = `{"revision":41,"complete":true,"members":[]}`
+
+func TestAWatchTellsTheListAndThenItsChanges(t *testing.T) {
+	core, _, asked := watch(t, nothing, say(head, line(43, true, member1("a", "ready")), chunk("\n"),
+		line(44, false, member1("a", "draining"))))
+	assert.Equal(t, "GET /registry/instances?follow=1&since=41 HTTP/1.1", <-asked)
+	n := core.next(t)
+	assert.True(t, n.full)
+	assert.Equal(t, []node.Entry{{ID: "a", Addr: "127.0.0.1:80", State: decide.Ready, Zone: 1, Cell: 3, Weight: 1.5,
+		Started: time.UnixMilli(1800000000000)}}, n.entries)
+	n = core.next(t)
+	assert.False(t, n.full)
+	assert.Equal(t, decide.Draining, n.entries[0].State)
+}
+
+func TestAChangeOlderThanTheListHeldIsDropped(t *testing.T) {
+	core, _, _ := watch(t, nothing, say(head, line(40, false, member1("gone long ago", "ready")),
+		line(41, false, member1("known", "ready")), line(42, false, member1("new", "ready"))))
+	assert.Equal(t, "new", core.next(t).entries[0].ID)
+}
+
+func TestEachWayThatAWatchCanEndIsToldAndTheListStays(t *testing.T) {
+	for name, call := range map[string]func(net.Conn){
+		"refused":        sayAndClose("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
+		"reset":          func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+		"no answer":      func(net.Conn) {},
+		"ended":          sayAndClose(head, "0\r\n\r\n"),
+		"broken off":     sayAndClose(head, "ff\r\n{\"rev"),
+		"malformed line": say(head, chunk("{\"revision\":\n")),
+		"not chunked":    say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
+		"silence":        say(head, chunk("\n")),
+		"endless line":   say(head, strings.Repeat(chunk(strings.Repeat("x", 4096)), 20)),
+	} {
+		core, w, asked := watch(t, nothing, call, say(head, line(50, true, member1("a", "ready"))))
+		assert.Equal(t, news{failed: true}, core.next(t), name)
+		w.Ask()
+		assert.Contains(t, <-asked, "since=41", name)
+		assert.Contains(t, <-asked, "since=41", name)
+		assert.Equal(t, "a", core.next(t).entries[0].ID, "%s: the next watch has a descriptor again", name)
+	}
+}
+
+func TestEmptyLinesKeepAWatchAlive(t *testing.T) {
+	core, _, asked := watch(t, nothing, func(c net.Conn) {
+		io.WriteString(c, head)
+		for range 8 {
+			time.Sleep(40 * time.Millisecond)
+			io.WriteString(c, chunk("\n"))
+		}
+		io.WriteString(c, line(42, false, member1("a", "ready")))
+	})
+	assert.Equal(t, "a", core.next(t).entries[0].ID)
+	assert.Len(t, asked, 1)
+}
+
+func TestDiscoveryThatIsDownAtTheStartIsAFailure(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ln.Close()
+	w := New(ln.Addr().String(), nil, limits.Limits{ListConnect: time.Second}, limits.NewBudget(1, 0), zap.NewNop())
+	core := make(fakeCore, 2)
+	w.core = core
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go w.Run(ctx)
+	w.Ask()
+	assert.Equal(t, news{failed: true}, core.next(t))
+}
+
+func TestOneBadEntryCostsNoOther(t *testing.T) {
+	l, err := Parse([]byte(`{"revision":1,"complete":true,"members":[` + strings.Join([]string{
+		member1("good", "ready"),
+		member1("phase", "resting"),
+		member1("", "ready"),
+		`{"id":"address","host_port":"example.org:80","phase":"ready"}`,
+		`{"id":"port","host_port":"127.0.0.1:99999","phase":"ready"}`,
+		`{"id":"type","host_port":"127.0.0.1:80","phase":"ready","cell":"three"}`,
+		`7`,
+		`{"id":"left","phase":"gone"}`,
+		`{"id":"bare","host_port":"[::1]:80","phase":"ready","size":-1,"up_since_ms":-1}`,
+	}, ",") + `]}`))
+	require.NoError(t, err)
+	got := l.Entries([]string{"south"}, zap.NewNop())
+	assert.Len(t, got, 3)
+	assert.Equal(t, "good", got[0].ID)
+	assert.Equal(t, node.Entry{ID: "left", State: decide.Gone, Zone: -1, Weight: 1}, got[1])
+	assert.Equal(t, node.Entry{ID: "bare", Addr: "[::1]:80", Zone: -1, Weight: 1}, got[2])
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(nothing))
+	f.Add([]byte(`{"revision":1,"members":[` + member1("a", "ready") + `,null,{}]}`))
+	f.Add([]byte(`{"revision":-1,"members":null}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		l, err := Parse(text)
+		if err != nil {
+			return
+		}
+		for _, e := range l.Entries([]string{"a"}, zap.NewNop()) {
+			if e.ID == "" || !(e.Weight > 0) || e.State != decide.Gone && checkAddress(e.Addr) != nil {
+				t.Fatalf("took %+v", e)
+			}
+		}
+	})
+}
