--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -78,7 +78,7 @@
 		case o := <-rpc.Orders:
 			switch o.Kind {
 			case node.Send:
-				go f.picks.Exchange(o.Pick, q)
+				f.picks.Start(o.Pick, q)
 				continue
 			case node.Served:
 				release()
--- /dev/null
+++ b/internal/frontend/frontend_test.go
@@ -0,0 +1,250 @@
+package frontend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"robincart/decide"
+	"robincart/internal/httpwire"
+	"robincart/internal/limits"
+	"robincart/internal/node"
+	"robincart/internal/settings"
+)
+
+// fakeCore orders for each RPC what the story says, and notes what it hears.
+type fakeCore struct {
+	mu       sync.Mutex
+	orders   []node.Order
+	came     chan *node.RPC
+	vanished chan *node.RPC
+	done     []decide.Result
+	started  []string
+}
+
+func (c *fakeCore) Arrived(method, tenant int, deadline time.Duration, retry bool) *node.RPC {
+	r := &node.RPC{Orders: make(chan node.Order, 9), Deadline: deadline}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range c.orders {
+		r.Orders <- o
+	}
+	c.came <- r
+	return r
+}
+
+func (c *fakeCore) Vanished(r *node.RPC) { c.vanished <- r }
+
+func (c *fakeCore) Done(_ *node.Pick, res decide.Result, _ *node.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.done = append(c.done, res)
+}
+
+func (c *fakeCore) Start(_ *node.Pick, q *httpwire.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started = append(c.started, q.Trace)
+}
+
+func bounds() limits.Limits {
+	return limits.Limits{Callers: 2, Refused: 1, HeadBytes: 4096, BodyBytes: 4096, BufferBytes: 256,
+		CallerIdle: 5 * time.Second, CallerRest: 20 * time.Millisecond, LastLook: 5 * time.Millisecond,
+		CallerRead: 100 * time.Millisecond, ComeBack: 500 * time.Millisecond, CallerWrite: time.Second,
+		CallerLinger: 20 * time.Millisecond, MostLeft: time.Hour, StopWrite: 50 * time.Millisecond}
+}
+
+// begin serves on a socket until the test ends; then nothing may be left.
+func begin(t *testing.T, orders ...node.Order) (*Server, *fakeCore, string) {
+	leaks := goleak.IgnoreCurrent()
+	core := &fakeCore{orders: orders, came: make(chan *node.RPC, 99), vanished: make(chan *node.RPC, 99)}
+	s := &settings.Node{MethodNames: []string{"find"}, Settings: decide.Settings{Methods: make([]decide.Method, 1)}}
+	f := New(s, bounds(), limits.NewBudget(9, 0), core, core, func() time.Duration { return time.Minute }, zap.NewNop())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go f.Serve(ln)
+	t.Cleanup(func() {
+		ln.Close()
+		select {
+		case <-f.halt:
+		default:
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			f.Drain(ctx)
+		}
+		goleak.VerifyNone(t, leaks)
+	})
+	return f, core, ln.Addr().String()
+}
+
+type caller struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, addr string) *caller {
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	c.SetReadDeadline(time.Now().Add(3 * time.Second))
+	return &caller{c, bufio.NewReader(c)}
+}
+
+func (c *caller) ask() { c.askAs("t1") }
+
+func (c *caller) askAs(trace string) {
+	io.WriteString(c, "GET /find HTTP/1.1\r\nX-Qos: find\r\nX-Trace-Id: "+trace+"\r\nX-Expires-In-Ms: 1000\r\n\r\n")
+}
+
+func (c *caller) hears(t *testing.T) *http.Response {
+	t.Helper()
+	r, err := http.ReadResponse(c.r, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	r.Body = io.NopCloser(strings.NewReader(string(body)))
+	return r
+}
+
+func TestOrdersAreCarriedOutInTurn(t *testing.T) {
+	_, core, addr := begin(t, node.Order{Kind: node.Send}, node.Order{Kind: node.Send},
+		node.Order{Kind: node.PushBack, Wait: 250 * time.Millisecond})
+	c := dial(t, addr)
+	c.askAs("t1")
+	r := c.hears(t)
+	assert.Equal(t, 503, r.StatusCode)
+	assert.Equal(t, "0.250", r.Header.Get("Retry-After"))
+	assert.False(t, r.Close)
+	core.mu.Lock()
+	assert.Equal(t, []string{"t1", "t1"}, core.started)
+	core.mu.Unlock()
+	assert.Equal(t, time.Minute+time.Second, (<-core.came).Deadline)
+}
+
+func TestRequestsOnOneConnectionWaitTheirTurn(t *testing.T) {
+	_, core, addr := begin(t)
+	c := dial(t, addr)
+	c.askAs("first")
+	c.askAs("second")
+	first := <-core.came
+	time.Sleep(20 * time.Millisecond)
+	assert.Empty(t, core.came)
+	assert.Empty(t, core.vanished, "more bytes are no farewell")
+	first.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("one")}}
+	assert.Equal(t, 200, c.hears(t).StatusCode)
+	(<-core.came).Orders <- node.Order{Kind: node.Abort}
+	assert.Equal(t, 504, c.hears(t).StatusCode)
+}
+
+func TestPicksOrderedForACallerThatLeftAreEndedUnsent(t *testing.T) {
+	_, core, addr := begin(t)
+	c := dial(t, addr)
+	c.ask()
+	r := <-core.came
+	c.Close()
+	assert.Same(t, r, <-core.vanished)
+	// As if the module had ordered it before it heard of the farewell.
+	r.Orders <- node.Order{Kind: node.Send}
+	(&Server{core: core}).leftOver(r)
+	assert.Equal(t, []decide.Result{decide.Ignored}, core.done)
+}
+
+func TestPastTheLimitARequestIsRefusedAtOnce(t *testing.T) {
+	_, core, addr := begin(t)
+	a, b, c := dial(t, addr), dial(t, addr), dial(t, addr)
+	a.ask()
+	b.ask()
+	ra, rb := <-core.came, <-core.came
+	c.ask()
+	r := c.hears(t)
+	assert.Equal(t, 503, r.StatusCode)
+	assert.Equal(t, "0.500", r.Header.Get("Retry-After"))
+	assert.Empty(t, core.came, "the module has not taken it")
+	ra.Orders <- node.Order{Kind: node.Abort}
+	rb.Orders <- node.Order{Kind: node.Abort}
+	a.hears(t)
+	b.hears(t)
+	a.ask()
+	(<-core.came).Orders <- node.Order{Kind: node.Abort}
+	assert.Equal(t, 504, a.hears(t).StatusCode, "there is room again")
+}
+
+func TestIdleConnectionsGiveWayButNotTheOnesInUse(t *testing.T) {
+	_, core, addr := begin(t)
+	busy := dial(t, addr)
+	busy.ask()
+	r := <-core.came
+	var idle []*caller
+	for range 6 {
+		idle = append(idle, dial(t, addr))
+	}
+	_, err := idle[0].r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF, "the oldest idle one is closed, and not reset")
+	last := idle[5]
+	last.ask()
+	(<-core.came).Orders <- node.Order{Kind: node.Abort}
+	assert.Equal(t, 504, last.hears(t).StatusCode)
+	r.Orders <- node.Order{Kind: node.Abort}
+	assert.Equal(t, 504, busy.hears(t).StatusCode)
+}
+
+// A request can be on its way to a connection that the node has just chosen to end.
+func TestAConnectionThatEndsAnswersTheRequestThatCrossed(t *testing.T) {
+	f, core, addr := begin(t)
+	c := dial(t, addr)
+	c.ask()
+	(<-core.came).Orders <- node.Order{Kind: node.Abort}
+	c.hears(t)
+	time.Sleep(30 * time.Millisecond)
+	require.True(t, f.closeIdle())
+	c.ask()
+	select {
+	case r := <-core.came:
+		r.Orders <- node.Order{Kind: node.Abort}
+		r2 := c.hears(t)
+		assert.Equal(t, 504, r2.StatusCode)
+		assert.True(t, r2.Close)
+	case <-time.After(time.Second): // too late even for the last look: closed between requests
+		_, err := c.r.ReadByte()
+		assert.Error(t, err)
+	}
+}
+
+func TestHalfARequestIsTimedOutAndABrokenOneIsNot(t *testing.T) {
+	_, core, addr := begin(t)
+	c := dial(t, addr)
+	io.WriteString(c, "GET /fi")
+	assert.Equal(t, 408, c.hears(t).StatusCode)
+	c = dial(t, addr)
+	io.WriteString(c, "GET /fi")
+	c.Conn.(*net.TCPConn).CloseWrite()
+	_, err := c.r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Empty(t, core.came)
+}
+
+func TestTheEndAbortsWhatIsStillOut(t *testing.T) {
+	f, core, addr := begin(t)
+	c := dial(t, addr)
+	c.ask()
+	r := <-core.came
+	f.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	assert.Error(t, f.Drain(ctx))
+	answer := c.hears(t)
+	assert.Equal(t, 504, answer.StatusCode)
+	assert.True(t, answer.Close)
+	assert.Same(t, r, <-core.vanished)
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -26,9 +26,9 @@
 	Done(*node.Pick, decide.Result, *node.Answer)
 }
 
-// Picks carries out one pick and reports its result to the core.
+// Picks carries out picks, without keeping anyone waiting, and reports their results to the core.
 type Picks interface {
-	Exchange(*node.Pick, *httpwire.Request)
+	Start(*node.Pick, *httpwire.Request)
 }
 
 // Server owns the listener and the callers' connections.
--- a/internal/httpwire/wire_test.go
+++ b/internal/httpwire/wire_test.go
@@ -203,3 +203,17 @@
 		}
 	})
 }
+
+// What net/textproto costs: the start line and every header's value are copied into strings.
+func BenchmarkReadRequest(b *testing.B) {
+	text := strings.Replace(book, "hello", strings.Repeat("x", 512), 1)
+	text = strings.Replace(text, "Content-Length: 5", "Content-Length: 512", 1)
+	src := strings.NewReader("")
+	b.ReportAllocs()
+	for b.Loop() {
+		src.Reset(text)
+		if _, err := NewReader(src, Sizes{Buffer: 2048, Head: 16384, Body: 65536}).ReadRequest(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,6 +11,11 @@
 	"robincart/internal/node"
 )
 
+// Start carries out a pick in a goroutine that Run waits for.
+func (p *Pool) Start(pick *node.Pick, q *httpwire.Request) {
+	p.out.Go(func() { p.Exchange(pick, q) })
+}
+
 // Exchange carries out one pick and tells the core how it ended, once. It never sends anything again.
 func (p *Pool) Exchange(pick *node.Pick, q *httpwire.Request) {
 	res, answer := p.exchange(pick, q)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -28,6 +28,7 @@
 	limits limits.Limits
 	budget *limits.Budget
 	dialer net.Dialer
+	out    sync.WaitGroup // exchanges
 
 	mu     sync.Mutex
 	idle   map[*node.Server][]*conn // last used last
@@ -49,7 +50,8 @@
 	return p
 }
 
-// Run closes idle connections in time, until the context ends; then it closes all.
+// Run closes idle connections in time, until the context ends. Then it waits for the exchanges, whose picks the core
+// has given up by then, and closes all.
 func (p *Pool) Run(ctx context.Context) {
 	tick := time.NewTicker(p.limits.Sweep)
 	defer tick.Stop()
@@ -59,6 +61,7 @@
 			p.mu.Lock()
 			p.closed = true
 			p.mu.Unlock()
+			p.out.Wait()
 			p.sweep(func(*node.Server, *conn) bool { return true })
 			return
 		case now := <-tick.C:
