--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -43,13 +43,13 @@
 	methods  map[string]int
 	tenants  map[string]int
 
+	full     bool // no further connection is taken; known to Serve alone
 	stopping atomic.Bool
 	making   atomic.Int64  // requests
 	halt     chan struct{} // closed when what is still out has to be aborted
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	drained  bool // idle connections are closed from now on
-	full     bool // callers are being refused for want of descriptors
 	done     sync.WaitGroup
 }
 
@@ -113,11 +113,12 @@
 // making.
 func (f *Server) room() bool {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	full := len(f.conns) >= f.limits.Callers+f.limits.Refused
+	n := len(f.conns)
+	f.mu.Unlock()
+	full := n >= f.limits.Callers+f.limits.Refused
 	if full != f.full {
 		f.full = full
-		f.log.Warn("the limit of callers' connections", zap.Bool("reached", full), zap.Int("connections", len(f.conns)))
+		f.log.Warn("the limit of callers' connections", zap.Bool("reached", full), zap.Int("connections", n))
 	}
 	return !full
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -24,7 +24,6 @@
 	Descriptors int   // for callers, servers and discovery together
 	Callers     int   // requests of callers in the making at once; each has a connection on either side
 	Refused     int   // further connections, on which callers are told at once that the node is full
-	Open        int   // RPCs held; 0: as many as there are callers
 
 	HeadBytes   int // of a message: start line and headers
 	BodyBytes   int
@@ -78,7 +77,6 @@
 		// The collector works harder near its limit; stacks and the program itself need the rest.
 		Memory:       int64(m.MemoryMB) * mb * 7 / 10,
 		Descriptors:  m.Sockets - ownFiles,
-		Open:         s.MaxOpen,
 		HeadBytes:    16 << 10,
 		BodyBytes:    64 << 10,
 		BufferBytes:  2 << 10,
@@ -103,6 +101,9 @@
 	// Every RPC needs a connection on either side, a second copy one more and discovery one: callers get under a half.
 	l.Refused = min(refusedMax, l.Descriptors/8)
 	l.Callers = (l.Descriptors - l.Refused - 1) * 10 / 21
+	if s.MaxOpen > 0 {
+		l.Callers = min(l.Callers, s.MaxOpen)
+	}
 	if l.Callers < 1 {
 		return Limits{}, errors.New("limits.sockets leaves no caller a connection")
 	}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -27,6 +27,10 @@
 		assert.Less(t, l.StopMost+l.StopWrite, 3600*time.Millisecond, "SIGKILL may come soon after")
 		assert.Greater(t, l.StopMost, 3*time.Second)
 	}
+	s.MaxOpen = 7
+	l, err := Fill(Machine{Cores: 1, MemoryMB: 192, Sockets: 1024}, s)
+	assert.NoError(t, err)
+	assert.Equal(t, 7, l.Callers, "the settings allow fewer")
 	for _, m := range []Machine{{}, {Cores: 1, MemoryMB: 192}, {Cores: 1, Sockets: 1024},
 		{Cores: -1, MemoryMB: 192, Sockets: 1024}} {
 		_, err := Fill(m, s)
