--- a/cmd/robincart/config.go
+++ b/cmd/robincart/config.go
@@ -29,8 +29,8 @@
 	limits limits.Limits
 }
 
-// readConfig reads the file that EDGE_CONFIG names. The other variables say parts of it again; where they are set
-// they go first, so that a node can be moved without a new file.
+// readConfig reads the file that EDGE_CONFIG names. The other variables say parts of it again; where they are
+// set they go first, so that a node can be moved without a new file.
 func readConfig(getenv func(string) string) (*config, error) {
 	path := getenv("EDGE_CONFIG")
 	if path == "" {
@@ -74,8 +74,8 @@
 	return c, nil
 }
 
-// seed is the start of the node's random numbers. The name counts too: two nodes started with one seed must not
-// choose alike.
+// seed is the start of the node's random numbers. The name counts too: two nodes started with one seed must
+// not choose alike.
 func (c *config) seed() int64 {
 	h := fnv.New64a()
 	h.Write([]byte(c.Name))
--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -1,5 +1,5 @@
-// Command robincart is one real node: callers and servers on sockets, the decisions of package decide between them.
-// One program serves every tier; its settings tell it which.
+// Command robincart is one real node: callers and servers on sockets, the decisions of package decide between
+// them. One program serves every tier; its settings tell it which.
 package main
 
 import (
@@ -78,7 +78,8 @@
 	served := make(chan error, 1)
 	go func() { served <- front.Serve(ln) }()
 	log.Info("serving", zap.String("listen", c.Listen), zap.Int("tier", c.node.Stage),
-		zap.Int("servers", len(c.list.Members)), zap.Int("descriptors", l.Descriptors), zap.Int64("memory", l.Memory))
+		zap.Int("servers", len(c.list.Members)), zap.Int("descriptors", l.Descriptors),
+		zap.Int64("memory", l.Memory))
 
 	<-term.Done()
 	log.Info("stopping", zap.Int("open", core.Open()))
--- a/cmd/robincart/node_test.go
+++ b/cmd/robincart/node_test.go
@@ -93,7 +93,8 @@
 	assert.WithinDuration(t, at, <-left, 300*time.Millisecond)
 }
 
-// A connect that takes longer than a drain's grace must not end in a send to the server that drains meanwhile.
+// A connect that takes longer than a drain's grace must not end in a send to the server that drains
+// meanwhile.
 func TestAServerThatDrainsDuringASlowConnectGetsNothing(t *testing.T) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	require.NoError(t, err)
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// next waits for a request's first byte. A connection that has been idle for too long, or that was chosen to end, is
-// looked at once more: closed with a request in it, it would lose that.
+// next waits for a request's first byte. A connection that has been idle for too long, or that was chosen to
+// end, is looked at once more: closed with a request in it, it would lose that.
 func (c *conn) next() bool {
 	f := c.server
 	c.SetReadDeadline(time.Now().Add(f.limits.CallerIdle))
@@ -52,8 +52,8 @@
 	return c.reader.First() == nil
 }
 
-// request is the life of one request: it is read, the module decides, what it orders is done, and the caller gets
-// the one answer. It returns whether the connection can be used again.
+// request is the life of one request: it is read, the module decides, what it orders is done, and the caller
+// gets the one answer. It returns whether the connection can be used again.
 func (c *conn) request() bool {
 	f := c.server
 	came := f.now() // the caller's time runs since it sent the request, so not from the last byte on
@@ -117,8 +117,8 @@
 	}
 }
 
-// check finds what a request asks for, or the answer to one that can't be taken. None of those answers is 429 or
-// 503: they would promise that asking the same again helps.
+// check finds what a request asks for, or the answer to one that can't be taken. None of those answers is 429
+// or 503: they would promise that asking the same again helps.
 func (f *Server) check(q *httpwire.Request) (method, tenant int, bad *httpwire.Answer) {
 	if q.Path == httpwire.PathReady {
 		switch {
@@ -182,8 +182,8 @@
 	return false
 }
 
-// linger takes in what the caller is still sending: closed with bytes unread, the connection would be reset and
-// the answer lost with it.
+// linger takes in what the caller is still sending: closed with bytes unread, the connection would be reset
+// and the answer lost with it.
 func (c *conn) linger() {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -59,7 +59,7 @@
 }
 
 func bounds() limits.Limits {
-	return limits.Limits{Callers: 2, Refused: 1, HeadBytes: 4096, BodyBytes: 4096, BufferBytes: 256,
+	return limits.Limits{Callers: 2, Refused: 1, Wire: httpwire.Sizes{Buffer: 256, Read: 64, Head: 4096, Body: 4096, Chunk: 64},
 		CallerIdle: 5 * time.Second, CallerRest: 20 * time.Millisecond, LastLook: 5 * time.Millisecond,
 		CallerRead: 100 * time.Millisecond, ComeBack: 500 * time.Millisecond, CallerWrite: time.Second,
 		CallerLinger: 20 * time.Millisecond, MostLeft: time.Hour, StopWrite: 50 * time.Millisecond}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -1,4 +1,5 @@
-// Package frontend serves callers: it reads their requests, follows what the core orders for each, and answers.
+// Package frontend serves callers: it reads their requests, follows what the core orders for each, and
+// answers.
 package frontend
 
 import (
@@ -57,7 +58,8 @@
 func New(s *settings.Node, l limits.Limits, budget *limits.Budget, core Core, picks Picks,
 	now func() time.Duration, log *zap.Logger) *Server {
 	f := &Server{settings: s, limits: l, budget: budget, core: core, picks: picks, now: now, log: log,
-		methods: map[string]int{}, tenants: map[string]int{}, conns: map[*conn]struct{}{}, halt: make(chan struct{})}
+		methods: map[string]int{}, tenants: map[string]int{}, conns: map[*conn]struct{}{},
+		halt: make(chan struct{})}
 	for i, name := range s.MethodNames {
 		f.methods[name] = i
 	}
@@ -77,23 +79,23 @@
 		if err != nil {
 			// Out of descriptors, or a caller that left in the queue: the listener itself is sound.
 			f.log.Warn("taking a connection failed", zap.Error(err))
-			time.Sleep(5 * time.Millisecond)
+			time.Sleep(f.limits.TakeAgain)
 			continue
 		}
 		f.take(raw)
 	}
 }
 
-// take finds a place for a new connection. Where there is none, one that is idle has to give way; if all are in use
-// the new one waits for the first to end, since closing it could lose a request that is already written to it.
+// take finds a place for a new connection. Where there is none, one that is idle has to give way; if all are
+// in use the new one waits for the first to end, since closing it could lose a request that is already
+// written to it.
 func (f *Server) take(raw net.Conn) {
 	for !f.room() || !f.budget.TakeLast() {
 		f.closeIdle()
 		time.Sleep(f.limits.LastLook)
 	}
 	c := &conn{Conn: raw, server: f}
-	c.reader = httpwire.NewReader(raw, httpwire.Sizes{Buffer: f.limits.BufferBytes, Head: f.limits.HeadBytes,
-		Body: f.limits.BodyBytes})
+	c.reader = httpwire.NewReader(raw, f.limits.Wire)
 	f.mu.Lock()
 	f.conns[c] = struct{}{}
 	f.mu.Unlock()
@@ -109,8 +111,8 @@
 	}()
 }
 
-// room tells whether callers may have one connection more. It leaves as many for servers as requests can be in the
-// making.
+// room tells whether callers may have one connection more. It leaves as many for servers as requests can be
+// in the making.
 func (f *Server) room() bool {
 	f.mu.Lock()
 	n := len(f.conns)
@@ -123,7 +125,8 @@
 	return !full
 }
 
-// begin counts a request in, unless as many are in the making as the node has descriptors for; end counts it out.
+// begin counts a request in, unless as many are in the making as the node has descriptors for; end counts it
+// out.
 func (f *Server) begin() bool {
 	if f.making.Add(1) <= int64(f.limits.Callers) {
 		return true
@@ -134,8 +137,8 @@
 
 func (f *Server) end() { f.making.Add(-1) }
 
-// closeIdle ends the connection that has stood longest between requests; its caller opens another when it needs one.
-// One that has only just come may have its request on the way.
+// closeIdle ends the connection that has stood longest between requests; its caller opens another when it
+// needs one. One that has only just come may have its request on the way.
 func (f *Server) closeIdle() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -153,12 +156,12 @@
 	return true
 }
 
-// Stop begins the end: answers now close their connections. New ones go on being taken, since the front that deals
-// them out learns of the stop only later.
+// Stop begins the end: answers now close their connections. New ones go on being taken, since the front that
+// deals them out learns of the stop only later.
 func (f *Server) Stop() { f.stopping.Store(true) }
 
-// Drain closes idle connections, and those in use as they fall idle, and waits for the last. When the context ends
-// what is still out is aborted: the end by force would leave it with no answer at all.
+// Drain closes idle connections, and those in use as they fall idle, and waits for the last. When the context
+// ends what is still out is aborted: the end by force would leave it with no answer at all.
 func (f *Server) Drain(ctx context.Context) error {
 	f.mu.Lock()
 	f.drained = true
@@ -194,8 +197,8 @@
 	return fmt.Errorf("%d connections were still in use", n)
 }
 
-// rest notes that a connection stands between requests, and tells whether it has to end there. Its deadline is set
-// before: one that is chosen later gets another.
+// rest notes that a connection stands between requests, and tells whether it has to end there. Its deadline
+// is set before: one that is chosen later gets another.
 func (f *Server) rest(c *conn) (ends bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/httpwire/reader.go
+++ b/internal/httpwire/reader.go
@@ -19,8 +19,14 @@
 	ErrBodyLarge = errors.New("body too large")
 )
 
-// Sizes bounds what a Reader takes in.
-type Sizes struct{ Buffer, Head, Body int }
+// Sizes bounds what a Reader takes in, in bytes.
+type Sizes struct {
+	Buffer int // that a message's buffer starts with
+	Read   int // room for a read whose length nobody knows
+	Head   int // start line and headers
+	Body   int
+	Chunk  int // of the line that tells a chunk's size
+}
 
 // Reader reads the messages of one connection. Each message lies in a buffer of its own, which the message's
 // slices keep alive; what came beyond it is moved to the next one's buffer.
@@ -53,7 +59,7 @@
 	if r.n > 0 {
 		return nil
 	}
-	return r.fill(minRead)
+	return r.fill(r.sizes.Read)
 }
 
 // Discard reads until the connection ends, or its deadline.
@@ -67,12 +73,10 @@
 // Beyond tells whether bytes have come that no message has taken yet.
 func (r *Reader) Beyond() bool { return r.n > 0 }
 
-const minRead = 512 // room for a read whose length nobody knows
-
 // fill reads more, into a buffer that has room for want bytes at least.
 func (r *Reader) fill(want int) error {
 	if want <= r.n {
-		want = r.n + minRead
+		want = r.n + r.sizes.Read
 	}
 	if len(r.buf) < want {
 		grown := make([]byte, max(want, min(2*len(r.buf), r.sizes.Head), r.sizes.Buffer))
@@ -102,8 +106,8 @@
 	return msg
 }
 
-// headEnd finds where the headers end, and refuses lines that do not end as HTTP's do: two ends of a connection
-// that read a bare line feed differently disagree on where a message begins.
+// headEnd finds where the headers end, and refuses lines that do not end as HTTP's do: two ends of a
+// connection that read a bare line feed differently disagree on where a message begins.
 func headEnd(b []byte) (int, error) {
 	for at := 0; ; {
 		i := bytes.IndexByte(b[at:], '\n')
@@ -251,8 +255,8 @@
 	return length, false, err
 }
 
-// ReadBody reads the body that the headers announce; bounded tells whether they do. The body is a slice of the
-// buffer that it was read into.
+// ReadBody reads the body that the headers announce; bounded tells whether they do. The body is a slice of
+// the buffer that it was read into.
 func (r *Reader) ReadBody(h textproto.MIMEHeader) (body []byte, bounded bool, err error) {
 	length, chunked, err := framing(h)
 	switch {
@@ -302,11 +306,9 @@
 	}
 }
 
-const chunkLine = 256 // more than any size with its extensions has a use for
-
 // chunkSize reads a chunk's size line at a place in the buffer.
 func (r *Reader) chunkSize(at, most int) (size, end int, err error) {
-	text, end, err := r.line(at, chunkLine)
+	text, end, err := r.line(at, r.sizes.Chunk)
 	if err != nil {
 		return 0, 0, err
 	}
--- a/internal/httpwire/wire_test.go
+++ b/internal/httpwire/wire_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-var sizes = Sizes{Buffer: 64, Head: 1024, Body: 4096}
+var sizes = Sizes{Buffer: 64, Read: 64, Head: 1024, Body: 4096, Chunk: 64}
 
 func reader(text string) *Reader { return NewReader(strings.NewReader(text), sizes) }
 
@@ -179,7 +179,7 @@
 			t.Fatalf("body of %d bytes", len(q.Body))
 		}
 		again, err := NewReader(bytes.NewReader(append(q.AppendHead(nil, "h", time.Second), q.Body...)),
-			Sizes{Buffer: 64, Head: 1 << 16, Body: 4096}).ReadRequest()
+			Sizes{Buffer: 64, Read: 64, Head: 1 << 16, Body: 4096, Chunk: 64}).ReadRequest()
 		if err != nil {
 			t.Fatalf("%q was passed on as what can't be read: %v", text, err)
 		}
@@ -212,7 +212,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		src.Reset(text)
-		if _, err := NewReader(src, Sizes{Buffer: 2048, Head: 16384, Body: 65536}).ReadRequest(); err != nil {
+		if _, err := NewReader(src, Sizes{Buffer: 2048, Read: 512, Head: 16384, Body: 65536, Chunk: 256}).ReadRequest(); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/limits/budget.go
+++ b/internal/limits/budget.go
@@ -2,7 +2,8 @@
 
 import "sync"
 
-// Budget counts the descriptors of callers, servers and discovery, so that no call for one fails for want of them.
+// Budget counts the descriptors of callers, servers and discovery, so that no call for one fails for want of
+// them.
 type Budget struct {
 	mu    sync.Mutex
 	left  int
@@ -10,12 +11,12 @@
 	evict func() bool
 }
 
-// NewBudget starts with n descriptors free. The last few, spare, are for callers alone: one who finds the node
-// full has to be told so, and that takes a connection.
+// NewBudget starts with n descriptors free. The last few, spare, are for callers alone: one who finds the
+// node full has to be told so, and that takes a connection.
 func NewBudget(n, spare int) *Budget { return &Budget{left: n, spare: spare} }
 
-// Evict names what gives one descriptor back when none is left: it closes an idle server connection. It is set
-// before the first Take.
+// Evict names what gives one descriptor back when none is left: it closes an idle server connection. It is
+// set before the first Take.
 func (b *Budget) Evict(f func() bool) { b.evict = f }
 
 // Take asks for a descriptor for a server or for discovery.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -7,6 +7,7 @@
 	"math"
 	"time"
 
+	"robincart/internal/httpwire"
 	"robincart/internal/settings"
 )
 
@@ -25,11 +26,10 @@
 	Callers     int   // requests of callers in the making at once; each has a connection on either side
 	Refused     int   // further connections, on which callers are told at once that the node is full
 
-	HeadBytes   int // of a message: start line and headers
-	BodyBytes   int
-	BufferBytes int // that a buffer starts with
-	ListBytes   int // of one line of the list
+	Wire      httpwire.Sizes // of messages
+	ListBytes int            // of one line of the list
 
+	TakeAgain    time.Duration // after a connection could not be taken
 	CallerIdle   time.Duration // between requests
 	CallerRest   time.Duration // between requests before a connection may give way to another
 	LastLook     time.Duration // at a connection that ends, for a request that crossed
@@ -75,12 +75,17 @@
 	l := Limits{
 		Cores: int(math.Ceil(m.Cores)),
 		// The collector works harder near its limit; stacks and the program itself need the rest.
-		Memory:       int64(m.MemoryMB) * mb * 7 / 10,
-		Descriptors:  m.Sockets - ownFiles,
-		HeadBytes:    16 << 10,
-		BodyBytes:    64 << 10,
-		BufferBytes:  2 << 10,
+		Memory:      int64(m.MemoryMB) * mb * 7 / 10,
+		Descriptors: m.Sockets - ownFiles,
+		Wire: httpwire.Sizes{
+			Buffer: 2 << 10,
+			Read:   512,
+			Head:   16 << 10,
+			Body:   64 << 10,
+			Chunk:  256,
+		},
 		ListBytes:    4 * mb,
+		TakeAgain:    5 * time.Millisecond,
 		CallerIdle:   90 * time.Second,
 		CallerRest:   100 * time.Millisecond,
 		LastLook:     5 * time.Millisecond,
@@ -98,7 +103,8 @@
 		StopTaking:   600 * time.Millisecond,
 		StopWrite:    100 * time.Millisecond,
 	}
-	// Every RPC needs a connection on either side, a second copy one more and discovery one: callers get under a half.
+	// Every RPC needs a connection on either side, a second copy one more and discovery one: callers get
+	// under a half.
 	l.Refused = min(refusedMax, l.Descriptors/8)
 	l.Callers = (l.Descriptors - l.Refused - 1) * 10 / 21
 	if s.MaxOpen > 0 {
@@ -111,7 +117,8 @@
 		l.Connect = s.ConnectTimeout
 	}
 	if s.ServerIdle > 0 {
-		// The server's clock starts with its answer and ours when that has come: a request must not cross the close.
+		// The server's clock starts with its answer and ours when that has come: a request must not cross the
+		// close.
 		l.ServerIdle = s.ServerIdle - min(time.Second, s.ServerIdle/4)
 	}
 	longest := 0.0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,6 +1,7 @@
-// Package node is the core of a real node: the ledger of its RPCs, picks and servers round the module's Balancer.
-// It knows no socket and no real clock. One mutex guards the Balancer and the ledger, and nothing that may block
-// happens while it is held: what the module orders is noted, and carried out by whoever waits for it.
+// Package node is the core of a real node: the ledger of its RPCs, picks and servers round the module's
+// Balancer. It knows no socket and no real clock. One mutex guards the Balancer and the ledger, and nothing
+// that may block happens while it is held: what the module orders is noted, and carried out by whoever waits
+// for it.
 package node
 
 import (
@@ -160,8 +161,8 @@
 	c.balancer.ListFailed()
 }
 
-// Arrived takes a request and returns its RPC, whose orders tell what to do. It came at a time of the core's clock
-// and its caller waits until the deadline.
+// Arrived takes a request and returns its RPC, whose orders tell what to do. It came at a time of the core's
+// clock and its caller waits until the deadline.
 func (c *Core) Arrived(method, tenant int, deadline time.Duration, retry bool) *RPC {
 	r := &RPC{Orders: make(chan Order, c.maxPicks+2), Deadline: deadline,
 		obj: &decide.RPC{Method: method, Tenant: tenant, Deadline: seconds(deadline) + epoch, Retry: retry}}
@@ -183,12 +184,13 @@
 	c.balancer.Vanished(r.obj)
 }
 
-// Begin is asked right before a pick's first byte is written. A connect can take longer than a drain's grace, and
-// the RPC can be over by then.
+// Begin is asked right before a pick's first byte is written. A connect can take longer than a drain's grace,
+// and the RPC can be over by then.
 func (c *Core) Begin(p *Pick) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.closed && !p.canceled && !p.rpc.ended && p.Server.state == decide.Ready && c.clock.Now() < p.Deadline
+	wanted := !c.closed && !p.canceled && !p.rpc.ended
+	return wanted && p.Server.state == decide.Ready && c.clock.Now() < p.Deadline
 }
 
 // Left is how long a pick may still last.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -207,8 +207,9 @@
 	assert.True(t, s.Begin(p))
 }
 
-// A start told in Unix time has to be moved to the module's clock: taken as it is, every server would be cold for
-// ever; cut at the node's own start, one that came up just before it would pass for warm and be pushed over.
+// A start told in Unix time has to be moved to the module's clock: taken as it is, every server would be cold
+// for ever; cut at the node's own start, one that came up just before it would pass for warm and be pushed
+// over.
 func TestAServerThatStartedJustBeforeThisNodeIsCold(t *testing.T) {
 	sent := func(started time.Time) int {
 		s := begin(t, func(n *settings.Node) { n.MaxPicks = 1 })
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"robincart/decide"
+	"robincart/internal/httpwire"
 	"robincart/internal/limits"
 	"robincart/internal/node"
 )
@@ -55,7 +56,8 @@
 		`"size":1.5,"up_since_ms":1800000000000}`, id, phase)
 }
 
-// watch starts a Watcher at a discovery that writes one text to each call, in turn, and then does as the last says.
+// watch starts a Watcher at a discovery that writes one text to each call, in turn, and then does as the last
+// says.
 func watch(t *testing.T, known string, calls ...func(net.Conn)) (fakeCore, *Watcher, chan string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -74,7 +76,7 @@
 			calls[min(i, len(calls)-1)](c)
 		}
 	}()
-	l := limits.Limits{HeadBytes: 4096, BodyBytes: 4096, BufferBytes: 64, ListBytes: 1 << 16,
+	l := limits.Limits{Wire: httpwire.Sizes{Buffer: 64, Read: 64, Head: 4096, Body: 4096, Chunk: 64}, ListBytes: 1 << 16,
 		ListConnect: time.Second, ListAnswer: 200 * time.Millisecond, ListSilence: 100 * time.Millisecond}
 	w := New(ln.Addr().String(), []string{"north", "south"}, l, limits.NewBudget(1, 0), zap.NewNop())
 	core := make(fakeCore, 9)
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -96,8 +96,7 @@
 		httpwire.QueryWatch, httpwire.QuerySince, w.revision, w.addr); err != nil {
 		return fmt.Errorf("asking discovery: %w", err)
 	}
-	r := httpwire.NewReader(c, httpwire.Sizes{Buffer: w.limits.BufferBytes, Head: w.limits.HeadBytes,
-		Body: w.limits.BodyBytes})
+	r := httpwire.NewReader(c, w.limits.Wire)
 	status, stream, err := r.ReadStream()
 	if err != nil {
 		return fmt.Errorf("reading discovery: %w", err)
@@ -106,7 +105,7 @@
 		return fmt.Errorf("discovery answered %d", status)
 	}
 	lines := bufio.NewScanner(stream)
-	lines.Buffer(make([]byte, 0, w.limits.BufferBytes), w.limits.ListBytes)
+	lines.Buffer(make([]byte, 0, w.limits.Wire.Buffer), w.limits.ListBytes)
 	news := false
 	for lines.Scan() {
 		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -42,8 +42,7 @@
 			p.budget.Give()
 			return decide.ConnectFailed, nil
 		}
-		c = &conn{Conn: raw, addr: addr, reader: httpwire.NewReader(raw, httpwire.Sizes{
-			Buffer: p.limits.BufferBytes, Head: p.limits.HeadBytes, Body: p.limits.BodyBytes})}
+		c = &conn{Conn: raw, addr: addr, reader: httpwire.NewReader(raw, p.limits.Wire)}
 	}
 	if !p.core.Begin(pick) {
 		p.keep(pick.Server, c)
@@ -62,7 +61,9 @@
 }
 
 // talk writes the request and reads the answer. The connection can be used again only after a whole one.
-func (p *Pool) talk(ctx context.Context, c *conn, pick *node.Pick, q *httpwire.Request) (decide.Result, *node.Answer, bool) {
+func (p *Pool) talk(ctx context.Context, c *conn, pick *node.Pick, q *httpwire.Request) (
+	res decide.Result, answer *node.Answer, whole bool) {
+
 	// One write: it is known whether its last byte went out.
 	msg := net.Buffers{q.AppendHead(make([]byte, 0, 512), c.addr, p.core.Left(pick))}
 	if len(q.Body) > 0 {
@@ -75,7 +76,7 @@
 	if err != nil {
 		return p.broken(ctx, decide.Reset), nil, false
 	}
-	whole := !r.Close && !c.reader.Beyond()
+	whole = !r.Close && !c.reader.Beyond()
 	switch {
 	case r.Status == 200:
 		return decide.OK, &node.Answer{Type: r.Type, Body: r.Body}, whole
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -50,8 +50,8 @@
 	return p
 }
 
-// Run closes idle connections in time, until the context ends. Then it waits for the exchanges, whose picks the core
-// has given up by then, and closes all.
+// Run closes idle connections in time, until the context ends. Then it waits for the exchanges, whose picks
+// the core has given up by then, and closes all.
 func (p *Pool) Run(ctx context.Context) {
 	tick := time.NewTicker(p.limits.Sweep)
 	defer tick.Stop()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -102,8 +102,8 @@
 }
 
 func bounds() limits.Limits {
-	return limits.Limits{HeadBytes: 4096, BodyBytes: 1 << 16, BufferBytes: 512, Connect: 200 * time.Millisecond,
-		ServerIdle: 300 * time.Millisecond, Sweep: 20 * time.Millisecond}
+	return limits.Limits{Wire: httpwire.Sizes{Buffer: 512, Read: 64, Head: 4096, Body: 1 << 16, Chunk: 64},
+		Connect: 200 * time.Millisecond, ServerIdle: 300 * time.Millisecond, Sweep: 20 * time.Millisecond}
 }
 
 type story struct {
@@ -191,7 +191,7 @@
 	for takes, want := range map[int]decide.Result{0: decide.ConnectFailed, whole - 1: decide.ConnectFailed,
 		whole: decide.Reset} {
 		raw := &brokenPipe{takes: takes}
-		c := &conn{Conn: raw, reader: httpwire.NewReader(raw, httpwire.Sizes{Buffer: 64, Head: 64, Body: 64})}
+		c := &conn{Conn: raw, reader: httpwire.NewReader(raw, bounds().Wire)}
 		s.core.left = time.Second
 		got, _, again := s.talk(context.Background(), c, &node.Pick{}, s.q)
 		assert.Equal(t, want, got, "broken after %d of %d bytes", takes, whole)
@@ -344,7 +344,7 @@
 func TestALargeBodyGoesOutWhole(t *testing.T) {
 	got := make(chan string, 1)
 	server := serve(t, func(s *standIn, _ int, c *net.TCPConn) {
-		r := httpwire.NewReader(c, httpwire.Sizes{Buffer: 512, Head: 4096, Body: 1 << 16})
+		r := httpwire.NewReader(c, bounds().Wire)
 		q, err := r.ReadRequest()
 		if assert.NoError(t, err) {
 			got <- string(q.Body)
