--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -31,6 +31,8 @@
 	vanished chan *node.RPC
 	done     []decide.Result
 	started  []string
+
+	atVanished func(*node.RPC)
 }
 
 func (c *fakeCore) Arrived(method, tenant int, deadline time.Duration, retry bool) *node.RPC {
@@ -44,7 +46,12 @@
 	return r
 }
 
-func (c *fakeCore) Vanished(r *node.RPC) { c.vanished <- r }
+func (c *fakeCore) Vanished(r *node.RPC) {
+	if c.atVanished != nil {
+		c.atVanished(r)
+	}
+	c.vanished <- r
+}
 
 func (c *fakeCore) Done(_ *node.Pick, res decide.Result, _ *node.Answer) {
 	c.mu.Lock()
@@ -62,7 +69,7 @@
 	return limits.Limits{Callers: 2, Refused: 1, Wire: httpwire.Sizes{Buffer: 256, Read: 64, Head: 4096, Body: 4096, Chunk: 64},
 		CallerIdle: 5 * time.Second, CallerRest: 20 * time.Millisecond, LastLook: 5 * time.Millisecond,
 		CallerRead: 100 * time.Millisecond, ComeBack: 500 * time.Millisecond, CallerWrite: time.Second,
-		CallerLinger: 20 * time.Millisecond, MostLeft: time.Hour, StopWrite: 50 * time.Millisecond}
+		CallerLinger: 500 * time.Millisecond, MostLeft: time.Hour, StopWrite: 50 * time.Millisecond}
 }
 
 // begin serves on a socket until the test ends; then nothing may be left.
@@ -149,15 +156,26 @@
 
 func TestPicksOrderedForACallerThatLeftAreEndedUnsent(t *testing.T) {
 	_, core, addr := begin(t)
+	core.atVanished = func(r *node.RPC) { r.Orders <- node.Order{Kind: node.Send} } // ordered as the news came
 	c := dial(t, addr)
 	c.ask()
 	r := <-core.came
 	c.Close()
 	assert.Same(t, r, <-core.vanished)
-	// As if the module had ordered it before it heard of the farewell.
-	r.Orders <- node.Order{Kind: node.Send}
-	(&Server{core: core}).leftOver(r)
-	assert.Equal(t, []decide.Result{decide.Ignored}, core.done)
+	assert.Eventually(t, func() bool {
+		core.mu.Lock()
+		defer core.mu.Unlock()
+		return len(core.done) == 1 && core.done[0] == decide.Ignored
+	}, time.Second, time.Millisecond)
+	assert.Empty(t, core.started)
+}
+
+func TestACallerThatIsStillSendingHearsWhyItIsTurnedAway(t *testing.T) {
+	_, _, addr := begin(t)
+	c := dial(t, addr)
+	_, err := io.WriteString(c, "POST /find HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n"+strings.Repeat("x", 4000000))
+	assert.NoError(t, err, "a reset would reach the caller before the answer")
+	assert.Equal(t, 413, c.hears(t).StatusCode)
 }
 
 func TestPastTheLimitARequestIsRefusedAtOnce(t *testing.T) {
@@ -201,24 +219,22 @@
 
 // A request can be on its way to a connection that the node has just chosen to end.
 func TestAConnectionThatEndsAnswersTheRequestThatCrossed(t *testing.T) {
-	f, core, addr := begin(t)
-	c := dial(t, addr)
+	f, core, _ := begin(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	c := dial(t, ln.Addr().String())
+	raw, err := ln.Accept()
+	require.NoError(t, err)
+	defer raw.Close()
 	c.ask()
+	time.Sleep(20 * time.Millisecond)
+	chosen := &conn{Conn: raw, server: f, reader: httpwire.NewReader(raw, f.limits.Wire), ending: true}
+	go chosen.serve()
 	(<-core.came).Orders <- node.Order{Kind: node.Abort}
-	c.hears(t)
-	time.Sleep(30 * time.Millisecond)
-	require.True(t, f.closeIdle())
-	c.ask()
-	select {
-	case r := <-core.came:
-		r.Orders <- node.Order{Kind: node.Abort}
-		r2 := c.hears(t)
-		assert.Equal(t, 504, r2.StatusCode)
-		assert.True(t, r2.Close)
-	case <-time.After(time.Second): // too late even for the last look: closed between requests
-		_, err := c.r.ReadByte()
-		assert.Error(t, err)
-	}
+	r := c.hears(t)
+	assert.Equal(t, 504, r.StatusCode)
+	assert.True(t, r.Close)
 }
 
 func TestHalfARequestIsTimedOutAndABrokenOneIsNot(t *testing.T) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -283,6 +283,20 @@
 	}
 }
 
+func TestAConnectionThatIsToEndIsNotUsedAgain(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		server := serve(t, answers(text)) // says so, and leaves it open
+		s := begin(server.Addr().String(), 5)
+		assert.Equal(t, decide.OK, s.pick())
+		assert.Equal(t, decide.OK, s.pick())
+		conns, _ := server.count()
+		assert.Equal(t, 2, conns, text)
+	}
+}
+
 func TestIdleConnectionsAreClosedBeforeTheServerDoes(t *testing.T) {
 	closed := make(chan time.Time, 1)
 	server := serve(t, func(s *standIn, _ int, c *net.TCPConn) {
