--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -118,6 +118,8 @@
 func TestAChangeOlderThanTheListHeldIsDropped(t *testing.T) {
 	core, _, _ := watch(t, nothing, say(head, line(40, false, member1("gone long ago", "ready")),
 		line(41, false, member1("known", "ready")), line(42, false, member1("new", "ready"))))
+	assert.Equal(t, news{}, core.next(t), "that it answered is news all the same")
+	assert.Equal(t, news{}, core.next(t))
 	assert.Equal(t, "new", core.next(t).entries[0].ID)
 }
 
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -131,9 +131,11 @@
 	return errors.New("discovery ended the watch")
 }
 
-// take passes news on. A change that is older than the list held would bring back what has left.
+// take passes news on. A change that is older than the list held would bring back what has left: of
+// that the core hears only that discovery has answered.
 func (w *Watcher) take(l *List) {
 	if !l.Complete && l.Revision <= w.revision {
+		w.core.Listed(nil, false)
 		return
 	}
 	w.revision = l.Revision
