--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -24,7 +24,7 @@
 )
 
 func main() {
-	// Callers can write to connections whose other end has gone: that is an error there, not the program's end.
+	// A log that nobody reads any more must not end the node; on sockets a broken pipe is only an error anyway.
 	signal.Ignore(syscall.SIGPIPE)
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "robincart:", err)
@@ -75,8 +75,7 @@
 	for _, f := range []func(){func() { watcher.Run(life) }, func() { pool.Run(life) }} {
 		owned.Go(f)
 	}
-	served := make(chan error, 1)
-	go func() { served <- front.Serve(ln) }()
+	go front.Serve(ln) // Drain waits for it
 	log.Info("serving", zap.String("listen", c.Listen), zap.Int("tier", c.node.Stage),
 		zap.Int("servers", len(c.list.Members)), zap.Int("descriptors", l.Descriptors),
 		zap.Int64("memory", l.Memory))
@@ -88,7 +87,6 @@
 	front.Stop()
 	time.Sleep(l.StopTaking)
 	ln.Close()
-	<-served
 	if err := front.Drain(most); err != nil {
 		log.Warn("stopped before all was answered", zap.Error(err))
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,7 +1,7 @@
 package decide
 
-// All decisions of a node, and nothing else. Whoever carries RPCs (internal/simwire in the bench, internal/node
-// on sockets) makes one Balancer an instance with New and calls one method for each thing that happens:
+// All decisions of a node, and nothing else. Whoever carries RPCs (in the bench internal/simwire, on sockets
+// internal/node) makes one Balancer an instance with New and calls one method for each thing that happens:
 // Listed and ListFailed for the server list, Arrived, Done, Started and Vanished for RPCs and their picks,
 // and Wake for timers. The Balancer acts at once through the Host that New was handed;
 // host.go defines that interface and the plain types. Nothing here knows a clock, a socket or an id.
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -250,6 +250,28 @@
 	assert.Empty(t, core.came)
 }
 
+// With all connections in use, the next one waits at the door. It must not keep the program from its end.
+func TestTheEndComesWhileTheNodeIsFull(t *testing.T) {
+	f, core, addr := begin(t)
+	a, b, half, waits := dial(t, addr), dial(t, addr), dial(t, addr), dial(t, addr)
+	a.ask()
+	<-core.came
+	b.ask()
+	<-core.came
+	io.WriteString(half, "GET /fi")
+	time.Sleep(30 * time.Millisecond)
+	waits.ask()
+	f.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	assert.Error(t, f.Drain(ctx))
+	assert.Less(t, time.Since(began), 300*time.Millisecond)
+	for _, c := range []*caller{a, b, waits} {
+		assert.Equal(t, 504, c.hears(t).StatusCode)
+	}
+}
+
 func TestTheEndAbortsWhatIsStillOut(t *testing.T) {
 	f, core, addr := begin(t)
 	c := dial(t, addr)
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -70,11 +70,13 @@
 }
 
 // Serve takes connections until the listener is closed.
-func (f *Server) Serve(ln net.Listener) error {
+func (f *Server) Serve(ln net.Listener) {
+	f.done.Add(1)
+	defer f.done.Done()
 	for {
 		raw, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
 			// Out of descriptors, or a caller that left in the queue: the listener itself is sound.
