--- a/cmd/robincart/node_test.go
+++ b/cmd/robincart/node_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -211,6 +212,36 @@
 	p.exits(time.Second)
 }
 
+// The front goes on dealing out connections for up to 0.4 s, and callers use those that they have.
+func TestAStopUnderTrafficLosesNothing(t *testing.T) {
+	p, _ := serving(t, newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		io.WriteString(w, "well")
+	}))
+	until := time.Now().Add(700 * time.Millisecond)
+	var all sync.WaitGroup
+	var served, closed atomic.Int64
+	for range 8 {
+		all.Go(func() {
+			for time.Now().Before(until) {
+				r := p.ask("find", "")
+				if !assert.NoError(t, r.err) || !assert.Equal(t, 200, r.status) {
+					return
+				}
+				served.Add(1)
+				if r.closes {
+					closed.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	p.stop(2 * time.Second)
+	all.Wait()
+	assert.Greater(t, served.Load(), int64(80))
+	assert.Greater(t, closed.Load(), int64(40), "after the stop each answer closes its connection")
+}
+
 func TestAStopAbortsWhatIsStillOutBeforeItIsKilled(t *testing.T) {
 	p, _ := serving(t, newServer(t, func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
 	got := make(chan reply, 1)
