--- a/cmd/robincart/node_test.go
+++ b/cmd/robincart/node_test.go
@@ -76,6 +76,36 @@
 	}
 }
 
+// A server that takes in a little and breaks off has not had the last byte of a large request, but may have had that
+// of a small one.
+func TestWhatBreaksBeforeTheLastByteNeverRan(t *testing.T) {
+	narrow := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048)
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 600)
+		})
+	}}
+	ln, err := narrow.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	d := newDiscovery(t)
+	d.members["s0"] = listed("s0", ln.Addr().String(), "ready")
+	p := start(t, configuration(t, d, d.all()...))
+	assert.Equal(t, 503, p.ask("charge", strings.Repeat("x", 65536)).status, "it never ran: trying again is harmless")
+	assert.Equal(t, 504, p.ask("charge", "x").status, "it may have run")
+}
+
 func TestACallerThatLeavesEndsItsPickAtOnce(t *testing.T) {
 	left := make(chan time.Time, 1)
 	came := make(chan bool, 1)
