SIGHUP reads the configuration again and follows discovery to its new address

At fault: cmd/robincart/main.go caught SIGTERM and SIGINT only; registry.Watcher knew one address for life.

Now the signal is caught from the first moment on. The file's discovery, when it has changed, goes before EDGE_DISCOVERY. The watch moves at once, not after the module's pause, with since=0: another discovery may number otherwise. Calls that a move makes are not told to the module as failures while it still has to ask, since each word would start one more chain of asking. A file that can't be used is logged and changes nothing.

--- a/cmd/robincart/config.go
+++ b/cmd/robincart/config.go
@@ -1,14 +1,18 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 
+	"go.uber.org/zap"
+
 	"robincart/internal/limits"
 	"robincart/internal/registry"
 	"robincart/internal/settings"
@@ -24,6 +28,7 @@
 	Known     json.RawMessage `json:"known"`
 	Settings  json.RawMessage `json:"settings"`
 
+	file   string // the discovery that the file names
 	node   *settings.Node
 	list   *registry.List
 	limits limits.Limits
@@ -44,6 +49,7 @@
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	c.file = c.Discovery
 	for name, to := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen,
 		"EDGE_DISCOVERY": &c.Discovery} {
 		if v := getenv(name); v != "" {
@@ -74,6 +80,41 @@
 	return c, nil
 }
 
+// mover is what follows another discovery.
+type mover interface{ Move(addr string) }
+
+// reload reads the file again and returns the configuration in force. Of what has changed the discovery's
+// address is taken, and goes before EDGE_DISCOVERY, which is as old as the process; all else waits for a
+// restart. A file that can't be used changes nothing.
+func (c *config) reload(getenv func(string) string, w mover, log *zap.Logger) *config {
+	fresh, err := readConfig(getenv)
+	if err != nil {
+		log.Error("the new configuration can't be used; the old one stays", zap.Error(err))
+		return c
+	}
+	if _, _, err := net.SplitHostPort(fresh.file); err != nil && fresh.file != c.file {
+		log.Error("the new configuration can't be used; the old one stays", zap.Error(err))
+		return c
+	}
+	var waits []string
+	for name, same := range map[string]bool{
+		"name": fresh.Name == c.Name, "listen": fresh.Listen == c.Listen, "limits": fresh.Machine == c.Machine,
+		"settings": bytes.Equal(fresh.Settings, c.Settings)} {
+		if !same {
+			waits = append(waits, name)
+		}
+	}
+	slices.Sort(waits)
+	now := *c
+	if now.file = fresh.file; now.file != c.file {
+		now.Discovery = now.file
+		w.Move(now.Discovery)
+	}
+	log.Info("configuration read again", zap.String("discovery", now.Discovery),
+		zap.Strings("only after a restart", waits))
+	return &now
+}
+
 // seed is the start of the node's random numbers. The name counts too: two nodes started with one seed must
 // not choose alike.
 func (c *config) seed() int64 {
--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -26,7 +26,10 @@
 func main() {
 	// A log that nobody reads any more must not end the node; on sockets a broken pipe is only an error anyway.
 	signal.Ignore(syscall.SIGPIPE)
-	if err := run(); err != nil {
+	// Caught from the first moment on: uncaught, a SIGHUP would end the node and lose what it holds.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	if err := run(hup); err != nil {
 		fmt.Fprintln(os.Stderr, "robincart:", err)
 		os.Exit(1)
 	}
@@ -38,7 +41,7 @@
 func (c clock) Now() time.Duration                  { return time.Since(c.start) }
 func (c clock) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
 
-func run() error {
+func run(hup <-chan os.Signal) error {
 	c, err := readConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -80,7 +83,13 @@
 		zap.Int("servers", len(c.list.Members)), zap.Int("descriptors", l.Descriptors),
 		zap.Int64("memory", l.Memory))
 
-	<-term.Done()
+	for term.Err() == nil {
+		select {
+		case <-hup:
+			c = c.reload(os.Getenv, watcher, log)
+		case <-term.Done():
+		}
+	}
 	log.Info("stopping", zap.Int("open", core.Open()))
 	most, cancel := context.WithTimeout(context.Background(), l.StopMost)
 	defer cancel()
--- a/cmd/robincart/node_test.go
+++ b/cmd/robincart/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -190,6 +191,50 @@
 	assert.Equal(t, n, old.count())
 }
 
+// A SIGHUP used to end the node. EDGE_DISCOVERY, which start sets, names the old discovery all along.
+func TestANewConfigurationUnderTrafficMovesTheWatchAndLosesNothing(t *testing.T) {
+	old, fresh := newServer(t, says(200, "old")), newServer(t, says(200, "fresh"))
+	here, there := newDiscovery(t), newDiscovery(t)
+	here.members["s0"] = listed("s0", old.addr(), "ready")
+	there.revision, there.members["s1"] = 3, listed("s1", fresh.addr(), "ready")
+	config := configuration(t, here, here.all()...)
+	p := start(t, config)
+	require.Eventually(t, func() bool { return here.watching() == 1 }, 5*time.Second, 10*time.Millisecond)
+	ended := make(chan bool)
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+					r := p.ask("charge", "x")
+					assert.NoError(t, r.err)
+					assert.Equal(t, 200, r.status)
+				}
+			}
+		})
+	}
+	p.reload("{")
+	require.Eventually(t, func() bool { return strings.Contains(p.log.String(), "the old one stays") },
+		2*time.Second, 10*time.Millisecond)
+	assert.Equal(t, "old", p.ask("find", "").body)
+	config["discovery"], config["seed"], config["name"] = there.Listener.Addr().String(), "2", "n2"
+	text, _ := json.Marshal(config)
+	for range 5 {
+		p.reload(string(text))
+	}
+	require.Eventually(t, func() bool { return p.ask("find", "").body == "fresh" }, time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return here.open() == 0 && there.open() == 1 }, time.Second, 10*time.Millisecond)
+	assert.Contains(t, p.log.String(), `"only after a restart":["name"]`)
+	close(ended)
+	callers.Wait()
+	require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.exits(3 * time.Second)
+}
+
 func TestAnOldListAtTheStartCostsNoRequest(t *testing.T) {
 	gone := freeAddress(t)
 	good := newServer(t, says(200, "well"))
--- a/cmd/robincart/standins_test.go
+++ b/cmd/robincart/standins_test.go
@@ -97,6 +97,12 @@
 	return d.watches
 }
 
+func (d *discovery) open() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.changes)
+}
+
 func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.mu.Lock()
 	if d.down || r.URL.Path != "/registry/instances" {
@@ -188,7 +194,7 @@
 	t     *testing.T
 	cmd   *exec.Cmd
 	addr  string
-	log   *bytes.Buffer
+	log   *logged
 	ended chan error
 }
 
@@ -199,7 +205,25 @@
 	return ln.Addr().String()
 }
 
-func command(t *testing.T, config any) (*exec.Cmd, *bytes.Buffer) {
+// logged is what a program has written so far.
+type logged struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logged) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *logged) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+func command(t *testing.T, config any) (*exec.Cmd, *logged) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	text, err := json.Marshal(config)
 	require.NoError(t, err)
@@ -207,7 +231,7 @@
 		text = []byte(s)
 	}
 	require.NoError(t, os.WriteFile(path, text, 0o600))
-	cmd, log := exec.Command(os.Args[0]), &bytes.Buffer{}
+	cmd, log := exec.Command(os.Args[0]), &logged{}
 	cmd.Env = append(os.Environ(), "ROBINCART_TEST_PROGRAM=1", "EDGE_CONFIG="+path, "GORACE=atexit_sleep_ms=0")
 	cmd.Stderr = log
 	return cmd, log
@@ -226,6 +250,7 @@
 func start(t *testing.T, config map[string]any) *program {
 	p := &program{t: t, addr: config["listen"].(string), ended: make(chan error, 1)}
 	p.cmd, p.log = command(t, config)
+	p.cmd.Env = append(p.cmd.Env, "EDGE_DISCOVERY="+config["discovery"].(string))
 	require.NoError(t, p.cmd.Start())
 	go func() { p.ended <- p.cmd.Wait() }()
 	t.Cleanup(func() {
@@ -261,6 +286,17 @@
 	p.exits(within)
 }
 
+// reload replaces the configuration and tells the program.
+func (p *program) reload(text string) {
+	for _, e := range p.cmd.Env {
+		if path, ok := strings.CutPrefix(e, "EDGE_CONFIG="); ok {
+			require.NoError(p.t, os.WriteFile(path+".new", []byte(text), 0o600))
+			require.NoError(p.t, os.Rename(path+".new", path))
+		}
+	}
+	require.NoError(p.t, p.cmd.Process.Signal(syscall.SIGHUP))
+}
+
 func (p *program) exits(within time.Duration) {
 	p.t.Helper()
 	select {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -157,6 +157,59 @@
 	assert.Len(t, asked, 1)
 }
 
+// Another discovery numbers its lists by itself, and its first word must not wait for the module's pause.
+func TestADiscoveryThatHasMovedIsFollowedAtOnce(t *testing.T) {
+	fresh, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer fresh.Close()
+	ended := make(chan error, 1)
+	core, w, asked := watch(t, nothing, func(c net.Conn) {
+		io.WriteString(c, head+line(43, true, member1("a", "ready")))
+		go func() {
+			_, err := io.ReadAll(c)
+			ended <- err
+		}()
+	})
+	assert.Equal(t, "a", core.next(t).entries[0].ID)
+	<-asked
+	w.Move(fresh.Addr().String())
+	assert.NoError(t, <-ended, "the old watch and its descriptor are given back")
+	c, err := fresh.Accept()
+	require.NoError(t, err)
+	first, _ := bufio.NewReader(c).ReadString('\n')
+	assert.Contains(t, first, "since=0")
+	io.WriteString(c, head+line(7, false, member1("b", "ready")))
+	assert.Equal(t, "b", core.next(t).entries[0].ID)
+	c.Close()
+	assert.Equal(t, news{failed: true}, core.next(t), "the module asks again in its own time")
+	assert.Empty(t, core)
+}
+
+func TestMovesWhileDiscoveryIsDownMakeTheModuleAskNoOftener(t *testing.T) {
+	core, w, asked := watch(t, nothing, sayAndClose(head, line(42, true, member1("a", "ready"))), sayAndClose("no"))
+	core.next(t)
+	assert.Equal(t, news{failed: true}, core.next(t))
+	<-asked
+	here := w.addr
+	for range 3 {
+		w.Move(freeAddress(t))
+		time.Sleep(20 * time.Millisecond)
+	}
+	w.Move(here)
+	assert.Contains(t, <-asked, "since=0")
+	assert.Empty(t, core, "it was told once and has still to ask")
+	w.Ask()
+	assert.Equal(t, news{failed: true}, core.next(t))
+	assert.Empty(t, core)
+}
+
+func freeAddress(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
 func TestDiscoveryThatIsDownAtTheStartIsAFailure(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,30 +23,57 @@
 	ListFailed()
 }
 
-// Watcher keeps one watch at discovery, whenever the module asks for it.
+// Watcher keeps one watch at discovery, whenever the module asks for it and as soon as discovery has moved.
 type Watcher struct {
-	addr   string
 	zones  []string
 	limits limits.Limits
 	budget *limits.Budget
 	log    *zap.Logger
-	asked  chan struct{}
+	wake   chan struct{}
 
+	mu    sync.Mutex
+	addr  string
+	cut   context.CancelFunc // ends the watch that lasts
+	asked bool               // by the module, since the last watch ended
+	moved bool               // discovery has, and no watch of the new one has begun
+
+	// Run's alone.
 	core     Core
-	revision int64 // of the list held
-	failing  bool  // the last watch brought nothing, and that has been told
+	at       string // where the last watch went
+	revision int64  // of the list held, in the numbers of that discovery
+	failing  bool   // the last watch brought nothing, and that has been told
 }
 
 // New makes a Watcher; Run starts it.
 func New(addr string, zones []string, l limits.Limits, budget *limits.Budget, log *zap.Logger) *Watcher {
-	return &Watcher{addr: addr, zones: zones, limits: l, budget: budget, log: log,
-		asked: make(chan struct{}, 1)}
+	return &Watcher{addr: addr, at: addr, zones: zones, limits: l, budget: budget, log: log,
+		wake: make(chan struct{}, 1), cut: func() {}}
 }
 
 // Ask wants a watch; it never waits. While one lasts, that is enough.
 func (w *Watcher) Ask() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asked = true
+	w.ring()
+}
+
+// Move names another discovery. It is watched at once: the module's pauses spare a discovery that is overrun,
+// and this one has had no call yet. The list held stays until the new one tells.
+func (w *Watcher) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr == w.addr {
+		return
+	}
+	w.addr, w.moved = addr, true
+	w.cut()
+	w.ring()
+}
+
+func (w *Watcher) ring() {
 	select {
-	case w.asked <- struct{}{}:
+	case w.wake <- struct{}{}:
 	default:
 	}
 }
@@ -62,19 +90,57 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-w.asked:
+		case <-w.wake:
+		}
+		watch, wanted := w.begin(ctx)
+		if !wanted {
+			continue
 		}
-		err := w.follow(ctx)
+		err := w.follow(watch)
+		again := w.ended()
 		if ctx.Err() != nil {
 			return
 		}
 		if !w.failing {
 			w.log.Warn("no watch of the server list; the list stays", zap.Error(err),
-				zap.Int64("revision", w.revision))
+				zap.String("discovery", w.at), zap.Int64("revision", w.revision))
 		}
 		w.failing = true
-		w.core.ListFailed()
+		if again {
+			w.core.ListFailed()
+		}
+	}
+}
+
+// begin prepares a watch, if the module or a move wants one.
+func (w *Watcher) begin(ctx context.Context) (watch context.Context, wanted bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.asked && !w.moved {
+		return nil, false
+	}
+	w.moved = false
+	if w.at != w.addr {
+		// Another discovery may number otherwise: by the old one's numbers its news would look old.
+		w.at, w.revision, w.failing = w.addr, 0, false
+		w.log.Info("discovery has moved", zap.String("discovery", w.at))
+	}
+	watch, w.cut = context.WithCancel(ctx)
+	return watch, true
+}
+
+// ended tells whether the module has to hear that a watch has ended. It answers that by asking again later, so
+// it hears nothing while it is still to ask (a second word would make it ask twice a turn from then on), nor
+// while a new discovery is watched at once.
+func (w *Watcher) ended() (tell bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut()
+	if w.moved {
+		return false
 	}
+	tell, w.asked = w.asked, false
+	return tell
 }
 
 // follow is the life of one watch.
@@ -84,16 +150,16 @@
 	}
 	defer w.budget.Give()
 	dialer := net.Dialer{Timeout: w.limits.ListConnect, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", w.addr)
+	c, err := dialer.DialContext(ctx, "tcp", w.at)
 	if err != nil {
 		return fmt.Errorf("reaching discovery: %w", err)
 	}
 	defer c.Close()
-	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })()
+	defer context.AfterFunc(ctx, func() { c.Close() })()
 
 	c.SetDeadline(time.Now().Add(w.limits.ListAnswer))
 	if _, err := fmt.Fprintf(c, "GET %s?%s=1&%s=%d HTTP/1.1\r\nHost: %s\r\n\r\n", httpwire.PathList,
-		httpwire.QueryWatch, httpwire.QuerySince, w.revision, w.addr); err != nil {
+		httpwire.QueryWatch, httpwire.QuerySince, w.revision, w.at); err != nil {
 		return fmt.Errorf("asking discovery: %w", err)
 	}
 	r := httpwire.NewReader(c, w.limits.Wire)
@@ -108,6 +174,9 @@
 	lines.Buffer(make([]byte, 0, w.limits.Wire.Buffer), w.limits.ListBytes)
 	news := false
 	for lines.Scan() {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
 			list, err := Parse(line)
 			if err != nil {
@@ -116,14 +185,12 @@
 			w.take(list)
 			if !news {
 				news, w.failing = true, false
-				w.log.Info("watching the server list", zap.Int64("revision", w.revision))
+				w.log.Info("watching the server list", zap.String("discovery", w.at),
+					zap.Bool("whole", list.Complete), zap.Int64("revision", w.revision))
 			}
 		}
 		// A discovery that was cut off says nothing; one that lives sends an empty line every other second.
-		c.SetDeadline(time.Now().Add(w.limits.ListSilence))
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
+		c.SetReadDeadline(time.Now().Add(w.limits.ListSilence))
 	}
 	if err := lines.Err(); err != nil {
 		return fmt.Errorf("watching discovery: %w", err)
