--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -93,13 +93,9 @@
 	log.Info("stopping", zap.Int("open", core.Open()))
 	most, cancel := context.WithTimeout(context.Background(), l.StopMost)
 	defer cancel()
-	began := clk.Now()
-	front.Stop(began + l.StopMost)
+	front.Stop()
 	time.Sleep(l.StopTaking)
 	ln.Close()
-	for clk.Now() < began+l.StopKeep && !front.Empty() {
-		time.Sleep(l.LastLook)
-	}
 	if err := front.Drain(most); err != nil {
 		log.Warn("stopped before all was answered", zap.Error(err))
 	}
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -71,11 +71,7 @@
 	}
 	defer f.end()
 
-	deadline := came + q.Left
-	if last, stopping := f.stopping(); stopping {
-		deadline = min(deadline, last)
-	}
-	rpc := f.core.Arrived(method, tenant, deadline, q.SecondTry)
+	rpc := f.core.Arrived(method, tenant, came+q.Left, q.SecondTry)
 	gone, release := c.watch()
 	for {
 		select {
@@ -128,7 +124,7 @@
 		switch {
 		case q.Verb != "GET" && q.Verb != "HEAD":
 			return 0, 0, &httpwire.Answer{Status: 405, Allow: "GET"}
-		case f.last.Load() != 0:
+		case f.stopping.Load():
 			return 0, 0, &httpwire.Answer{Status: 503}
 		}
 		return 0, 0, &httpwire.Answer{Status: 200}
@@ -198,7 +194,7 @@
 
 // answer writes a request's one answer.
 func (c *conn) answer(q *httpwire.Request, a *httpwire.Answer) bool {
-	a.Close = a.Close || q.Close || c.last || c.server.drained.Load()
+	a.Close = a.Close || q.Close || c.last || c.server.stopping.Load()
 	return c.write(a, q.Verb == "HEAD") && !a.Close
 }
 
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -261,7 +261,7 @@
 	io.WriteString(half, "GET /fi")
 	time.Sleep(30 * time.Millisecond)
 	waits.ask()
-	f.Stop(time.Hour)
+	f.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
 	began := time.Now()
@@ -277,7 +277,7 @@
 	c := dial(t, addr)
 	c.ask()
 	r := <-core.came
-	f.Stop(time.Hour)
+	f.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	assert.Error(t, f.Drain(ctx))
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -45,12 +45,12 @@
 	tenants  map[string]int
 
 	full     bool // no further connection is taken; known to Serve alone
-	last     atomic.Int64 // once stopping: when the last answer has to be given, on the core's clock
+	stopping atomic.Bool
 	making   atomic.Int64  // requests
 	halt     chan struct{} // closed when what is still out has to be aborted
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
-	drained  atomic.Bool // no connection is kept past its answer from now on
+	drained  bool // idle connections are closed from now on
 	done     sync.WaitGroup
 }
 
@@ -158,29 +158,15 @@
 	return true
 }
 
-// Stop begins the end, with the last answers due then on the core's clock. What comes is still served, by the
-// module's word on whether that can be in time: callers keep their connections, and where no other node is
-// there, one closed early is a caller turned away.
-func (f *Server) Stop(last time.Duration) { f.last.Store(int64(last)) }
-
-// stopping tells whether Stop was called, and until when answers can be given.
-func (f *Server) stopping() (last time.Duration, yes bool) {
-	last = time.Duration(f.last.Load())
-	return last, last != 0
-}
-
-// Empty tells that no caller is connected.
-func (f *Server) Empty() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.conns) == 0
-}
+// Stop begins the end: answers now close their connections. New ones go on being taken, since the front that
+// deals them out learns of the stop only later.
+func (f *Server) Stop() { f.stopping.Store(true) }
 
 // Drain closes idle connections, and those in use as they fall idle, and waits for the last. When the context
 // ends what is still out is aborted: the end by force would leave it with no answer at all.
 func (f *Server) Drain(ctx context.Context) error {
 	f.mu.Lock()
-	f.drained.Store(true)
+	f.drained = true
 	for c := range f.conns {
 		if c.resting {
 			c.SetReadDeadline(time.Unix(1, 0))
@@ -219,7 +205,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.resting, c.since = true, time.Now()
-	return c.ending || f.drained.Load()
+	return c.ending || f.drained
 }
 
 func (f *Server) busy(c *conn) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -48,7 +48,6 @@
 	ListSilence time.Duration // between lines: an empty one comes every 2 s
 
 	StopTaking time.Duration // after SIGTERM new connections may come for as long
-	StopKeep   time.Duration // after SIGTERM callers' connections are kept for as long
 	StopMost   time.Duration // after SIGTERM what is still out is aborted
 	StopWrite  time.Duration // for the last answers
 }
@@ -127,6 +126,5 @@
 		longest = max(longest, m.Deadline)
 	}
 	l.StopMost = min(settings.Millis(longest*1000), stopLongest) + stopSpare
-	l.StopKeep = l.StopMost * 2 / 3 // the rest is for what is out by then
 	return l, nil
 }
