A request whose id is open or ended lately is turned away with 409, never sent

Ruled out: the node's own limits (requests in the making stayed under 40 of 160), CPU (0.08 of 0.25 s), descriptors for servers.

At fault: internal/frontend/conn.go took any id.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -66,6 +66,11 @@
 	if bad != nil {
 		return c.answer(q, bad)
 	}
+	id, fresh := f.ids.begin(q.Trace)
+	if !fresh {
+		return c.answer(q, &httpwire.Answer{Status: 409, Close: true})
+	}
+	defer func() { f.ids.end(id, f.now()) }()
 	if !f.begin() {
 		return c.answer(q, &httpwire.Answer{Status: 503, RetryAfter: f.limits.ComeBack, Close: true})
 	}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -41,6 +41,7 @@
 	picks    Picks
 	now      func() time.Duration // the core's clock
 	log      *zap.Logger
+	ids      *ids
 	methods  map[string]int
 	tenants  map[string]int
 
@@ -59,7 +60,7 @@
 	now func() time.Duration, log *zap.Logger) *Server {
 	f := &Server{settings: s, limits: l, budget: budget, core: core, picks: picks, now: now, log: log,
 		methods: map[string]int{}, tenants: map[string]int{}, conns: map[*conn]struct{}{},
-		halt: make(chan struct{})}
+		halt: make(chan struct{}), ids: newIDs(l.IDLife, l.IDs)}
 	for i, name := range s.MethodNames {
 		f.methods[name] = i
 	}
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -206,7 +206,7 @@
 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	408: "Request Timeout", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
 	500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout"}
 
 // Answer is what a node says to a caller.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -38,6 +38,8 @@
 	CallerWrite  time.Duration // for an answer
 	CallerLinger time.Duration // for what follows a request that could not be read
 	MostLeft     time.Duration // that a caller may say it waits
+	IDLife       time.Duration // that the id of an ended request is known
+	IDs          int           // known of those at most, twice
 
 	Connect    time.Duration // to a server
 	ServerIdle time.Duration // after which a server's connection is closed
@@ -94,6 +96,7 @@
 		CallerWrite:  2 * time.Second,
 		CallerLinger: 300 * time.Millisecond,
 		MostLeft:     time.Hour,
+		IDs:          16 << 10,
 		Connect:      time.Second,
 		ServerIdle:   20 * time.Second,
 		Sweep:        500 * time.Millisecond,
@@ -125,6 +128,7 @@
 	for _, m := range s.Methods {
 		longest = max(longest, m.Deadline)
 	}
+	l.IDLife = settings.Millis(longest * 1000) // no server knows a request for longer
 	l.StopMost = min(settings.Millis(longest*1000), stopLongest) + stopSpare
 	return l, nil
 }
