Servers that have left are forgotten, in the core and the module; memory settles at once

Seen by reading: Core.servers, Core.names and Balancer.servers kept every id there has been, each with its entries, and every pick walked over them. Now a server that is gone with nothing out is dropped from all three at the next news.

--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -56,7 +56,7 @@
 	l := c.limits
 	runtime.GOMAXPROCS(l.Cores)
 	debug.SetMemoryLimit(l.Memory)
-	debug.SetGCPercent(400) // little lives long here: collecting rarely costs a few MB and saves the one core
+	debug.SetGCPercent(100) // little lives long here; a higher one would let memory grow for minutes to its first collection
 
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,6 +13,7 @@
 	"math"
 	"math/bits"
 	"math/rand"
+	"slices"
 )
 
 const (
@@ -99,7 +100,6 @@
 
 type server struct {
 	state        State
-	known        bool
 	zone, cell   int
 	weight       float64
 	cameUp       float64
@@ -230,8 +230,7 @@
 	b.watchBackoff = 0
 	for _, l := range list {
 		s := l.Server
-		if !s.known {
-			s.known = true
+		if s.entries == nil {
 			s.entries = make([]entry, len(b.rows))
 			b.servers = append(b.servers, s)
 			b.restart(s, now)
@@ -242,7 +241,7 @@
 		s.seen = b.list
 	}
 	b.ready, b.weight = 0, 0
-	for _, s := range b.servers {
+	b.servers = slices.DeleteFunc(b.servers, func(s *Server) bool {
 		if full && s.seen != b.list {
 			s.state = Gone
 		}
@@ -250,7 +249,15 @@
 			b.ready++
 			b.weight += s.weight
 		}
-	}
+		// What has left and has nothing out is forgotten: a day of deploys would else fill the memory and
+		// lengthen each pick's walk over the servers.
+		left := s.state == Gone && len(s.pending) == 0
+		if left {
+			b.restart(s, now)
+			s.entries = nil
+		}
+		return left
+	})
 	b.weight /= float64(max(1, b.ready))
 	if b.room == 0 {
 		b.room, b.base, b.baseAt = 5*b.leastRoom(), goal, b.host.Now()
@@ -499,12 +506,7 @@
 
 // met tells whether a server has had a pick of the RPC, or has one out.
 func (r *RPC) met(s *Server, out bool) bool {
-	for _, p := range r.picks {
-		if p.Server == s && (p.out || !out) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.picks, func(p *Pick) bool { return p.Server == s && (p.out || !out) })
 }
 
 // estimate is the time-to-go of an RPC at a server.
@@ -719,12 +721,7 @@
 	p.out = false
 	r.out--
 	b.out--
-	for i, o := range s.pending {
-		if o == p {
-			s.pending = append(s.pending[:i], s.pending[i+1:]...)
-			break
-		}
-	}
+	s.pending = slices.DeleteFunc(s.pending, func(o *Pick) bool { return o == p })
 	if load != nil && load.Queue >= 0 {
 		s.queue, s.qTime = load.Queue, now
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -420,3 +420,31 @@
 	assert.True(t, slow.out)
 	assert.Len(t, h.sent, before, "the copy would only double the work of a long RPC")
 }
+
+// Under deploys all day the servers that have left must cost neither memory nor a walk over them.
+func TestServersThatHaveLeftAreForgottenOnceNothingOfThemIsOut(t *testing.T) {
+	h, s := story(2, nil)
+	for range 200 {
+		h.arrive(lookup)
+		out := h.last()
+		next := []*Server{{}, {}}
+		h.b.Listed([]Listing{ready(next[0], 0), ready(next[1], 1)}, true)
+		assert.Contains(t, h.b.servers, out.Server, "its pick is still out")
+		assert.LessOrEqual(t, len(h.b.servers), 4)
+		h.until(h.now + 0.3)
+		h.done(out, OK)
+		h.warmUp(4, always(0.3))
+		s = next
+	}
+	h.b.Listed(nil, false)
+	assert.ElementsMatch(t, s, h.b.servers)
+	kept := 0
+	for _, r := range h.b.rows {
+		kept += r.n
+	}
+	assert.LessOrEqual(t, kept, len(s)*len(h.b.rows), "nor do their entries count in the means")
+	h.b.Listed([]Listing{{Server: s[0], State: Gone, Weight: 1}}, false)
+	h.b.Listed([]Listing{ready(s[0], 0)}, false)
+	assert.Len(t, h.b.servers, 2, "one that comes back starts anew")
+	h.warmUp(9, always(0.3))
+}
--- a/decide/host.go
+++ b/decide/host.go
@@ -120,7 +120,7 @@
 	Queue float64
 }
 
-// Server is one server of the tier below. It lives as long as the instance.
+// Server is one server of the tier below. One that has gone and has no pick out is forgotten.
 type Server struct {
 	server
 }
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -33,6 +33,7 @@
 	k.Context, k.cancel = context.WithCancel(context.Background())
 	c.picks[p] = k
 	r.out++
+	k.Server.out++
 	r.Orders <- Order{Kind: Send, Pick: k}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,7 @@
 	addr  string
 	state decide.State
 	seen  int
+	out   int // picks
 }
 
 // Entry is one line of the server list.
@@ -144,14 +145,17 @@
 		list = append(list, decide.Listing{Server: s.obj, State: e.State, Zone: e.Zone, Cell: e.Cell,
 			Weight: e.Weight, CameUp: up})
 	}
-	if full {
-		for _, s := range c.servers {
-			if s.seen != c.lists {
-				s.state = decide.Gone
-			}
+	c.balancer.Listed(list, full)
+	for id, s := range c.servers {
+		if full && s.seen != c.lists {
+			s.state = decide.Gone
+		}
+		// As the module does: under deploys all day the maps would else grow with every id there has been.
+		if s.state == decide.Gone && s.out == 0 {
+			delete(c.servers, id)
+			delete(c.names, s.obj)
 		}
 	}
-	c.balancer.Listed(list, full)
 }
 
 // ListFailed tells that a watch has ended or never began.
@@ -212,6 +216,7 @@
 		return
 	}
 	delete(c.picks, p.obj)
+	p.Server.out--
 	r := p.rpc
 	r.out--
 	if p.canceled && res != decide.OK && res != decide.Full && res != decide.Failed {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"sort"
 	"testing"
 	"time"
@@ -276,3 +277,22 @@
 	s.clock.now += 4 * time.Second
 	assert.False(t, s.Begin(p))
 }
+
+func TestServersThatHaveLeftAreForgotten(t *testing.T) {
+	s := begin(t, nil)
+	for i := range 500 {
+		s.list(fmt.Sprint("a", i), fmt.Sprint("b", i))
+		r := s.arrive(find)
+		p := next(t, r).Pick
+		s.list(fmt.Sprint("a", i+1), fmt.Sprint("b", i+1))
+		_, ready := s.Address(p.Server)
+		assert.False(t, ready)
+		s.clock.until(s.clock.now + 100*time.Millisecond)
+		s.Done(p, decide.OK, &Answer{})
+		assert.LessOrEqual(t, len(s.servers), 3)
+		assert.Len(t, s.names, len(s.servers))
+	}
+	s.Listed([]Entry{entry("a500", decide.Gone), entry("never seen", decide.Gone)}, false)
+	assert.Len(t, s.servers, 1)
+	assert.Len(t, s.names, 1)
+}
