Hostile callers are rid of within 2.5 s of connecting and cost little of the core

Now a connection's first request is due 2.5 s after the connect, linger takes 256 KB at most, all connections idle for 2 s give way at once when the limit is reached, and the log tells of a crowd once.

--- a/cmd/robincart/node_test.go
+++ b/cmd/robincart/node_test.go
@@ -439,6 +439,46 @@
 	assert.True(t, strings.HasPrefix(string(text), "HTTP/1.1 408 "), "%q", text)
 }
 
+// Each is owed an answer or a close within 3 s of connecting, and the usual callers are served meanwhile.
+func TestHostileCallersAreRidOfInTime(t *testing.T) {
+	t.Parallel()
+	p, _ := serving(t, newServer(t, says(200, "well")))
+	began := time.Now()
+	ends := func(c net.Conn, says string) {
+		c.SetReadDeadline(began.Add(3 * time.Second))
+		text, err := io.ReadAll(c)
+		assert.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+		assert.Contains(t, string(text), says)
+		c.Close()
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", p.addr)
+		require.NoError(t, err)
+		return c
+	}
+	var all sync.WaitGroup
+	silent, late := dial(), dial()
+	all.Go(func() { ends(silent, "") })
+	all.Go(func() {
+		time.Sleep(1500 * time.Millisecond)
+		io.WriteString(late, "GET /find HTT")
+		ends(late, " 408 ")
+	})
+	huge, sent := dial(), 0
+	io.WriteString(huge, raw("POST /charge", "charge", "Content-Length: 62914560"))
+	huge.SetWriteDeadline(began.Add(3 * time.Second))
+	for block := make([]byte, 1<<20); sent < 60; sent++ {
+		if _, err := huge.Write(block); err != nil {
+			assert.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+			break
+		}
+	}
+	assert.Less(t, sent, 30, "taking it all in would cost the usual callers the core")
+	huge.Close()
+	assert.Equal(t, 200, p.ask("charge", "x").status)
+	all.Wait()
+}
+
 func TestBadConfigurationIsOnePlainMessage(t *testing.T) {
 	d := newDiscovery(t)
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -17,6 +17,8 @@
 	net.Conn
 	server *Server
 	reader *httpwire.Reader
+	born   time.Time
+	asked  bool // a first request has come
 	last   bool // its next answer is its last
 
 	// Guarded by the server's mutex.
@@ -35,7 +37,11 @@
 // end, is looked at once more: closed with a request in it, it would lose that.
 func (c *conn) next() bool {
 	f := c.server
-	c.SetReadDeadline(time.Now().Add(f.limits.CallerIdle))
+	if c.asked {
+		c.SetReadDeadline(time.Now().Add(f.limits.CallerIdle))
+	} else {
+		c.SetReadDeadline(c.born.Add(f.limits.CallerRead)) // against those that connect and say nothing
+	}
 	if !f.rest(c) {
 		err := c.reader.First()
 		if err == nil {
@@ -57,7 +63,12 @@
 func (c *conn) request() bool {
 	f := c.server
 	came := f.now() // the caller's time runs since it sent the request, so not from the last byte on
-	c.SetReadDeadline(time.Now().Add(f.limits.CallerRead))
+	begun := time.Now()
+	if !c.asked {
+		begun = c.born // one who says nothing, then half a request, has no more time than others
+	}
+	c.asked = true
+	c.SetReadDeadline(begun.Add(f.limits.CallerRead))
 	q, err := c.reader.ReadRequest()
 	if err != nil {
 		return c.unread(err)
@@ -194,7 +205,7 @@
 		half.CloseWrite()
 	}
 	c.SetReadDeadline(time.Now().Add(c.server.limits.CallerLinger))
-	c.reader.Discard()
+	c.reader.Discard(c.server.limits.LingerBytes)
 }
 
 // answer writes a request's one answer.
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -71,7 +71,7 @@
 	return limits.Limits{Callers: 2, Refused: 1, Wire: httpwire.Sizes{Buffer: 256, Read: 64, Head: 4096, Body: 4096, Chunk: 64},
 		CallerIdle: 5 * time.Second, CallerRest: 20 * time.Millisecond, LastLook: 5 * time.Millisecond,
 		CallerRead: 100 * time.Millisecond, ComeBack: 500 * time.Millisecond, CallerWrite: time.Second,
-		CallerLinger: 500 * time.Millisecond, MostLeft: time.Hour, IDLife: time.Minute, IDs: 99, StopWrite: 50 * time.Millisecond}
+		CallerLinger: 500 * time.Millisecond, LingerBytes: 1 << 16, CallerLong: time.Second, MostLeft: time.Hour, IDLife: time.Minute, IDs: 99, StopWrite: 50 * time.Millisecond}
 }
 
 // begin serves on a socket until the test ends; then nothing may be left.
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -97,7 +97,7 @@
 		f.closeIdle()
 		time.Sleep(f.limits.LastLook)
 	}
-	c := &conn{Conn: raw, server: f}
+	c := &conn{Conn: raw, server: f, born: time.Now()}
 	c.reader = httpwire.NewReader(raw, f.limits.Wire)
 	f.mu.Lock()
 	f.conns[c] = struct{}{}
@@ -120,12 +120,13 @@
 	f.mu.Lock()
 	n := len(f.conns)
 	f.mu.Unlock()
-	full := n >= f.limits.Callers+f.limits.Refused
-	if full != f.full {
-		f.full = full
-		f.log.Warn("the limit of callers' connections", zap.Bool("reached", full), zap.Int("connections", n))
+	most := f.limits.Callers + f.limits.Refused
+	// The log tells of a crowd once, not of each connection that comes and goes at the limit.
+	if crowd := n >= most || f.full && n > most/2; crowd != f.full {
+		f.full = crowd
+		f.log.Warn("the limit of callers' connections", zap.Bool("reached", crowd), zap.Int("connections", n))
 	}
-	return !full
+	return n < most
 }
 
 // begin counts a request in, unless as many are in the making as the node has descriptors for; end counts it
@@ -140,23 +141,30 @@
 
 func (f *Server) end() { f.making.Add(-1) }
 
-// closeIdle ends the connection that has stood longest between requests; its caller opens another when it
-// needs one. One that has only just come may have its request on the way.
-func (f *Server) closeIdle() bool {
+// closeIdle ends the connections that have stood idle for long, and the one that has stood longest if there are
+// none: their callers open others when they need them. One that has only just come may have its request on
+// the way. All of the long idle at once, since a usual caller waits behind hundreds that connect and say nothing.
+func (f *Server) closeIdle() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
+	end := func(c *conn) {
+		c.ending = true
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
 	var oldest *conn
 	for c := range f.conns {
-		if c.resting && !c.ending && (oldest == nil || c.since.Before(oldest.since)) {
+		switch {
+		case !c.resting || c.ending:
+		case now.Sub(c.since) >= f.limits.CallerLong:
+			end(c)
+		case oldest == nil || c.since.Before(oldest.since):
 			oldest = c
 		}
 	}
-	if oldest == nil || time.Since(oldest.since) < f.limits.CallerRest {
-		return false
+	if oldest != nil && now.Sub(oldest.since) >= f.limits.CallerRest {
+		end(oldest)
 	}
-	oldest.ending = true
-	oldest.SetReadDeadline(time.Unix(1, 0))
-	return true
 }
 
 // Stop begins the end: answers now close their connections. New ones go on being taken, since the front that
--- a/internal/httpwire/reader.go
+++ b/internal/httpwire/reader.go
@@ -62,11 +62,12 @@
 	return r.fill(r.sizes.Read)
 }
 
-// Discard reads until the connection ends, or its deadline.
-func (r *Reader) Discard() {
-	r.buf, r.n = nil, 0
-	for r.fill(r.sizes.Buffer) == nil {
-		r.n = 0
+// Discard reads until the connection ends, its deadline comes, or that many bytes have come: a body without end,
+// sent at full speed, would take the core from all others.
+func (r *Reader) Discard(most int) {
+	r.buf = nil
+	for r.n = 0; most > 0 && r.fill(r.sizes.Buffer) == nil; r.n = 0 {
+		most -= r.n
 	}
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -32,11 +32,13 @@
 	TakeAgain    time.Duration // after a connection could not be taken
 	CallerIdle   time.Duration // between requests
 	CallerRest   time.Duration // between requests before a connection may give way to another
+	CallerLong   time.Duration // between requests before it does as soon as one is needed
 	LastLook     time.Duration // at a connection that ends, for a request that crossed
-	CallerRead   time.Duration // from a request's first byte to its last
+	CallerRead   time.Duration // from a request's first byte, or the connect, to its last
 	ComeBack     time.Duration // what a caller is told when the node is full
 	CallerWrite  time.Duration // for an answer
 	CallerLinger time.Duration // for what follows a request that could not be read
+	LingerBytes  int           // of that
 	MostLeft     time.Duration // that a caller may say it waits
 	IDLife       time.Duration // that the id of an ended request is known
 	IDs          int           // known of those at most, twice
@@ -90,11 +92,13 @@
 		TakeAgain:    5 * time.Millisecond,
 		CallerIdle:   90 * time.Second,
 		CallerRest:   100 * time.Millisecond,
+		CallerLong:   2 * time.Second,
 		LastLook:     5 * time.Millisecond,
-		CallerRead:   5 * time.Second,
+		CallerRead:   2500 * time.Millisecond,
 		ComeBack:     500 * time.Millisecond,
 		CallerWrite:  2 * time.Second,
 		CallerLinger: 300 * time.Millisecond,
+		LingerBytes:  256 << 10,
 		MostLeft:     time.Hour,
 		IDs:          16 << 10,
 		Connect:      time.Second,
