Spoilt or stalled answers are failures at once; idle server connections are used for less after a reset

Logged: the idle age of each reused connection against its pick's end. Now a reset halves the idle time used, and it doubles again every 10 s without one.

Also: an answer whose head or body stops on an open connection held its RPC to the time-out, and a spoilt one was a Reset, by which the module takes a whole zone for lost; both are now Failed. An empty or repeated Transfer-Encoding is refused.

--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -148,14 +148,20 @@
 }
 
 // ReadResponse reads one answer. One whose end only the end of its connection tells is refused: a server that
-// died in it would look like one that had finished.
-func (r *Reader) ReadResponse() (*Response, error) {
+// died in it would look like one that had finished. It tells when an answer has begun, and when that was only
+// one ahead of another.
+func (r *Reader) ReadResponse(begun func(bool)) (*Response, error) {
 	for {
+		if err := r.First(); err != nil {
+			return nil, err
+		}
+		begun(true)
 		head, status, err := r.readStatus()
 		if err != nil {
 			return nil, err
 		}
 		if status >= 100 && status < 200 && status != 101 {
+			begun(false)
 			continue
 		}
 		p := &Response{Status: status, Close: strings.HasPrefix(head.Line, "HTTP/1.0") ||
@@ -239,6 +245,11 @@
 	return append(length(to, len(a.Body)), "\r\n"...)
 }
 
+// Spoilt tells what could not be read as a message from a connection that failed.
+func Spoilt(err error) bool {
+	return errors.Is(err, ErrMalformed) || errors.Is(err, ErrHeadLarge) || errors.Is(err, ErrBodyLarge)
+}
+
 // Refusal is the answer to what could not be read as a request, and false if the connection itself failed.
 func Refusal(err error) (Answer, bool) {
 	a := Answer{Status: 400, Close: true}
--- a/internal/httpwire/reader.go
+++ b/internal/httpwire/reader.go
@@ -242,12 +242,14 @@
 		return 0, false, err
 	}
 	cl, err := one(h, headerLength)
+	n := len(h[headerEncoding])
 	switch {
 	case err != nil:
 		return 0, false, err
-	case te != "" && (len(h[headerLength]) > 0 || !strings.EqualFold(te, "chunked")):
+	// An empty or a repeated one counts, too: whoever reads it otherwise finds another request in the body.
+	case n > 0 && (n > 1 || len(h[headerLength]) > 0 || !strings.EqualFold(te, "chunked")):
 		return 0, false, fmt.Errorf("%w: contradictory or unknown framing", ErrMalformed)
-	case te != "":
+	case n > 0:
 		return 0, true, nil
 	case len(h[headerLength]) == 0:
 		return -1, false, nil
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -44,7 +44,10 @@
 	IDs          int           // known of those at most, twice
 
 	Connect    time.Duration // to a server
+	AnswerRest time.Duration // from an answer's first byte to its last
 	ServerIdle time.Duration // after which a server's connection is closed
+	IdleLeast  time.Duration // that an idle connection is used after, however many were reset
+	Regain     time.Duration // without a reset on an idle one, and the time they are used after doubles
 	Sweep      time.Duration // between looks at the idle ones
 
 	ListConnect time.Duration
@@ -102,7 +105,10 @@
 		MostLeft:     time.Hour,
 		IDs:          16 << 10,
 		Connect:      time.Second,
+		AnswerRest:   500 * time.Millisecond,
 		ServerIdle:   20 * time.Second,
+		IdleLeast:    25 * time.Millisecond,
+		Regain:       10 * time.Second,
 		Sweep:        500 * time.Millisecond,
 		ListConnect:  1500 * time.Millisecond,
 		ListAnswer:   6 * time.Second,
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"time"
 
 	"robincart/decide"
@@ -49,9 +50,13 @@
 		return decide.Ignored, nil
 	}
 
+	c.SetDeadline(time.Time{}) // the last exchange's
 	// A pick given up closes its connection: whatever waits on it returns at once.
 	release := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	res, answer, whole := p.talk(ctx, c, pick, q)
+	if res == decide.Reset && c.rested > 0 {
+		p.gaveUp(c.rested)
+	}
 	if !release() || !whole {
 		p.close(c)
 	} else {
@@ -72,8 +77,21 @@
 	if _, err := msg.WriteTo(c.Conn); err != nil {
 		return p.broken(ctx, decide.ConnectFailed), nil, false
 	}
-	r, err := c.reader.ReadResponse()
-	if err != nil {
+	// Once an answer has begun its rest is due soon: one that is cut short on a connection that stays open, or whose
+	// head does not end, would else hold its RPC until there is no time for another pick.
+	r, err := c.reader.ReadResponse(func(begun bool) {
+		until := time.Time{}
+		if begun {
+			until = time.Now().Add(p.limits.AnswerRest)
+		}
+		if c.SetReadDeadline(until); ctx.Err() != nil {
+			c.SetDeadline(time.Unix(1, 0)) // given up just now: that deadline must not be put off
+		}
+	})
+	switch {
+	case err != nil && ctx.Err() == nil && (httpwire.Spoilt(err) || errors.Is(err, os.ErrDeadlineExceeded)):
+		return decide.Failed, nil, false // by a process that lives, so no Reset
+	case err != nil:
 		return p.broken(ctx, decide.Reset), nil, false
 	}
 	whole = !r.Close && !c.reader.Beyond()
