Connections that have brought no whole request give way at once when places are full

At fault: closeIdle in frontend/server.go never chose a connection in the middle of a request's head and ended silent ones one each 5 ms; usual callers waited in the listen queue up to the 2.5 s that half a request may take.

--- a/cmd/robincart/node_test.go
+++ b/cmd/robincart/node_test.go
@@ -439,6 +439,27 @@
 	assert.True(t, strings.HasPrefix(string(text), "HTTP/1.1 408 "), "%q", text)
 }
 
+// Connections that bring no whole request must give way: usual callers wait in the listener's queue behind them.
+func TestACallerIsServedBehindAFloodOfHalfRequestsAndSilence(t *testing.T) {
+	s := newServer(t, says(200, "well"))
+	d := newDiscovery(t)
+	d.members["s0"] = listed("s0", s.addr(), "ready")
+	config := configuration(t, d, d.all()...)
+	config["limits"] = map[string]any{"cores": 1, "memory_mb": 64, "sockets": 64}
+	p := start(t, config)
+	for i := range 200 {
+		c, err := net.Dial("tcp", p.addr)
+		require.NoError(t, err)
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, "GET /find HTT")
+		}
+	}
+	r := p.ask("charge", "x")
+	assert.Equal(t, 200, r.status)
+	assert.Less(t, r.took, 1500*time.Millisecond)
+}
+
 // Each is owed an answer or a close within 3 s of connecting, and the usual callers are served meanwhile.
 func TestHostileCallersAreRidOfInTime(t *testing.T) {
 	t.Parallel()
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -18,12 +18,12 @@
 	server *Server
 	reader *httpwire.Reader
 	born   time.Time
-	asked  bool // a first request has come
 	last   bool // its next answer is its last
 
 	// Guarded by the server's mutex.
 	resting bool // between requests
 	since   time.Time
+	asked   bool // a first request has come whole; written by the connection's goroutine alone
 	ending  bool // chosen to end
 }
 
@@ -67,12 +67,12 @@
 	if !c.asked {
 		begun = c.born // one who says nothing, then half a request, has no more time than others
 	}
-	c.asked = true
 	c.SetReadDeadline(begun.Add(f.limits.CallerRead))
 	q, err := c.reader.ReadRequest()
 	if err != nil {
 		return c.unread(err)
 	}
+	f.asked(c)
 	method, tenant, bad := f.check(q)
 	if bad != nil {
 		return c.answer(q, bad)
@@ -192,8 +192,9 @@
 		a, ok = httpwire.Answer{Status: 408, Close: true}, true
 	}
 	if ok {
-		c.write(&a, false)
-		c.linger()
+		if c.write(&a, false); a.Status != 408 { // else there is nothing to take in
+			c.linger()
+		}
 	}
 	return false
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -141,9 +141,10 @@
 
 func (f *Server) end() { f.making.Add(-1) }
 
-// closeIdle ends the connections that have stood idle for long, and the one that has stood longest if there are
-// none: their callers open others when they need them. One that has only just come may have its request on
-// the way. All of the long idle at once, since a usual caller waits behind hundreds that connect and say nothing.
+// closeIdle ends the connections that have not brought a whole request yet or have stood idle for long, and the
+// one that has stood longest: their callers open others when they need them. One that has only just come may have
+// its request on the way. All of them at once, since a usual caller waits in the listener's queue behind hundreds
+// that connect and say nothing, or half a request.
 func (f *Server) closeIdle() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -155,7 +156,10 @@
 	var oldest *conn
 	for c := range f.conns {
 		switch {
-		case !c.resting || c.ending:
+		case c.ending:
+		case !c.asked && now.Sub(c.born) >= f.limits.CallerRest:
+			end(c)
+		case !c.resting:
 		case now.Sub(c.since) >= f.limits.CallerLong:
 			end(c)
 		case oldest == nil || c.since.Before(oldest.since):
@@ -217,6 +221,12 @@
 	return c.ending || f.drained
 }
 
+func (f *Server) asked(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.asked = true
+}
+
 func (f *Server) busy(c *conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
