--- a/cmd/robincart/node_test.go
+++ b/cmd/robincart/node_test.go
@@ -440,7 +440,7 @@
 }
 
 // Connections that bring no whole request must give way: usual callers wait in the listener's queue behind them.
-func TestACallerIsServedBehindAFloodOfHalfRequestsAndSilence(t *testing.T) {
+func TestACallerIsServedBehindAFloodThatBringsNoRPC(t *testing.T) {
 	s := newServer(t, says(200, "well"))
 	d := newDiscovery(t)
 	d.members["s0"] = listed("s0", s.addr(), "ready")
@@ -451,9 +451,7 @@
 		c, err := net.Dial("tcp", p.addr)
 		require.NoError(t, err)
 		defer c.Close()
-		if i%2 == 0 {
-			io.WriteString(c, "GET /find HTT")
-		}
+		io.WriteString(c, []string{"", "GET /find HTT", "GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n"}[i%3])
 	}
 	r := p.ask("charge", "x")
 	assert.Equal(t, 200, r.status)
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -18,12 +18,13 @@
 	server *Server
 	reader *httpwire.Reader
 	born   time.Time
+	first  bool // its first request is still to come
 	last   bool // its next answer is its last
 
 	// Guarded by the server's mutex.
 	resting bool // between requests
 	since   time.Time
-	asked   bool // a first request has come whole; written by the connection's goroutine alone
+	asked   bool // it has brought an RPC
 	ending  bool // chosen to end
 }
 
@@ -37,10 +38,10 @@
 // end, is looked at once more: closed with a request in it, it would lose that.
 func (c *conn) next() bool {
 	f := c.server
-	if c.asked {
-		c.SetReadDeadline(time.Now().Add(f.limits.CallerIdle))
-	} else {
+	if c.first {
 		c.SetReadDeadline(c.born.Add(f.limits.CallerRead)) // against those that connect and say nothing
+	} else {
+		c.SetReadDeadline(time.Now().Add(f.limits.CallerIdle))
 	}
 	if !f.rest(c) {
 		err := c.reader.First()
@@ -64,7 +65,7 @@
 	f := c.server
 	came := f.now() // the caller's time runs since it sent the request, so not from the last byte on
 	begun := time.Now()
-	if !c.asked {
+	if c.first {
 		begun = c.born // one who says nothing, then half a request, has no more time than others
 	}
 	c.SetReadDeadline(begun.Add(f.limits.CallerRead))
@@ -72,11 +73,12 @@
 	if err != nil {
 		return c.unread(err)
 	}
-	f.asked(c)
+	c.first = false
 	method, tenant, bad := f.check(q)
 	if bad != nil {
 		return c.answer(q, bad)
 	}
+	f.asked(c)
 	id, fresh := f.ids.begin(q.Trace)
 	if !fresh {
 		return c.answer(q, &httpwire.Answer{Status: 409, Close: true})
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -97,7 +97,7 @@
 		f.closeIdle()
 		time.Sleep(f.limits.LastLook)
 	}
-	c := &conn{Conn: raw, server: f, born: time.Now()}
+	c := &conn{Conn: raw, server: f, born: time.Now(), first: true}
 	c.reader = httpwire.NewReader(raw, f.limits.Wire)
 	f.mu.Lock()
 	f.conns[c] = struct{}{}
@@ -141,10 +141,10 @@
 
 func (f *Server) end() { f.making.Add(-1) }
 
-// closeIdle ends the connections that have not brought a whole request yet or have stood idle for long, and the
-// one that has stood longest: their callers open others when they need them. One that has only just come may have
-// its request on the way. All of them at once, since a usual caller waits in the listener's queue behind hundreds
-// that connect and say nothing, or half a request.
+// closeIdle ends the connections that have brought no RPC yet or have stood idle for long, and the one that has
+// stood longest: their callers open others when they need them. One that has only just come may have its request
+// on the way. All of them at once, since a usual caller waits in the listener's queue behind hundreds that connect
+// and say nothing, say half a request, or ask whether the node is ready and stay.
 func (f *Server) closeIdle() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
