--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -103,7 +103,7 @@
 
 func bounds() limits.Limits {
 	return limits.Limits{Wire: httpwire.Sizes{Buffer: 512, Read: 64, Head: 4096, Body: 1 << 16, Chunk: 64},
-		IdleLeast: 5 * time.Millisecond, Regain: 200 * time.Millisecond, AnswerRest: 50 * time.Millisecond, Connect: 200 * time.Millisecond, ServerIdle: 300 * time.Millisecond, Sweep: 20 * time.Millisecond}
+		ResetSoon: 30 * time.Millisecond, IdleLeast: 5 * time.Millisecond, Regain: 200 * time.Millisecond, AnswerRest: 50 * time.Millisecond, Connect: 200 * time.Millisecond, ServerIdle: 300 * time.Millisecond, Sweep: 20 * time.Millisecond}
 }
 
 type story struct {
@@ -186,6 +186,21 @@
 	assert.Greater(t, s.idleFor(), 100*time.Millisecond, "it is tried again in time")
 }
 
+func TestAServerThatDiesAtItsWorkTellsNothingOfIdleConnections(t *testing.T) {
+	server := serve(t, func(s *standIn, _ int, c *net.TCPConn) {
+		s.read(c)
+		io.WriteString(c, okText)
+		s.read(c)
+		time.Sleep(60 * time.Millisecond)
+		c.SetLinger(0)
+		c.Close()
+	})
+	s := begin(server.Addr().String(), 5)
+	assert.Equal(t, decide.OK, s.pick())
+	assert.Equal(t, decide.Reset, s.pick())
+	assert.Equal(t, bounds().ServerIdle, s.idleFor())
+}
+
 func TestAnAnswerAheadOfASlowOneDoesNotHurryIt(t *testing.T) {
 	server := serve(t, func(s *standIn, _ int, c *net.TCPConn) {
 		for s.read(c) {
