--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -46,9 +46,6 @@
 	Connect    time.Duration // to a server
 	AnswerRest time.Duration // from an answer's first byte to its last
 	ServerIdle time.Duration // after which a server's connection is closed
-	IdleLeast  time.Duration // that an idle connection is used after, however many were reset
-	ResetSoon  time.Duration // from a request to its reset, if the connection had been given up before
-	Regain     time.Duration // without a reset on an idle one, and the time they are used after doubles
 	Sweep      time.Duration // between looks at the idle ones
 
 	ListConnect time.Duration
@@ -108,9 +105,6 @@
 		Connect:      time.Second,
 		AnswerRest:   500 * time.Millisecond,
 		ServerIdle:   20 * time.Second,
-		IdleLeast:    25 * time.Millisecond,
-		ResetSoon:    50 * time.Millisecond,
-		Regain:       10 * time.Second,
 		Sweep:        500 * time.Millisecond,
 		ListConnect:  1500 * time.Millisecond,
 		ListAnswer:   6 * time.Second,
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -53,12 +53,7 @@
 	c.SetDeadline(time.Time{}) // the last exchange's
 	// A pick given up closes its connection: whatever waits on it returns at once.
 	release := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	begun := time.Now()
 	res, answer, whole := p.talk(ctx, c, pick, q)
-	// A reset later than that is a process that died at its work, and tells nothing of idle connections.
-	if res == decide.Reset && c.rested > 0 && time.Since(begun) < p.limits.ResetSoon {
-		p.gaveUp(c.rested)
-	}
 	if !release() || !whole {
 		p.close(c)
 	} else {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -34,16 +33,13 @@
 	mu     sync.Mutex
 	idle   map[*node.Server][]*conn // last used last
 	closed bool
-	rest   time.Duration // servers kept idle connections for less, when a pick was last reset on one
-	at     time.Time     // that was
 }
 
 type conn struct {
 	net.Conn
 	reader *httpwire.Reader
 	addr   string
-	since  time.Time     // idle since
-	rested time.Duration // before the exchange it is in; 0: it is new
+	since  time.Time // idle since
 }
 
 // NewPool starts with no connection.
@@ -71,7 +67,7 @@
 		case now := <-tick.C:
 			p.sweep(func(s *node.Server, c *conn) bool {
 				addr, ready := p.core.Address(s)
-				return !ready || addr != c.addr || now.Sub(c.since) >= p.idleFor() || c.stale()
+				return !ready || addr != c.addr || now.Sub(c.since) >= p.limits.ServerIdle || c.stale()
 			})
 		}
 	}
@@ -100,25 +96,6 @@
 	}
 }
 
-// idleFor is how long a connection may be idle and still be used. Servers, and what stands before them, give up
-// connections sooner than the settings tell, at times with no word: a request on such a one ends as a reset, which
-// may have run. So a reset on one that was idle halves it, and without further ones it doubles again every Regain.
-// Called with mu held.
-func (p *Pool) idleFor() time.Duration {
-	if p.rest == 0 {
-		return p.limits.ServerIdle
-	}
-	grown := float64(p.rest) * math.Exp2(float64(time.Since(p.at))/float64(p.limits.Regain))
-	return time.Duration(min(grown, float64(p.limits.ServerIdle)))
-}
-
-// gaveUp notes a reset on a connection that had been idle.
-func (p *Pool) gaveUp(rested time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.rest, p.at = max(min(rested, p.idleFor())/2, p.limits.IdleLeast), time.Now()
-}
-
 func (p *Pool) close(c *conn) {
 	c.Close()
 	p.budget.Give()
@@ -155,13 +132,13 @@
 			p.mu.Unlock()
 			return nil
 		}
-		most, c := p.idleFor(), list[len(list)-1]
+		c := list[len(list)-1]
 		list[len(list)-1] = nil
 		if p.idle[s] = list[:len(list)-1]; len(p.idle[s]) == 0 {
 			delete(p.idle, s)
 		}
 		p.mu.Unlock()
-		if c.rested = time.Since(c.since); c.addr == addr && c.rested < most && !c.stale() {
+		if c.addr == addr && time.Since(c.since) < p.limits.ServerIdle && !c.stale() {
 			return c
 		}
 		p.close(c)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -103,7 +103,7 @@
 
 func bounds() limits.Limits {
 	return limits.Limits{Wire: httpwire.Sizes{Buffer: 512, Read: 64, Head: 4096, Body: 1 << 16, Chunk: 64},
-		ResetSoon: 30 * time.Millisecond, IdleLeast: 5 * time.Millisecond, Regain: 200 * time.Millisecond, AnswerRest: 50 * time.Millisecond, Connect: 200 * time.Millisecond, ServerIdle: 300 * time.Millisecond, Sweep: 20 * time.Millisecond}
+		AnswerRest: 50 * time.Millisecond, Connect: 200 * time.Millisecond, ServerIdle: 300 * time.Millisecond, Sweep: 20 * time.Millisecond}
 }
 
 type story struct {
@@ -157,50 +157,6 @@
 	}
 }
 
-// A server, or a box before it, that forgets idle connections with no word resets the request that comes on one.
-func TestIdleConnectionsThatWereGivenUpInSilenceAreUsedForLess(t *testing.T) {
-	server := serve(t, func(s *standIn, _ int, c *net.TCPConn) {
-		for last := time.Now(); s.read(c); last = time.Now() {
-			if time.Since(last) > 60*time.Millisecond {
-				c.SetLinger(0)
-				break
-			}
-			io.WriteString(c, okText)
-		}
-		c.Close()
-	})
-	s := begin(server.Addr().String(), 5)
-	resets := 0
-	for range 4 {
-		if s.pick() == decide.Reset {
-			resets++
-		}
-		time.Sleep(80 * time.Millisecond)
-	}
-	assert.Equal(t, 1, resets, "one tells it")
-	conns, _ := server.count()
-	assert.Equal(t, 3, conns)
-	time.Sleep(400 * time.Millisecond)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	assert.Greater(t, s.idleFor(), 100*time.Millisecond, "it is tried again in time")
-}
-
-func TestAServerThatDiesAtItsWorkTellsNothingOfIdleConnections(t *testing.T) {
-	server := serve(t, func(s *standIn, _ int, c *net.TCPConn) {
-		s.read(c)
-		io.WriteString(c, okText)
-		s.read(c)
-		time.Sleep(60 * time.Millisecond)
-		c.SetLinger(0)
-		c.Close()
-	})
-	s := begin(server.Addr().String(), 5)
-	assert.Equal(t, decide.OK, s.pick())
-	assert.Equal(t, decide.Reset, s.pick())
-	assert.Equal(t, bounds().ServerIdle, s.idleFor())
-}
-
 func TestAnAnswerAheadOfASlowOneDoesNotHurryIt(t *testing.T) {
 	server := serve(t, func(s *standIn, _ int, c *net.TCPConn) {
 		for s.read(c) {
