Second address: operators take servers out and back, and empty the node

internal/admin serves admin_addr, a call a connection, bounded; those who finish no call give way to the next. The ban lies over the list in internal/node, since the module already knows Draining; a server called back counts as cold from that moment unless the list told of a later start. The frontend's emptying is the stop that can be taken back. A test showed that a call which can't be read was reset before its answer was read: it is lingered for.

--- a/cmd/robincart/config.go
+++ b/cmd/robincart/config.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"robincart/internal/admin"
 	"robincart/internal/limits"
 	"robincart/internal/registry"
 	"robincart/internal/settings"
@@ -23,6 +24,7 @@
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
+	Admin     string          `json:"admin_addr"` // the operators' address; empty: none
 	Seed      string          `json:"seed"`
 	Machine   limits.Machine  `json:"limits"`
 	Known     json.RawMessage `json:"known"`
@@ -51,12 +53,15 @@
 	}
 	c.file = c.Discovery
 	for name, to := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen,
-		"EDGE_DISCOVERY": &c.Discovery} {
+		"EDGE_DISCOVERY": &c.Discovery, "EDGE_ADMIN_ADDR": &c.Admin} {
 		if v := getenv(name); v != "" {
 			*to = v
 		}
 	}
-	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "admin_addr": c.Admin} {
+		if name == "admin_addr" && addr == "" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("configuration %s: %s: %w", path, name, err)
 		}
@@ -73,7 +78,11 @@
 			return nil, fmt.Errorf("configuration %s: known: %w", path, err)
 		}
 	}
-	c.limits, err = limits.Fill(c.Machine, c.node)
+	m := c.Machine
+	if c.Admin != "" {
+		m.Sockets -= admin.Defaults().Descriptors()
+	}
+	c.limits, err = limits.Fill(m, c.node)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -63,6 +63,7 @@
 	limits    limits.Limits
 	log       *zap.Logger
 	open      func() int
+	serving   func() // callers are taken from now on; may be nil
 	reload    func()
 	news      <-chan struct{} // the record's services, routes or tenants have changed; nil: there is none
 	took      func()
@@ -76,6 +77,9 @@
 	for _, ln := range s.listeners {
 		s.front.Serve(ln)
 	}
+	if s.serving != nil {
+		s.serving()
+	}
 	for term.Err() == nil {
 		select {
 		case <-hup:
@@ -139,12 +143,20 @@
 	for _, f := range []func(){func() { watcher.Run(life) }, func() { pool.Run(life) }} {
 		owned.Go(f)
 	}
+	ops := &operations{front: front, cores: func() []*node.Core { return []*node.Core{core} }}
+	closeAdmin, err := operated(c.Admin, ops, log)
+	if err != nil {
+		end()
+		return err
+	}
 	log.Info("serving", zap.String("listen", c.Listen), zap.Int("tier", c.node.Stage),
 		zap.Int("servers", len(c.list.Members)), zap.Int("descriptors", l.Descriptors),
 		zap.Int64("memory", l.Memory))
 	s := &served{front: front, listeners: []net.Listener{ln}, limits: l, log: log, open: core.Open,
-		reload: func() { c = c.reload(os.Getenv, watcher, log) },
+		serving: func() { ops.taking.Store(true) },
+		reload:  func() { c = c.reload(os.Getenv, watcher, log) },
 		close: func() {
+			closeAdmin()
 			core.Close()
 			end()
 			owned.Wait()
--- /dev/null
+++ b/cmd/robincart/operate_test.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// operatedNode starts a node with an operators' address.
+func operatedNode(t *testing.T, servers ...*server) (p *program, d *discovery, admin string) {
+	d = newDiscovery(t)
+	for i, s := range servers {
+		d.Tell(listed(fmt.Sprint("s", i), s.addr(), "ready"))
+	}
+	c := configuration(t, d, d.all()...)
+	admin = freeAddress(t)
+	c["admin_addr"] = admin
+	return start(t, c), d, admin
+}
+
+// calls is the status of one operator's call.
+func calls(t *testing.T, admin, path, body string) int {
+	t.Helper()
+	r, err := (&http.Client{Timeout: 5 * time.Second}).Post("http://"+admin+path, "application/json", strings.NewReader(body))
+	require.NoError(t, err)
+	defer r.Body.Close()
+	return r.StatusCode
+}
+
+func TestAServerThatIsTakenOutGetsNothingUntilItIsCalledBack(t *testing.T) {
+	a, b := newServer(t, says(200, "a")), newServer(t, says(200, "b"))
+	p, d, admin := operatedNode(t, a, b)
+	for range 20 {
+		assert.Equal(t, 200, p.ask("find", "").status)
+	}
+	assert.Equal(t, 404, calls(t, admin, "/_servers/detach", `{"host":"never"}`))
+	assert.Equal(t, 404, calls(t, admin, "/_servers/attach", `{"host":"never"}`))
+	for range 2 {
+		assert.Equal(t, 200, calls(t, admin, "/_servers/detach", `{"host":"s0"}`))
+	}
+	before := a.count()
+	quiet := func(why string) {
+		for range 30 {
+			assert.Equal(t, "b", p.ask("find", "").body)
+		}
+		assert.Equal(t, before, a.count(), why)
+	}
+	quiet("right after the yes")
+	watches := d.watching()
+	d.Tell(listed("s0", a.addr(), "gone"))
+	d.Tell(listed("s0", a.addr(), "ready"))
+	require.Eventually(t, func() bool { return p.ask("find", "").status == 200 && d.watching() >= watches }, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(100 * time.Millisecond) // for the list's word to arrive: it must change nothing
+	quiet("whatever the list says")
+	assert.Equal(t, 200, calls(t, admin, "/_servers/attach", `{"host":"s0"}`))
+	assert.Eventually(t, func() bool { p.ask("find", ""); return a.count() > before }, 20*time.Second, time.Millisecond)
+}
+
+func TestANodeIsEmptiedAndWorksAgain(t *testing.T) {
+	slow := newServer(t, after(300*time.Millisecond, says(200, "x")))
+	p, _, admin := operatedNode(t, slow)
+	ready := func() int {
+		r, err := http.Get("http://" + p.addr + "/health/ready")
+		require.NoError(t, err)
+		r.Body.Close()
+		return r.StatusCode
+	}
+	idle, err := net.Dial("tcp", p.addr)
+	require.NoError(t, err)
+	defer idle.Close()
+	io.WriteString(idle, "GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n")
+	buf := make([]byte, 1024)
+	n, err := idle.Read(buf)
+	require.NoError(t, err)
+	assert.NotContains(t, strings.ToLower(string(buf[:n])), "connection: close")
+	out := make(chan reply, 1)
+	go func() { out <- p.ask("find", "") }()
+	require.Eventually(t, func() bool { return slow.count() == 1 }, 5*time.Second, time.Millisecond)
+	for range 2 {
+		assert.Equal(t, 200, calls(t, admin, "/_lameduck/on", ""))
+	}
+	assert.Equal(t, 503, ready())
+	got := <-out
+	assert.Equal(t, 200, got.status, "what was taken is served")
+	assert.True(t, got.closes)
+	got = p.ask("find", "")
+	assert.Equal(t, 200, got.status, "who comes all the same is served, too")
+	assert.True(t, got.closes)
+	idle.SetReadDeadline(time.Now().Add(10 * time.Second))
+	_, err = idle.Read(buf)
+	assert.ErrorIs(t, err, io.EOF, "a connection that rests is ended")
+	r, err := http.Get("http://" + admin + "/_ready")
+	require.NoError(t, err)
+	r.Body.Close()
+	assert.Equal(t, 200, r.StatusCode, "the process itself is well")
+	assert.Equal(t, 200, calls(t, admin, "/_lameduck/off", ""))
+	assert.Equal(t, 200, ready())
+	got = p.ask("find", "")
+	assert.Equal(t, 200, got.status)
+	assert.False(t, got.closes)
+}
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -272,7 +272,7 @@
 
 // answer writes a request's one answer.
 func (c *conn) answer(q *httpwire.Request, a *httpwire.Answer) bool {
-	a.Close = a.Close || q.Close || c.last || c.server.stopping.Load()
+	a.Close = a.Close || q.Close || c.last || c.server.closing()
 	return c.write(a, q.Verb == "HEAD") && !a.Close
 }
 
--- a/internal/frontend/rest.go
+++ b/internal/frontend/rest.go
@@ -176,7 +176,7 @@
 	more := c.reader.Brim()
 	for {
 		f.mu.Lock()
-		ends := c.ending || f.drained
+		ends := c.ending || f.drained || f.emptied
 		if !c.stirred && !more && !ends {
 			c.reader.Release()
 			c.reader = nil
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -51,6 +51,7 @@
 	crew    crew.Crew
 
 	stopping atomic.Bool
+	lame     atomic.Bool   // emptied by an operator's word: as stopping, until it is taken back
 	making   atomic.Int64  // requests
 	halt     chan struct{} // closed when what is still out has to be aborted
 	mu       sync.Mutex
@@ -66,6 +67,8 @@
 	flood    ring          // others that rest and were turned away
 	full     bool          // no further connection is taken
 	drained  bool          // idle connections are closed from now on
+	emptied  bool          // the same, until the node is back at work
+	lamed    int           // counts the times it was emptied
 	done     sync.WaitGroup
 }
 
@@ -155,7 +158,11 @@
 	f.mu.Lock()
 	f.conns[c] = struct{}{}
 	f.fresh.push(c)
-	f.rest(c, f.limits.CallerRead) // against those that connect and say nothing
+	most := f.limits.CallerRead // against those that connect and say nothing
+	if f.emptied {
+		most = f.limits.StopTaking
+	}
+	f.rest(c, most)
 	f.mu.Unlock()
 	// What is told before the place is known finds the connection resting, and served it is removed only at its end.
 	place, err := f.lot.Add(c.raw, c, true)
@@ -260,17 +267,57 @@
 // deals them out learns of the stop only later.
 func (f *Server) Stop() { f.stopping.Store(true) }
 
-// Drain closes idle connections, and those in use as they fall idle, and waits for the last. When the context
-// ends what is still out is aborted: the end by force would leave it with no answer at all.
-func (f *Server) Drain(ctx context.Context) error {
+// Lame empties the node, or lets it work again. While it is emptied it says that it is not ready, serves what comes all
+// the same, and ends each connection with its answer; those that rest end once the front has had time to stop sending.
+func (f *Server) Lame(on bool) {
 	f.mu.Lock()
-	f.drained = true
+	defer f.mu.Unlock()
+	if f.lame.Load() == on {
+		return
+	}
+	f.lame.Store(on)
+	f.lamed++
+	f.emptied = false
+	if !on {
+		return
+	}
+	time.AfterFunc(f.limits.StopTaking, f.empty(f.lamed))
+}
+
+// empty ends what rests, if the node has not been called back since.
+func (f *Server) empty(lamed int) func() {
+	return func() {
+		f.mu.Lock()
+		var idle []*conn
+		if f.lamed == lamed {
+			f.emptied = true
+			idle = f.resting()
+		}
+		f.mu.Unlock()
+		f.endRest(idle)
+	}
+}
+
+// closing tells whether answers end their connections.
+func (f *Server) closing() bool { return f.stopping.Load() || f.lame.Load() }
+
+// resting lists the connections that rest. The mutex is held.
+func (f *Server) resting() []*conn {
 	var idle []*conn
 	for c := range f.conns {
 		if c.resting {
 			idle = append(idle, c)
 		}
 	}
+	return idle
+}
+
+// Drain closes idle connections, and those in use as they fall idle, and waits for the last. When the context
+// ends what is still out is aborted: the end by force would leave it with no answer at all.
+func (f *Server) Drain(ctx context.Context) error {
+	f.mu.Lock()
+	f.drained = true
+	idle := f.resting()
 	f.mu.Unlock()
 	f.endRest(idle)
 	empty := make(chan struct{})
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -115,7 +115,7 @@
 	switch {
 	case q.Verb != "GET" && q.Verb != "HEAD":
 		return &httpwire.Answer{Status: 405, Allow: "GET"}
-	case f.stopping.Load():
+	case f.closing():
 		return &httpwire.Answer{Status: 503}
 	}
 	return &httpwire.Answer{Status: 200}
--- /dev/null
+++ b/internal/node/barred.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"time"
+
+	"robincart/decide"
+)
+
+// An operator's word on a server lies over the list's: whatever the list says, the module hears that a server which was
+// taken out drains, until it is called back.
+
+// Detach takes a server out: nothing more goes to it. It is false for one that was never listed.
+func (c *Core) Detach(id string) bool {
+	left, tell, ok := c.detach(id)
+	if len(left) > 0 && tell != nil {
+		tell(left)
+	}
+	return ok
+}
+
+func (c *Core) detach(id string) (left []*Server, tell func([]*Server), ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, out := c.barred[id]; out || !c.everListed(id) {
+		return nil, nil, out
+	}
+	c.barred[id] = c.wall()
+	if s := c.servers[id]; s != nil && s.state == decide.Ready {
+		left = append(left, s)
+		c.tell(s)
+	}
+	return left, c.left, true
+}
+
+// Attach lets a server serve again as the list says. It is false for one that was never listed.
+func (c *Core) Attach(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since, out := c.barred[id]
+	if !out {
+		return c.everListed(id)
+	}
+	delete(c.barred, id)
+	if s := c.servers[id]; s != nil && s.state != decide.Gone {
+		if !s.last.Started.After(since) {
+			// It was restarted meanwhile, by whoever took it out, and the list has not told. Taken for warm, it would be
+			// pushed over by its part of the traffic.
+			s.back = c.wall()
+		}
+		c.tell(s)
+	}
+	return true
+}
+
+// everListed tells whether a server stands in the list or did lately.
+func (c *Core) everListed(id string) bool { return c.servers[id] != nil || c.known.has(id) }
+
+// Barred is who is out by an operator's word, and since when.
+func (c *Core) Barred() map[string]time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]time.Time, len(c.barred))
+	for id, since := range c.barred {
+		out[id] = since
+	}
+	return out
+}
+
+// wall is the wall clock's time as the core has it.
+func (c *Core) wall() time.Time { return c.origin.Add(c.clock.Now()) }
+
+// stateOf is a listed server's state under the operators' word.
+func (c *Core) stateOf(e Entry) decide.State {
+	if _, out := c.barred[e.ID]; out && e.State == decide.Ready {
+		return decide.Draining
+	}
+	return e.State
+}
+
+// tell tells the module of one server anew.
+func (c *Core) tell(s *Server) {
+	s.set(c.stateOf(s.last))
+	c.balancer.Listed([]decide.Listing{c.listing(s)}, false)
+	c.arm()
+}
+
+// listing is a server as the module hears of it.
+func (c *Core) listing(s *Server) decide.Listing {
+	e, up := s.last, 0.0
+	if e.Started.Before(s.back) {
+		e.Started = s.back
+	}
+	if !e.Started.IsZero() {
+		// The module reads 0 as long ago, so what started before its clock is kept just above.
+		up = max(1e-6, seconds(e.Started.Sub(c.origin))+epoch)
+	}
+	return decide.Listing{Server: s.obj, State: s.state, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight, CameUp: up}
+}
+
+// names remembers names, the latest at least. Under deploys all day the ids there have been would else fill the memory.
+type names struct{ recent, older map[string]struct{} }
+
+const namesMost = 4096
+
+func (n *names) add(name string) {
+	if len(n.recent) >= namesMost {
+		n.older, n.recent = n.recent, nil
+	}
+	if n.recent == nil {
+		n.recent = map[string]struct{}{}
+	}
+	n.recent[name] = struct{}{}
+}
+
+func (n *names) has(name string) bool {
+	_, recent := n.recent[name]
+	_, older := n.older[name]
+	return recent || older
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,6 +84,8 @@
 	seen  int
 	out   int   // picks
 	last  Entry // as it was listed
+	// came back by an operator's word before the list told of its start: taken for that start until then
+	back time.Time
 }
 
 func (s *Server) set(state decide.State) {
@@ -118,8 +120,10 @@
 	mu       sync.Mutex
 	balancer *decide.Balancer
 	servers  map[string]*Server
-	picks    []*Pick // out
-	open     int     // RPCs owed an answer
+	barred   map[string]time.Time // taken out by an operator, since when by the wall clock
+	known    names                // that were ever listed
+	picks    []*Pick              // out
+	open     int                  // RPCs owed an answer
 	wheel    *wheel.Wheel
 	armed    time.Duration // when the clock will ring; 0: not at all
 	lists    int
@@ -129,7 +133,7 @@
 // New starts the core. The module's wish to watch the list goes to watch, which must not wait.
 func New(s *settings.Node, seed int64, clock Clock, wall time.Time, watch func()) *Core {
 	c := &Core{clock: clock, origin: wall.Add(-clock.Now()), maxPicks: s.MaxPicks, watch: watch,
-		servers: map[string]*Server{}, wheel: wheel.New(grain, clock.Now(), 1024)}
+		servers: map[string]*Server{}, barred: map[string]time.Time{}, wheel: wheel.New(grain, clock.Now(), 1024)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.balancer = decide.New(c, s.Settings, seed)
@@ -172,22 +176,18 @@
 	list := make([]decide.Listing, 0, len(entries))
 	for _, e := range entries {
 		s := c.servers[e.ID]
+		state := c.stateOf(e)
 		if s == nil {
 			s = &Server{id: e.ID, obj: &decide.Server{}}
 			s.obj.Of = s
 			c.servers[e.ID] = s
-		} else if s.state == decide.Ready && (e.State != decide.Ready || e.Addr != s.addr) {
+			c.known.add(e.ID)
+		} else if s.state == decide.Ready && (state != decide.Ready || e.Addr != s.addr) {
 			left = append(left, s)
 		}
 		s.addr, s.seen, s.last = e.Addr, c.lists, e
-		s.set(e.State)
-		up := 0.0
-		if !e.Started.IsZero() {
-			// The module reads 0 as long ago, so what started before its clock is kept just above.
-			up = max(1e-6, seconds(e.Started.Sub(c.origin))+epoch)
-		}
-		list = append(list, decide.Listing{Server: s.obj, State: e.State, Zone: e.Zone, Cell: e.Cell,
-			Weight: e.Weight, CameUp: up})
+		s.set(state)
+		list = append(list, c.listing(s))
 	}
 	c.balancer.Listed(list, full)
 	if full {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -319,3 +319,43 @@
 	s.Listed([]Entry{entry("a500", decide.Gone), entry("never seen", decide.Gone)}, false)
 	assert.Len(t, s.servers, 1)
 }
+
+func TestAnOperatorsWordLiesOverTheList(t *testing.T) {
+	s := begin(t, nil)
+	s.list("a", "b")
+	assert.False(t, s.Detach("c"))
+	assert.False(t, s.Attach("c"))
+	var gone []string
+	s.Left(func(all []*Server) {
+		for _, x := range all {
+			gone = append(gone, x.id)
+		}
+	})
+	r := s.arrive(find)
+	p := next(t, r).Pick
+	out := p.Server.id
+	assert.True(t, s.Detach(out))
+	assert.True(t, s.Detach(out), "the call may be repeated")
+	assert.Equal(t, []string{out}, gone)
+	assert.False(t, s.Begin(p, nil), "a connect that took longer than the grace")
+	s.Done(p, decide.Ignored, nil)
+	for range 50 {
+		s.list("a", "b")
+		p := next(t, s.arrive(find)).Pick
+		assert.NotEqual(t, out, p.Server.id)
+		s.Done(p, decide.OK, &Answer{})
+	}
+	s.list("c")
+	s.list("a", "b", "c")
+	for range 50 {
+		p := next(t, s.arrive(find)).Pick
+		assert.NotEqual(t, out, p.Server.id, "also after it had left the list")
+		s.Done(p, decide.OK, &Answer{})
+	}
+	assert.True(t, s.Attach(out))
+	assert.True(t, s.Attach(out))
+	assert.Positive(t, s.listing(s.servers[out]).CameUp, "it was restarted: cold, though the list does not say so")
+	s.Listed([]Entry{{ID: out, Addr: "x:80", State: decide.Ready, Weight: 1, Started: s.wall().Add(time.Minute)}}, false)
+	assert.InDelta(t, s.Now()+60, s.listing(s.servers[out]).CameUp, 0.1, "what the list says of its start goes before")
+	assert.True(t, s.Ready(s.servers[out]))
+}
