Process replaced under load: a successor takes over connections, bans and the list

Upgrades replace the process while it serves; before, the second one ended at once since the address was in use.

internal/handover carries what the old process knows and its callers' connections as descriptors over a Unix socket in TMPDIR. The old one lets go of the shared listener as soon as the successor takes callers, sends each connection over between two requests, and takes up again if the successor dies. What operators say reaches both, and stands in a file for a process that follows one that was killed. One look at the kernel's part was needed: an epoll instance goes on telling of a socket that lives on in another process, so it is taken out by hand.

--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -59,7 +59,9 @@
 // served is what a running node has to do at its end, and when it is asked to read its configuration again.
 type served struct {
 	front     *frontend.Server
-	listeners []net.Listener
+	listeners []net.Listener // at the start
+	shut      func()         // closes the listeners there are; nil: those
+	given     func() bool    // another process takes callers; nil: there is none
 	limits    limits.Limits
 	log       *zap.Logger
 	open      func() int
@@ -92,11 +94,18 @@
 	s.log.Info("stopping", zap.Int("open", s.open()))
 	most, cancel := context.WithTimeout(context.Background(), s.limits.StopMost)
 	defer cancel()
-	s.front.Stop()
-	time.Sleep(s.limits.StopTaking)
-	for _, ln := range s.listeners {
-		ln.Close()
+	if s.given == nil || !s.given() { // else nobody comes any more, and those who are here go over
+		s.front.Stop()
+		time.Sleep(s.limits.StopTaking)
+	}
+	if s.shut == nil {
+		s.shut = func() {
+			for _, ln := range s.listeners {
+				ln.Close()
+			}
+		}
 	}
+	s.shut()
 	if err := s.front.Drain(most); err != nil {
 		s.log.Warn("stopped before all was answered", zap.Error(err))
 	}
@@ -119,11 +128,10 @@
 	defer log.Sync()
 	l := c.limits
 	process(l)
-	ln, err := net.Listen("tcp", c.Listen)
+	in, err := openDoor(c.Listen, os.Getenv("EDGE_ACCEPT_FD"))
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-
 	watch, err := lot.New()
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -143,7 +151,12 @@
 	for _, f := range []func(){func() { watcher.Run(life) }, func() { pool.Run(life) }} {
 		owned.Go(f)
 	}
-	ops := &operations{front: front, cores: func() []*node.Core { return []*node.Core{core} }}
+	ops := newOperations(front, func() []*node.Core { return []*node.Core{core} }, log)
+	next := &succession{log: log, ops: ops, front: front, core: core, pool: pool, budget: budget, limits: l, door: in}
+	next.succeed(os.Getenv("TMPDIR"), c.Name+" "+c.Listen)
+	if next.before != nil {
+		watcher.Ask() // the module's own first asking is spread for fleets that start together
+	}
 	closeAdmin, err := operated(c.Admin, ops, log)
 	if err != nil {
 		end()
@@ -152,11 +165,16 @@
 	log.Info("serving", zap.String("listen", c.Listen), zap.Int("tier", c.node.Stage),
 		zap.Int("servers", len(c.list.Members)), zap.Int("descriptors", l.Descriptors),
 		zap.Int64("memory", l.Memory))
-	s := &served{front: front, listeners: []net.Listener{ln}, limits: l, log: log, open: core.Open,
-		serving: func() { ops.taking.Store(true) },
-		reload:  func() { c = c.reload(os.Getenv, watcher, log) },
+	s := &served{front: front, listeners: []net.Listener{in.listener()}, shut: func() { in.listener().Close() }, given: next.given,
+		limits: l, log: log, open: core.Open,
+		serving: func() {
+			ops.taking.Store(true)
+			next.takes()
+		},
+		reload: func() { c = c.reload(os.Getenv, watcher, log) },
 		close: func() {
 			closeAdmin()
+			next.close()
 			core.Close()
 			end()
 			owned.Wait()
--- a/cmd/robincart/operate.go
+++ b/cmd/robincart/operate.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
 	"robincart/internal/admin"
 	"robincart/internal/frontend"
+	"robincart/internal/handover"
 	"robincart/internal/node"
 )
 
@@ -16,16 +19,87 @@
 type operations struct {
 	front  *frontend.Server
 	cores  func() []*node.Core // of all services
-	taking atomic.Bool         // callers are taken
+	file   string              // where what operators said is kept, for a process that follows this one; empty: nowhere
+	log    *zap.Logger
+	taking atomic.Bool // callers are taken
+
+	mu    sync.Mutex
+	links map[*handover.Link]struct{} // to this node's other processes
+	said  said
+}
+
+// said is what operators have said and not taken back.
+type said struct {
+	Out  map[string]int64 `json:"out"` // servers taken out, since when in milliseconds of Unix time
+	Lame bool             `json:"lame"`
+}
+
+func (s said) out() map[string]time.Time {
+	all := make(map[string]time.Time, len(s.Out))
+	for id, since := range s.Out {
+		all[id] = time.UnixMilli(since)
+	}
+	return all
 }
 
 func (o *operations) Ready() bool { return o.taking.Load() }
 
 // Detach takes a server out of every service that lists it, or did.
-func (o *operations) Detach(server string) bool { return o.each(server, (*node.Core).Detach) }
+func (o *operations) Detach(server string) bool {
+	return o.do(handover.Word{Call: admin.PathDetach, Server: server}, nil)
+}
 
 // Attach lets it back into all of them.
-func (o *operations) Attach(server string) bool { return o.each(server, (*node.Core).Attach) }
+func (o *operations) Attach(server string) bool {
+	return o.do(handover.Word{Call: admin.PathAttach, Server: server}, nil)
+}
+
+func (o *operations) Lame(on bool) {
+	w := handover.Word{Call: admin.PathOff}
+	if on {
+		w.Call = admin.PathOn
+	}
+	o.do(w, nil)
+}
+
+// do does a call, tells this node's other processes but the one that it came from, and keeps what it says.
+func (o *operations) do(w handover.Word, from *handover.Link) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch w.Call {
+	case admin.PathDetach:
+		if !o.each(w.Server, (*node.Core).Detach) {
+			return false
+		}
+		if _, out := o.said.Out[w.Server]; !out {
+			o.said.Out[w.Server] = time.Now().UnixMilli()
+		}
+	case admin.PathAttach:
+		if !o.each(w.Server, (*node.Core).Attach) {
+			return false
+		}
+		delete(o.said.Out, w.Server)
+	case admin.PathOn, admin.PathOff:
+		o.said.Lame = w.Call == admin.PathOn
+		o.front.Lame(o.said.Lame)
+	default:
+		return false
+	}
+	for l := range o.links {
+		if l != from {
+			if err := l.Word(w); err != nil {
+				o.log.Warn("another process of this node could not be told", zap.String("call", w.Call), zap.Error(err))
+			}
+		}
+	}
+	if o.file != "" {
+		// In force all the same: what a full disk costs is only that a process killed now is followed by one that does not know.
+		if err := handover.Save(o.file, o.said); err != nil {
+			o.log.Error("what operators said could not be kept", zap.Error(err))
+		}
+	}
+	return true
+}
 
 func (o *operations) each(server string, do func(*node.Core, string) bool) bool {
 	any := false
@@ -35,7 +109,35 @@
 	return any
 }
 
-func (o *operations) Lame(on bool) { o.front.Lame(on) }
+// succeed puts in force what operators had told a process before this one.
+func (o *operations) succeed(s said, listed []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s.Out == nil {
+		s.Out = map[string]int64{}
+	}
+	o.said = s
+	for _, c := range o.cores() {
+		c.Succeed(s.out(), listed)
+	}
+	o.front.Lame(s.Lame)
+}
+
+// link has another process of this node told of calls, or no longer.
+func (o *operations) link(l *handover.Link, on bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if on {
+		o.links[l] = struct{}{}
+	} else {
+		delete(o.links, l)
+	}
+}
+
+// newOperations starts with nothing said.
+func newOperations(front *frontend.Server, cores func() []*node.Core, log *zap.Logger) *operations {
+	return &operations{front: front, cores: cores, log: log, links: map[*handover.Link]struct{}{}, said: said{Out: map[string]int64{}}}
+}
 
 // operated serves the operators' address, if there is one, and returns its end.
 func operated(addr string, o *operations, log *zap.Logger) (func(), error) {
--- /dev/null
+++ b/cmd/robincart/succeed.go
@@ -0,0 +1,286 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"robincart/internal/frontend"
+	"robincart/internal/handover"
+	"robincart/internal/limits"
+	"robincart/internal/node"
+	"robincart/internal/upstream"
+)
+
+// door is the callers' listener. One that the platform holds can be let go of and taken up again.
+type door struct {
+	file *os.File // nil: the listener is this process's own
+	mu   sync.Mutex
+	ln   net.Listener
+}
+
+// openDoor listens on an address, or on the descriptor that the platform holds for every process of this node.
+func openDoor(addr, descriptor string) (*door, error) {
+	if descriptor == "" {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		return &door{ln: ln}, nil
+	}
+	n, err := strconv.Atoi(descriptor)
+	if err != nil || n < 3 {
+		return nil, fmt.Errorf("EDGE_ACCEPT_FD is %q, no descriptor", descriptor)
+	}
+	syscall.CloseOnExec(n)
+	d := &door{file: os.NewFile(uintptr(n), "listener")}
+	if err := d.open(); err != nil {
+		return nil, fmt.Errorf("EDGE_ACCEPT_FD is %s: %w", descriptor, err)
+	}
+	return d, nil
+}
+
+func (d *door) open() error {
+	ln, err := net.FileListener(d.file)
+	if err != nil {
+		return err
+	}
+	if _, ok := ln.(*net.TCPListener); !ok {
+		ln.Close()
+		return errors.New("no TCP listener")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ln = ln
+	return nil
+}
+
+func (d *door) listener() net.Listener {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ln
+}
+
+// known is what a process hands to its successor.
+type known struct {
+	Said    said
+	Servers []node.Entry
+	Listed  []string
+	Held    int // descriptors
+}
+
+const (
+	reachTime = 500 * time.Millisecond
+	stateTime = time.Second
+	ownFiles  = 24 // of a process, beside those that the budget counts
+)
+
+// succession is this process's side towards the ones before and after it.
+type succession struct {
+	log    *zap.Logger
+	ops    *operations
+	front  *frontend.Server
+	core   *node.Core
+	pool   *upstream.Pool
+	budget *limits.Budget
+	limits limits.Limits
+	door   *door
+	ln     *net.UnixListener
+	before *handover.Link // nil: nobody, or it has gone
+	lent   int            // descriptors that the one before holds
+	path   string
+
+	mu       sync.Mutex
+	heir     *handover.Link // has connected
+	gave     bool           // it takes callers, and this process does not
+	stopping bool
+	all      sync.WaitGroup
+}
+
+// succeed looks for a process of this node that serves now, takes over what it knows, and lets this one be succeeded. The
+// directory is the node's own; without one, or without a listener that outlives this process, there is no succession.
+func (s *succession) succeed(dir, name string) {
+	if dir == "" || s.door.file == nil {
+		return
+	}
+	s.path = handover.Path(dir, name)
+	s.ops.file = s.path + ".said"
+	var k known
+	if err := handover.Load(s.ops.file, &k.Said); err != nil {
+		s.log.Error("what operators told the process before can't be read", zap.Error(err))
+		k.Said = said{}
+	}
+	if link, err := handover.Dial(s.path, reachTime); err == nil {
+		var told known
+		if err = link.First(&told, stateTime); err == nil {
+			k, s.before = told, link
+		} else {
+			s.log.Warn("the process before this one does not hand over", zap.Error(err))
+			link.Close()
+		}
+	}
+	if s.before != nil {
+		s.lent = s.budget.Lend(k.Held + ownFiles)
+		debug.SetMemoryLimit(s.limits.Memory / 2) // both together count against it
+		if len(k.Servers) > 0 {
+			s.core.Listed(k.Servers, true)
+		}
+		s.ops.link(s.before, true)
+	}
+	s.ops.succeed(k.Said, k.Listed)
+	ln, err := handover.Listen(s.path)
+	if err != nil {
+		s.log.Error("a successor will have to do without this process", zap.Error(err))
+		return
+	}
+	s.ln = ln
+	s.all.Go(func() { s.accept(ln) })
+}
+
+// takes tells the process before this one that callers are taken here.
+func (s *succession) takes() {
+	if s.before == nil {
+		return
+	}
+	s.log.Info("callers are taken over from the process before")
+	s.all.Go(func() { s.before.Run((*forebear)(s)) })
+	if err := s.before.Takes(); err != nil {
+		s.log.Warn("the process before this one could not be told", zap.Error(err))
+	}
+}
+
+func (s *succession) accept(ln *net.UnixListener) {
+	for {
+		c, err := ln.AcceptUnix()
+		if err != nil {
+			return // closed
+		}
+		l := handover.NewLink(c)
+		s.mu.Lock()
+		busy := s.heir != nil || s.stopping
+		if !busy {
+			s.heir = l
+		}
+		s.mu.Unlock()
+		if busy {
+			l.Close()
+			continue
+		}
+		s.ops.link(l, true)
+		s.ops.mu.Lock()
+		err = l.State(known{Said: s.ops.said, Servers: s.core.Known(), Listed: s.core.Listings(), Held: s.limits.Descriptors - s.budget.Left()})
+		s.ops.mu.Unlock()
+		if err != nil {
+			s.log.Warn("a successor could not be told", zap.Error(err))
+		}
+		s.all.Go(func() { l.Run((*heir)(s)) })
+	}
+}
+
+// given tells whether a successor takes callers. From then on none does so here again.
+func (s *succession) given() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	return s.gave
+}
+
+// close ends it all.
+func (s *succession) close() {
+	s.mu.Lock()
+	s.stopping = true
+	heir := s.heir
+	if s.ln != nil {
+		s.ln.Close()
+	}
+	s.mu.Unlock()
+	if heir != nil {
+		heir.Close()
+	}
+	if s.before != nil {
+		s.before.Close()
+	}
+	s.all.Wait()
+}
+
+// heir is what a process does with its successor's words.
+type heir succession
+
+// Takes hands callers over: this process lets go of the listener, and connections go over between requests.
+func (h *heir) Takes() {
+	h.mu.Lock()
+	h.gave = true
+	link := h.heir
+	h.mu.Unlock()
+	h.ops.taking.Store(false)
+	h.log.Info("callers are handed to a successor")
+	h.door.listener().Close()
+	h.front.PassOn(link.Conn)
+	for h.pool.Evict() { // its descriptors count against the successor's
+	}
+	debug.SetMemoryLimit(h.limits.Memory / 2)
+}
+
+func (h *heir) Conn(c net.Conn, _ bool) { c.Close() } // not a successor's to send
+
+func (h *heir) Word(w handover.Word) { h.ops.do(w, h.heir) }
+
+// Ended takes callers up again where the successor has died and nobody ends this process: nobody else would take them.
+func (h *heir) Ended(err error, _ bool) {
+	h.ops.link(h.heir, false)
+	h.mu.Lock()
+	resumes := h.gave && !h.stopping
+	h.heir, h.gave = nil, false
+	h.mu.Unlock()
+	if !resumes {
+		return
+	}
+	h.log.Error("the successor has gone; callers are taken here again", zap.Error(err))
+	debug.SetMemoryLimit(h.limits.Memory)
+	h.front.PassOn(nil)
+	if err := h.door.open(); err != nil {
+		h.log.Error("the listener could not be opened again", zap.Error(err))
+		return
+	}
+	if ln, err := handover.Listen(h.path); err == nil { // the successor had taken the path
+		h.mu.Lock()
+		h.ln.Close()
+		h.ln = ln
+		h.mu.Unlock()
+		h.all.Go(func() { (*succession)(h).accept(ln) })
+	}
+	h.front.Serve(h.door.listener())
+	h.ops.taking.Store(true)
+}
+
+// forebear is what a process does with the words of the one before it.
+type forebear succession
+
+func (f *forebear) Takes() {}
+
+func (f *forebear) Conn(c net.Conn, asked bool) {
+	if f.lent > 0 { // it holds one less
+		f.lent--
+		f.budget.Give()
+	}
+	f.front.Adopt(c, asked)
+}
+
+func (f *forebear) Word(w handover.Word) { f.ops.do(w, f.before) }
+
+func (f *forebear) Ended(error, bool) {
+	f.ops.link(f.before, false)
+	for ; f.lent > 0; f.lent-- {
+		f.budget.Give()
+	}
+	debug.SetMemoryLimit(f.limits.Memory)
+	f.log.Info("the process before has ended")
+}
--- /dev/null
+++ b/cmd/robincart/succeed_test.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// place is where processes of one node follow one another: one listener, one directory, one file.
+type place struct {
+	t      *testing.T
+	file   *os.File
+	dir    string
+	config map[string]any
+	addr   string
+}
+
+// process is one of them.
+type started struct {
+	*exec.Cmd
+	log   *logged
+	admin string
+	ended chan error
+}
+
+func newPlace(t *testing.T, servers ...*server) (*place, *discovery) {
+	d := newDiscovery(t)
+	for i, s := range servers {
+		d.Tell(listed(fmt.Sprint("s", i), s.addr(), "ready"))
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	file, err := ln.(*net.TCPListener).File()
+	require.NoError(t, err)
+	ln.Close()
+	t.Cleanup(func() { file.Close() })
+	c := configuration(t, d, d.all()...)
+	c["listen"] = ln.Addr().String()
+	return &place{t: t, file: file, dir: t.TempDir(), config: c, addr: ln.Addr().String()}, d
+}
+
+// start starts one more and waits until it takes callers.
+func (l *place) start() *started {
+	l.t.Helper()
+	p := &started{admin: freeAddress(l.t), log: &logged{}, ended: make(chan error, 1)}
+	l.config["admin_addr"] = p.admin
+	text, err := json.Marshal(l.config)
+	require.NoError(l.t, err)
+	path := filepath.Join(l.t.TempDir(), "config.json")
+	require.NoError(l.t, os.WriteFile(path, text, 0o600))
+	p.Cmd = exec.Command(os.Args[0])
+	p.Env = append(os.Environ(), "ROBINCART_TEST_PROGRAM=1", "GORACE=atexit_sleep_ms=0", "EDGE_CONFIG="+path, "EDGE_ACCEPT_FD=3", "TMPDIR="+l.dir)
+	p.ExtraFiles, p.Stderr = []*os.File{l.file}, p.log
+	require.NoError(l.t, p.Start())
+	go func() { p.ended <- p.Wait() }()
+	l.t.Cleanup(func() {
+		p.Process.Kill()
+		assert.NotContains(l.t, p.log.String(), "DATA RACE")
+		assert.NotContains(l.t, p.log.String(), "panic:")
+	})
+	require.Eventually(l.t, p.ready, 20*time.Second, 5*time.Millisecond, "%s", p.log)
+	return p
+}
+
+func (p *started) ready() bool {
+	r, err := http.Get("http://" + p.admin + "/_ready")
+	if err != nil {
+		return false
+	}
+	r.Body.Close()
+	return r.StatusCode == 200
+}
+
+func (p *started) exits(t *testing.T) {
+	t.Helper()
+	select {
+	case err := <-p.ended:
+		assert.NoError(t, err, p.log.String())
+	case <-time.After(20 * time.Second):
+		assert.Fail(t, "the process is still there", p.log.String())
+	}
+}
+
+// traffic keeps callers at work on connections that stay open until stop, which returns how many requests were not served.
+// Each asks once: what a request crosses is told.
+func (l *place) traffic(callers int) (stop func() (asked, failed int)) {
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	n, bad := 0, 0
+	end := make(chan struct{})
+	for i := range callers {
+		all.Go(func() {
+			c, err := net.Dial("tcp", l.addr)
+			if err != nil {
+				mu.Lock()
+				bad++
+				mu.Unlock()
+				return
+			}
+			defer c.Close()
+			buf := make([]byte, 4096)
+			for k := 0; ; k++ {
+				select {
+				case <-end:
+					return
+				case <-time.After(time.Duration(i%5) * 3 * time.Millisecond):
+				}
+				c.SetDeadline(time.Now().Add(20 * time.Second))
+				fmt.Fprintf(c, "GET /find/x HTTP/1.1\r\nHost: n\r\nX-Trace-Id: %08x%08x\r\nX-Qos: find\r\nX-Customer: acme\r\nX-Expires-In-Ms: 3000\r\n\r\n", i, k)
+				got, err := c.Read(buf)
+				mu.Lock()
+				n++
+				if err != nil || string(buf[9:12]) != "200" {
+					bad++
+					l.t.Logf("request %d of caller %d: %v %.60q", k, i, err, buf[:got])
+				}
+				mu.Unlock()
+				if err != nil {
+					return
+				}
+			}
+		})
+	}
+	return func() (int, int) {
+		close(end)
+		all.Wait()
+		return n, bad
+	}
+}
+
+func TestProcessesFollowOneAnotherUnderTrafficAndNoCallerNotices(t *testing.T) {
+	slow := newServer(t, after(20*time.Millisecond, says(200, "x")))
+	l, _ := newPlace(t, slow, newServer(t, says(200, "y")))
+	p := l.start()
+	stop := l.traffic(20)
+	time.Sleep(200 * time.Millisecond)
+	for range 3 {
+		next := l.start()
+		assert.Eventually(t, func() bool { return !p.ready() }, 20*time.Second, time.Millisecond, "the one before says that it takes none")
+		time.Sleep(50 * time.Millisecond)
+		require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+		p.exits(t)
+		p = next
+	}
+	time.Sleep(100 * time.Millisecond)
+	asked, failed := stop()
+	assert.Zero(t, failed)
+	assert.Greater(t, asked, 500)
+}
+
+func TestBansAndEmptyingOutliveTheProcessThatWasTold(t *testing.T) {
+	a, b := newServer(t, says(200, "a")), newServer(t, says(200, "b"))
+	l, _ := newPlace(t, a, b)
+	ask := func() reply { return (&program{t: t, addr: l.addr}).ask("find", "") }
+	first := l.start()
+	assert.Equal(t, 200, calls(t, first.admin, "/_servers/detach", `{"host":"s0"}`))
+	second := l.start()
+	for range 20 {
+		assert.Equal(t, "b", ask().body, "out over an upgrade")
+	}
+	// While both are there either may be told.
+	assert.Equal(t, 200, calls(t, first.admin, "/_servers/attach", `{"host":"s0"}`))
+	assert.Equal(t, 200, calls(t, first.admin, "/_servers/detach", `{"host":"s1"}`))
+	assert.Eventually(t, func() bool { return ask().body == "a" && ask().body == "a" }, 20*time.Second, 5*time.Millisecond)
+	before := b.count()
+	for range 20 {
+		assert.Equal(t, "a", ask().body)
+	}
+	assert.Equal(t, before, b.count())
+	assert.Equal(t, 200, calls(t, second.admin, "/_lameduck/on", ""))
+	require.NoError(t, first.Process.Signal(syscall.SIGTERM))
+	first.exits(t)
+	// Killed outright, too, it is followed by one that knows.
+	second.Process.Kill()
+	<-second.ended
+	third := l.start()
+	got := ask()
+	assert.Equal(t, "a", got.body)
+	assert.True(t, got.closes, "it is still being emptied")
+	assert.Equal(t, before, b.count())
+	assert.Equal(t, 200, calls(t, third.admin, "/_lameduck/off", ""))
+	assert.False(t, ask().closes)
+}
+
+func TestASuccessorThatDiesLeavesTheProcessBeforeAtWork(t *testing.T) {
+	l, _ := newPlace(t, newServer(t, says(200, "x")))
+	first := l.start()
+	second := l.start()
+	assert.Eventually(t, func() bool { return !first.ready() }, 20*time.Second, time.Millisecond)
+	second.Process.Kill()
+	<-second.ended
+	require.Eventually(t, first.ready, 20*time.Second, 5*time.Millisecond)
+	assert.Equal(t, 200, (&program{t: t, addr: l.addr}).ask("find", "").status)
+	third := l.start()
+	assert.Eventually(t, func() bool { return !first.ready() }, 20*time.Second, time.Millisecond, "and it can be followed again")
+	require.NoError(t, first.Process.Signal(syscall.SIGTERM))
+	first.exits(t)
+	assert.Equal(t, 200, (&program{t: t, addr: l.addr}).ask("find", "").status)
+	require.NoError(t, third.Process.Signal(syscall.SIGTERM))
+	third.exits(t)
+}
--- a/internal/frontend/rest.go
+++ b/internal/frontend/rest.go
@@ -177,6 +177,16 @@
 	for {
 		f.mu.Lock()
 		ends := c.ending || f.drained || f.emptied
+		if pass := f.pass; pass != nil && !c.ending && !c.last {
+			f.mu.Unlock()
+			if f.passes(c, pass) {
+				return stood
+			}
+			f.mu.Lock()
+			f.pass, more = nil, true // the other process has gone
+			f.mu.Unlock()
+			continue
+		}
 		if !c.stirred && !more && !ends {
 			c.reader.Release()
 			c.reader = nil
@@ -212,7 +222,10 @@
 }
 
 // close ends a connection for good, once.
-func (f *Server) close(c *conn) {
+func (f *Server) close(c *conn) { f.drop(c, false) }
+
+// drop forgets a connection, which lives on in another process or ends.
+func (f *Server) drop(c *conn, lives bool) {
 	f.mu.Lock()
 	if c.closed {
 		f.mu.Unlock()
@@ -229,7 +242,11 @@
 	f.admit()
 	f.tidy()
 	f.mu.Unlock()
-	f.lot.Remove(&place)
+	if lives {
+		f.lot.Leave(c.raw, &place)
+	} else {
+		f.lot.Remove(&place)
+	}
 	c.Conn.Close()
 	f.budget.Give()
 	f.done.Done()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -69,6 +69,7 @@
 	drained  bool          // idle connections are closed from now on
 	emptied  bool          // the same, until the node is back at work
 	lamed    int           // counts the times it was emptied
+	pass     Pass          // set: connections go to another process between requests
 	done     sync.WaitGroup
 }
 
@@ -126,30 +127,49 @@
 // in use the new one waits for the first to end, since closing it could lose a request that is already
 // written to it.
 func (f *Server) take(raw net.Conn) {
+	f.mu.Lock()
+	pass := f.pass
+	f.mu.Unlock()
+	if pass != nil && pass(raw, false) == nil { // it was taken while the listener changed hands
+		raw.Close()
+		return
+	}
 	for !f.room() || !f.budget.TakeLast() {
 		f.closeIdle()
 		time.Sleep(f.limits.LastLook)
 	}
-	c, err := f.newConn(raw)
-	if err != nil {
-		f.log.Warn("watching a connection failed", zap.Error(err))
-		raw.Close()
-		f.budget.Give()
-		return
+	if c := f.newConn(raw); c != nil {
+		f.add(c)
 	}
-	f.add(c)
 }
 
-func (f *Server) newConn(raw net.Conn) (*conn, error) {
+// Adopt takes over a connection that another process had; asked tells whether it has brought an RPC there.
+func (f *Server) Adopt(raw net.Conn, asked bool) {
+	for !f.room() || !f.budget.TakeLast() {
+		f.closeIdle()
+		time.Sleep(f.limits.LastLook)
+	}
+	if c := f.newConn(raw); c != nil {
+		c.first, c.asked = !asked, asked
+		f.add(c)
+	}
+}
+
+// newConn makes the record of a connection that has its place, or closes it.
+func (f *Server) newConn(raw net.Conn) *conn {
 	c := &conn{Conn: raw, server: f, born: f.clock(), first: true}
 	c.Member.Owner, c.ring.What = c, c
-	sc, ok := raw.(syscall.Conn)
-	if !ok {
-		return nil, fmt.Errorf("%T is no socket", raw)
+	err := fmt.Errorf("%T is no socket", raw)
+	if sc, ok := raw.(syscall.Conn); ok {
+		c.raw, err = sc.SyscallConn()
+	}
+	if err != nil {
+		f.log.Warn("watching a connection failed", zap.Error(err))
+		raw.Close()
+		f.budget.Give()
+		return nil
 	}
-	var err error
-	c.raw, err = sc.SyscallConn()
-	return c, err
+	return c
 }
 
 // add begins to watch a connection.
@@ -157,8 +177,11 @@
 	f.done.Add(1)
 	f.mu.Lock()
 	f.conns[c] = struct{}{}
-	f.fresh.push(c)
-	most := f.limits.CallerRead // against those that connect and say nothing
+	most := f.limits.CallerIdle
+	if !c.asked {
+		f.fresh.push(c)
+		most = f.limits.CallerRead // against those that connect and say nothing
+	}
 	if f.emptied {
 		most = f.limits.StopTaking
 	}
@@ -263,6 +286,45 @@
 	}
 }
 
+// Pass sends a caller's connection to another process; asked tells whether it has brought an RPC.
+type Pass func(raw net.Conn, asked bool) error
+
+// PassOn has connections go to another process from now on, those that rest at once and those in use after their answer;
+// with nil they stay again. A caller notices nothing: what it sends next lies in the socket, which both processes hold.
+func (f *Server) PassOn(pass Pass) {
+	f.mu.Lock()
+	f.pass = pass
+	var idle []*conn
+	if pass != nil {
+		for _, c := range f.resting() {
+			if !c.lingering && !c.ending {
+				c.resting = false // so nobody else ends or serves it
+				f.ends.Remove(&c.ring)
+				idle = append(idle, c)
+			}
+		}
+	}
+	f.mu.Unlock()
+	for _, c := range idle {
+		if !f.passes(c, pass) {
+			f.mu.Lock()
+			if !c.closed {
+				f.rouse(c) // what has come meanwhile was told to nobody
+			}
+			f.mu.Unlock()
+		}
+	}
+}
+
+// passes sends a connection that no goroutine reads any more over, and forgets it.
+func (f *Server) passes(c *conn, pass Pass) bool {
+	if err := pass(c.Conn, c.asked); err != nil {
+		return false
+	}
+	f.drop(c, true)
+	return true
+}
+
 // Stop begins the end: answers now close their connections. New ones go on being taken, since the front that
 // deals them out learns of the stop only later.
 func (f *Server) Stop() { f.stopping.Store(true) }
@@ -315,6 +377,12 @@
 // Drain closes idle connections, and those in use as they fall idle, and waits for the last. When the context
 // ends what is still out is aborted: the end by force would leave it with no answer at all.
 func (f *Server) Drain(ctx context.Context) error {
+	f.mu.Lock()
+	pass := f.pass
+	f.mu.Unlock()
+	if pass != nil {
+		f.PassOn(pass)
+	}
 	f.mu.Lock()
 	f.drained = true
 	idle := f.resting()
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,306 @@
+// Package handover carries what a process hands to its successor on the same machine: what it knows, its callers'
+// connections, and what operators tell either of them while both are there. It knows a Unix socket and the form of what
+// goes over it, nothing of what it means.
+package handover
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	messageMost = 16 << 20
+	sendTime    = time.Second
+)
+
+// Kinds of messages. Each is a byte for its kind, four for its length, and JSON.
+const (
+	kindState = 'S' // old to new, the first
+	kindTakes = 'T' // new to old: it takes callers
+	kindConn  = 'C' // old to new, with a descriptor
+	kindWord  = 'W' // either way: what an operator said
+)
+
+// Word is one call of an operator.
+type Word struct {
+	Call   string
+	Server string `json:",omitempty"`
+}
+
+// Peer is what an end does with what comes. The methods are called one at a time.
+type Peer interface {
+	Takes()                       // the successor takes callers
+	Conn(c net.Conn, asked bool)  // a caller's connection
+	Word(Word)                    // an operator's
+	Ended(err error, spoken bool) // the other end has gone; spoken: after it had said all that begins a handover
+}
+
+// Path is where a process of a name listens for its successor. Names may be of any length and form, and the kernel takes
+// 107 bytes.
+func Path(dir, name string) string {
+	sum := sha256.Sum256([]byte(name))
+	return filepath.Join(dir, fmt.Sprintf("robincart-%x.sock", sum[:8]))
+}
+
+// short is a path that the kernel takes, and what to close after its use.
+func short(path string) (string, func(), error) {
+	if len(path) < 100 {
+		return path, func() {}, nil
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return "", nil, err
+	}
+	return fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path)), func() { dir.Close() }, nil
+}
+
+// Listen takes a path over, also from a process that listens there now: that one keeps the successors it has.
+func Listen(path string) (*net.UnixListener, error) {
+	at, done, err := short(path)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	own := fmt.Sprintf("%s.%d", at, os.Getpid())
+	os.Remove(own)
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: own, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	ln.SetUnlinkOnClose(false) // by then the path may be a successor's
+	if err := errors.Join(os.Chmod(own, 0o600), os.Rename(own, at)); err != nil {
+		ln.Close()
+		os.Remove(own)
+		return nil, err
+	}
+	return ln, nil
+}
+
+// Dial reaches the process that listens at a path.
+func Dial(path string, within time.Duration) (*Link, error) {
+	at, done, err := short(path)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	c, err := net.DialTimeout("unix", at, within)
+	if err != nil {
+		return nil, err
+	}
+	return NewLink(c.(*net.UnixConn)), nil
+}
+
+// Link is one end of a handover.
+type Link struct {
+	c  *net.UnixConn
+	mu sync.Mutex // of writes
+}
+
+// NewLink makes one of a connection.
+func NewLink(c *net.UnixConn) *Link { return &Link{c: c} }
+
+// Close ends it.
+func (l *Link) Close() error { return l.c.Close() }
+
+// State sends what a process knows.
+func (l *Link) State(state any) error { return l.send(kindState, state, nil) }
+
+// Takes tells that this process takes callers.
+func (l *Link) Takes() error { return l.send(kindTakes, struct{}{}, nil) }
+
+// Word passes on what an operator said.
+func (l *Link) Word(w Word) error { return l.send(kindWord, w, nil) }
+
+// Conn sends a caller's connection over; asked tells whether it has brought a request. This process has to close its own
+// copy.
+func (l *Link) Conn(c net.Conn, asked bool) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return fmt.Errorf("%T is no socket", c)
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var sent error
+	// The descriptor must not be closed and become another's while it is sent.
+	if err := raw.Control(func(fd uintptr) { sent = l.send(kindConn, asked, syscall.UnixRights(int(fd))) }); err != nil {
+		return err
+	}
+	return sent
+}
+
+func (l *Link) send(kind byte, what any, rights []byte) error {
+	text, err := json.Marshal(what)
+	if err != nil {
+		return err
+	}
+	msg := append([]byte{kind, 0, 0, 0, 0}, text...)
+	binary.BigEndian.PutUint32(msg[1:], uint32(len(text)))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.c.SetWriteDeadline(time.Now().Add(sendTime)) // a successor that reads nothing must not hold up callers
+	n, _, err := l.c.WriteMsgUnix(msg, rights, nil)
+	if err == nil && n < len(msg) {
+		_, err = l.c.Write(msg[n:])
+	}
+	if err != nil {
+		l.c.Close() // the other end could not tell where the next message begins
+	}
+	return err
+}
+
+// First reads the state, the first that comes.
+func (l *Link) First(state any, within time.Duration) error {
+	l.c.SetReadDeadline(time.Now().Add(within))
+	defer l.c.SetReadDeadline(time.Time{})
+	kind, text, fd, err := l.read()
+	if fd >= 0 {
+		syscall.Close(fd)
+	}
+	if err != nil {
+		return err
+	}
+	if kind != kindState {
+		return fmt.Errorf("handover: a message of kind %q instead of the state", kind)
+	}
+	return json.Unmarshal(text, state)
+}
+
+// Run hands what comes to a peer until the other end goes.
+func (l *Link) Run(p Peer) {
+	spoken := false
+	for {
+		kind, text, fd, err := l.read()
+		if err == nil {
+			err = l.take(p, kind, text, &fd)
+		}
+		if fd >= 0 {
+			syscall.Close(fd)
+		}
+		if err != nil {
+			l.c.Close()
+			p.Ended(err, spoken)
+			return
+		}
+		spoken = spoken || kind == kindTakes || kind == kindConn
+	}
+}
+
+func (l *Link) take(p Peer, kind byte, text []byte, fd *int) error {
+	switch kind {
+	case kindTakes:
+		p.Takes()
+	case kindWord:
+		var w Word
+		if err := json.Unmarshal(text, &w); err != nil {
+			return err
+		}
+		p.Word(w)
+	case kindConn:
+		var asked bool
+		if err := json.Unmarshal(text, &asked); err != nil || *fd < 0 {
+			return errors.Join(errors.New("handover: a connection without its descriptor"), err)
+		}
+		f := os.NewFile(uintptr(*fd), "caller")
+		*fd = -1
+		c, err := net.FileConn(f)
+		f.Close()
+		if err != nil {
+			return nil // it ended on the way
+		}
+		p.Conn(c, asked)
+	default:
+		return fmt.Errorf("handover: a message of kind %q", kind)
+	}
+	return nil
+}
+
+// read reads one message, with the descriptor that came with it or -1.
+func (l *Link) read() (kind byte, text []byte, fd int, err error) {
+	fd = -1
+	var head [5]byte
+	oob := make([]byte, syscall.CmsgSpace(4))
+	for n := 0; n < len(head); {
+		k, o, _, _, err := l.c.ReadMsgUnix(head[n:], oob)
+		if k == 0 && err == nil {
+			err = io.EOF
+		}
+		if o > 0 {
+			if fd, err = rights(oob[:o], fd, err); err != nil {
+				return 0, nil, fd, err
+			}
+		}
+		if err != nil {
+			return 0, nil, fd, err
+		}
+		n += k
+	}
+	size := binary.BigEndian.Uint32(head[1:])
+	if size > messageMost {
+		return 0, nil, fd, fmt.Errorf("handover: a message of %d bytes", size)
+	}
+	text = make([]byte, size)
+	_, err = io.ReadFull(l.c, text)
+	return head[0], text, fd, err
+}
+
+func rights(oob []byte, had int, err error) (int, error) {
+	all, bad := syscall.ParseSocketControlMessage(oob)
+	if bad != nil {
+		return had, errors.Join(err, bad)
+	}
+	for _, m := range all {
+		fds, bad := syscall.ParseUnixRights(&m)
+		if bad != nil {
+			return had, errors.Join(err, bad)
+		}
+		for _, fd := range fds {
+			syscall.CloseOnExec(fd)
+			if had >= 0 {
+				syscall.Close(had)
+			}
+			had = fd
+		}
+	}
+	return had, err
+}
+
+// Save writes what has to outlive this process, whole or not at all.
+func Save(path string, what any) error {
+	text, err := json.Marshal(what)
+	if err != nil {
+		return err
+	}
+	own := fmt.Sprintf("%s.%d", path, os.Getpid())
+	if err := os.WriteFile(own, text, 0o600); err != nil {
+		os.Remove(own)
+		return err
+	}
+	return os.Rename(own, path)
+}
+
+// Load reads it; a file that is not there is no error, and leaves what as it is.
+func Load(path string, what any) error {
+	text, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, what); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,138 @@
+package handover
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+type peer struct {
+	conns chan net.Conn
+	words chan Word
+	ended chan error
+}
+
+func newPeer() *peer {
+	return &peer{make(chan net.Conn, 100), make(chan Word, 9), make(chan error, 1)}
+}
+func (p *peer) Takes() { p.words <- Word{Call: "takes"} }
+func (p *peer) Conn(c net.Conn, asked bool) {
+	if asked {
+		p.conns <- c
+	} else {
+		c.Close()
+	}
+}
+func (p *peer) Word(w Word)             { p.words <- w }
+func (p *peer) Ended(err error, _ bool) { p.ended <- err }
+
+func one[T any](t *testing.T, from chan T) T {
+	t.Helper()
+	select {
+	case x := <-from:
+		return x
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "nothing came")
+		panic("")
+	}
+}
+
+// pair is a link's two ends, at a path longer than the kernel takes.
+func pair(t *testing.T) (old, heir *Link) {
+	dir := filepath.Join(t.TempDir(), strings.Repeat("d", 120))
+	require.NoError(t, os.Mkdir(dir, 0o700))
+	path := Path(dir, "a name\nof any form")
+	stale, err := Listen(path)
+	require.NoError(t, err)
+	stale.Close()
+	ln, err := Listen(path)
+	require.NoError(t, err, "what a process left behind is no hindrance")
+	defer ln.Close()
+	heir, err = Dial(path, 5*time.Second)
+	require.NoError(t, err)
+	c, err := ln.AcceptUnix()
+	require.NoError(t, err)
+	t.Cleanup(func() { heir.Close(); c.Close() })
+	return NewLink(c), heir
+}
+
+func TestStateConnectionsAndWordsComeAcrossInOrder(t *testing.T) {
+	old, heir := pair(t)
+	big := strings.Repeat("x", 3<<20) // far more than the kernel holds for a message
+	go old.State(big)
+	var got string
+	require.NoError(t, heir.First(&got, 20*time.Second))
+	assert.Equal(t, big, got)
+	p := newPeer()
+	go heir.Run(p)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	var callers []net.Conn
+	for range 50 {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		callers = append(callers, c)
+		in, err := ln.Accept()
+		require.NoError(t, err)
+		c.Write([]byte("crossed"))
+		require.NoError(t, old.Conn(in, true))
+		in.Close()
+	}
+	require.NoError(t, old.Word(Word{Call: "/x", Server: "s1"}))
+	for _, c := range callers {
+		in := one(t, p.conns)
+		buf := make([]byte, 7)
+		in.SetDeadline(time.Now().Add(20 * time.Second))
+		_, err := in.Read(buf)
+		require.NoError(t, err)
+		assert.Equal(t, "crossed", string(buf))
+		in.Write([]byte("!"))
+		in.Close()
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		n, err := c.Read(buf)
+		require.NoError(t, err)
+		assert.Equal(t, "!", string(buf[:n]))
+	}
+	assert.Equal(t, Word{Call: "/x", Server: "s1"}, one(t, p.words))
+	old.Close()
+	assert.Error(t, one(t, p.ended))
+}
+
+func TestWhatIsNoMessageEndsTheLink(t *testing.T) {
+	for name, text := range map[string]string{
+		"kind": "X\x00\x00\x00\x02{}", "length": "W\xff\xff\xff\xff", "json": "W\x00\x00\x00\x01{", "no descriptor": "C\x00\x00\x00\x04true", "cut off": "W\x00"} {
+		old, heir := pair(t)
+		p := newPeer()
+		go heir.Run(p)
+		old.c.Write([]byte(text))
+		if name == "cut off" {
+			old.Close()
+		}
+		assert.Error(t, one(t, p.ended), name)
+		assert.Empty(t, p.words)
+	}
+}
+
+func TestWhatWasSaidIsKeptWholeOrNotAtAll(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "said")
+	got := map[string]int{"before": 1}
+	require.NoError(t, Load(path, &got))
+	assert.Equal(t, map[string]int{"before": 1}, got)
+	require.NoError(t, Save(path, map[string]int{"a": 1}))
+	got = nil
+	require.NoError(t, Load(path, &got))
+	assert.Equal(t, map[string]int{"a": 1}, got)
+	require.NoError(t, os.WriteFile(path, []byte(`{"a":`), 0o600))
+	assert.Error(t, Load(path, &got))
+	all, err := os.ReadDir(filepath.Dir(path))
+	require.NoError(t, err)
+	assert.Len(t, all, 1)
+}
--- a/internal/limits/budget.go
+++ b/internal/limits/budget.go
@@ -42,6 +42,23 @@
 	}
 }
 
+// Left is how many are free.
+func (b *Budget) Left() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left
+}
+
+// Lend takes up to n away at once, for another process that counts against the same limit, and leaves a quarter of what is
+// free. Each comes back with Give.
+func (b *Budget) Lend(n int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n = max(0, min(n, b.left-b.left/4))
+	b.left -= n
+	return n
+}
+
 // Give returns one.
 func (b *Budget) Give() {
 	b.mu.Lock()
--- a/internal/lot/lot.go
+++ b/internal/lot/lot.go
@@ -111,6 +111,16 @@
 	l.free = append(l.free, p.slot)
 }
 
+// Leave is Remove for a connection that lives on in another process: closing this one's copy would leave the kernel's part.
+func (l *Lot) Leave(c syscall.RawConn, p *Place) {
+	if p.in {
+		l.raw.Control(func(ep uintptr) {
+			c.Control(func(fd uintptr) { unix.EpollCtl(int(ep), unix.EPOLL_CTL_DEL, int(fd), nil) })
+		})
+	}
+	l.Remove(p)
+}
+
 // Close ends the lot; nothing is told afterwards.
 func (l *Lot) Close() {
 	l.ep.Close()
--- a/internal/node/barred.go
+++ b/internal/node/barred.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"robincart/decide"
@@ -66,6 +68,29 @@
 	return out
 }
 
+// Listings are the names of servers that were ever listed, as far as they are remembered.
+func (c *Core) Listings() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known.all()
+}
+
+// Succeed takes over what another process of this node knew: who is out and since when, and which servers were listed.
+func (c *Core) Succeed(barred map[string]time.Time, listed []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range listed {
+		c.known.add(id)
+	}
+	for id, since := range barred {
+		c.known.add(id)
+		c.barred[id] = since
+		if s := c.servers[id]; s != nil {
+			c.tell(s)
+		}
+	}
+}
+
 // wall is the wall clock's time as the core has it.
 func (c *Core) wall() time.Time { return c.origin.Add(c.clock.Now()) }
 
@@ -117,3 +142,7 @@
 	_, older := n.older[name]
 	return recent || older
 }
+
+func (n *names) all() []string {
+	return slices.Concat(slices.Collect(maps.Keys(n.older)), slices.Collect(maps.Keys(n.recent)))
+}
