Settings change at SIGHUP: classes come and go, open requests keep their rules

The operators change classes and attempts while the node serves, and some of their files are broken.

--- a/cmd/robincart/config.go
+++ b/cmd/robincart/config.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 
 	"go.uber.org/zap"
 
@@ -31,6 +32,7 @@
 	Settings  json.RawMessage `json:"settings"`
 
 	file   string // the discovery that the file names
+	text   []byte // the file
 	node   *settings.Node
 	list   *registry.List
 	limits limits.Limits
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	c := &config{}
+	c := &config{text: text}
 	if err := json.Unmarshal(text, c); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
@@ -72,6 +74,9 @@
 	if c.node, err = settings.Parse(c.Settings); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	if err := c.node.Serves(); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
 	c.list = &registry.List{Complete: true}
 	if len(c.Known) > 0 {
 		if c.list, err = registry.Parse(c.Known); err != nil {
@@ -93,33 +98,44 @@
 type mover interface{ Move(addr string) }
 
 // reload reads the file again and returns the configuration in force. Of what has changed the discovery's
-// address is taken, and goes before EDGE_DISCOVERY, which is as old as the process; all else waits for a
-// restart. A file that can't be used changes nothing.
-func (c *config) reload(getenv func(string) string, w mover, log *zap.Logger) *config {
+// address and the settings are taken, and the address goes before EDGE_DISCOVERY, which is as old as the process; all else
+// waits for a restart. A file that can't be used, or lacks what the one in force has, changes nothing.
+func (c *config) reload(getenv func(string) string, w mover, tune func(*config), log *zap.Logger) *config {
 	fresh, err := readConfig(getenv)
-	if err != nil {
-		log.Error("the new configuration can't be used; the old one stays", zap.Error(err))
-		return c
+	if err == nil {
+		if _, _, bad := net.SplitHostPort(fresh.file); bad != nil && fresh.file != c.file {
+			err = fmt.Errorf("discovery: %w", bad)
+		}
+	}
+	if err == nil {
+		err = settings.Whole(c.text, fresh.text, "known")
 	}
-	if _, _, err := net.SplitHostPort(fresh.file); err != nil && fresh.file != c.file {
-		log.Error("the new configuration can't be used; the old one stays", zap.Error(err))
+	if err != nil {
+		log.Error("the new configuration can't be used; the old one stays", zap.Strings("mistakes", strings.Split(err.Error(), "\n")))
 		return c
 	}
 	var waits []string
 	for name, same := range map[string]bool{
-		"name": fresh.Name == c.Name, "listen": fresh.Listen == c.Listen, "limits": fresh.Machine == c.Machine,
-		"settings": bytes.Equal(fresh.Settings, c.Settings)} {
+		"name": fresh.Name == c.Name, "listen": fresh.Listen == c.Listen, "limits": fresh.Machine == c.Machine, "admin_addr": fresh.Admin == c.Admin,
+		"settings.Zones": slices.Equal(fresh.node.ZoneNames, c.node.ZoneNames), "settings.MyZone": fresh.node.Zone == c.node.Zone,
+		"settings.RegistryMode": fresh.node.MustWatch == c.node.MustWatch, "settings.Limits.MaxOpen": fresh.node.MaxOpen == c.node.MaxOpen} {
 		if !same {
 			waits = append(waits, name)
 		}
 	}
 	slices.Sort(waits)
 	now := *c
+	now.text = fresh.text
 	if now.file = fresh.file; now.file != c.file {
 		now.Discovery = now.file
 		w.Move(now.Discovery)
 	}
-	log.Info("configuration read again", zap.String("discovery", now.Discovery),
+	tuned := !bytes.Equal(fresh.Settings, c.Settings)
+	if tuned {
+		now.Settings, now.node, now.limits = fresh.Settings, fresh.node, fresh.limits
+		tune(&now)
+	}
+	log.Info("configuration read again", zap.String("discovery", now.Discovery), zap.Bool("settings", tuned),
 		zap.Strings("only after a restart", waits))
 	return &now
 }
--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -144,7 +144,8 @@
 	watcher.Start(core, c.list)
 	pool := upstream.NewPool(core, l, budget, watch)
 	front := frontend.New(l, budget, clk.Now, log, watch)
-	front.Swap(&frontend.Table{Only: frontend.NewService("", c.node, core, pool, nil)})
+	service := frontend.NewService("", c.node, core, pool, nil)
+	front.Swap(&frontend.Table{Only: service})
 
 	life, end := context.WithCancel(context.Background())
 	var owned sync.WaitGroup
@@ -171,7 +172,6 @@
 			ops.taking.Store(true)
 			next.takes()
 		},
-		reload: func() { c = c.reload(os.Getenv, watcher, log) },
 		close: func() {
 			closeAdmin()
 			next.close()
@@ -179,6 +179,15 @@
 			end()
 			owned.Wait()
 		}}
+	s.reload = func() {
+		c = c.reload(os.Getenv, watcher, func(now *config) {
+			service = frontend.NewService("", core.Retune(now.node), core, pool, nil).Follows(service, clk.Now()+now.limits.ClassLeaves)
+			front.Swap(&frontend.Table{Only: service})
+			front.Known(now.limits.IDLife)
+			pool.Tune(now.limits)
+			s.limits = now.limits
+		}, log)
+	}
 	s.until(hup)
 	return nil
 }
--- a/cmd/robincart/operate_test.go
+++ b/cmd/robincart/operate_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -106,3 +107,56 @@
 	assert.Equal(t, 200, got.status)
 	assert.False(t, got.closes)
 }
+
+// edited is the tests' configuration with its settings changed.
+func edited(t *testing.T, c map[string]any, edit func(settings map[string]any, classes []any) []any) string {
+	var s map[string]any
+	require.NoError(t, json.Unmarshal(c["settings"].(json.RawMessage), &s))
+	s["Classes"] = edit(s, s["Classes"].([]any))
+	out := map[string]any{}
+	for k, v := range c {
+		out[k] = v
+	}
+	out["settings"] = s
+	text, err := json.Marshal(out)
+	require.NoError(t, err)
+	return string(text)
+}
+
+func TestClassesComeAndGoUnderTrafficAndBrokenFilesChangeNothing(t *testing.T) {
+	slow := newServer(t, after(200*time.Millisecond, says(200, "x")))
+	d := newDiscovery(t, listed("s0", slow.addr(), "ready"))
+	c := configuration(t, d, d.all()...)
+	p := start(t, c)
+	out := make(chan reply, 1)
+	go func() { out <- p.ask("find", "") }()
+	require.Eventually(t, func() bool { return slow.count() == 1 }, 5*time.Second, time.Millisecond)
+	good := edited(t, c, func(_ map[string]any, all []any) []any {
+		extra := map[string]any{}
+		for k, v := range all[1].(map[string]any) {
+			extra[k] = v
+		}
+		extra["Name"] = "tip"
+		return append([]any{extra}, all[1:]...) // find has left
+	})
+	p.reload(good)
+	require.Eventually(t, func() bool { return p.ask("tip", "x").status != 404 }, 10*time.Second, 5*time.Millisecond)
+	assert.Equal(t, 200, (<-out).status, "what was open is served")
+	assert.Equal(t, 200, p.ask("find", "").status, "callers hear of it later")
+	assert.Equal(t, 200, p.askWith("tip", "x", map[string]string{"Idempotency-Key": "k"}).status)
+	for i, broken := range []string{"", good[:len(good)/2], strings.Replace(good, `"Classes"`, `"Klasses"`, 1), strings.Replace(good, `"seed"`, `"sead"`, 1),
+		edited(t, c, func(_ map[string]any, all []any) []any { all[0].(map[string]any)["DeadlineMs"] = 0; return all }),
+		edited(t, c, func(_ map[string]any, all []any) []any { delete(all[0].(map[string]any), "AimMs"); return all }),
+		edited(t, c, func(s map[string]any, all []any) []any { s["Limits"].(map[string]any)["MaxAttempts"] = 0; return all }),
+		edited(t, c, func(s map[string]any, all []any) []any {
+			delete(s["Limits"].(map[string]any), "MaxAttempts")
+			return all
+		}),
+		edited(t, c, func(s map[string]any, all []any) []any { return append(all, all[0]) }),
+	} {
+		p.reload(broken)
+		require.Eventually(t, func() bool { return strings.Count(p.Log(), "the old one stays") == i+1 }, 10*time.Second, 5*time.Millisecond, "%.300s", broken)
+		assert.Equal(t, 200, p.askWith("tip", "x", map[string]string{"Idempotency-Key": fmt.Sprint("b", i)}).status)
+	}
+	assert.Eventually(t, func() bool { return p.ask("find", "").status == 404 }, 10*time.Second, 50*time.Millisecond, "and is gone in the end")
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -78,10 +78,15 @@
 
 func (d *decaying) add(x, now, half float64) { d.sum = d.read(now, half) + x }
 
-type method struct {
+// rules are a method's. An RPC keeps those that it came under.
+type rules struct {
 	Method
-	value     float64 // utility as a part of the dearest method's
-	picks     int     // picks an RPC may have, by its utility
+	value float64 // utility as a part of the dearest method's
+	picks int     // picks an RPC may have, by its utility
+}
+
+type method struct {
+	*rules
 	took, oks decaying
 }
 
@@ -121,6 +126,7 @@
 }
 
 type rpc struct {
+	rules   *rules
 	came    float64
 	useful  float64 // after that an answer earns nothing
 	picks   []*Pick
@@ -151,6 +157,7 @@
 	servers []*Server
 	odd     []*Server // ready, but cold or ejected: sums over all servers are the whole less theirs
 	rows    []row
+	blocks  [][]int         // where the rows of each method and tenant begin
 	resets  map[int]float64 // the last one of each zone
 	list    int             // lists seen
 
@@ -195,42 +202,70 @@
 
 // New starts an instance.
 func New(h Host, s Settings, seed int64) *Balancer {
-	b := &Balancer{host: h, rng: rand.New(rand.NewSource(seed)), inner: s.Stage > 0, copies: s.SecondCopies,
-		cancels: s.MayCancel, overShare: s.OverShare, cross: s.CrossZone, zone: s.Zone,
-		coldFrom: s.ColdFrom, coldFor: s.ColdFor, part: 1 / float64(max(1, s.Instances)),
-		keep: fade, keepPace: paceHalf, goal: goal}
+	b := &Balancer{host: h, rng: rand.New(rand.NewSource(seed)), resets: map[int]float64{}}
+	b.keep, b.keepPace = fade, paceHalf
+	b.tune(s)
+	if s.MustWatch {
+		// All nodes start together and the list is one slow service: each waits a random part of the time.
+		h.After(b.rng.Float64()*min(s.MustAskIn/4, 0.1*float64(s.Instances)), watchAgain{})
+	}
+	return b
+}
+
+// tune takes the settings over. A method that is empty has left: its slot keeps what its last RPCs need.
+func (b *Balancer) tune(s Settings) {
+	b.inner, b.copies, b.cancels = s.Stage > 0, s.SecondCopies, s.MayCancel
+	b.overShare, b.cross, b.zone = s.OverShare, s.CrossZone, s.Zone
+	b.coldFrom, b.coldFor, b.part = s.ColdFrom, s.ColdFor, 1/float64(max(1, s.Instances))
+	b.maxWait, b.coldPush = 0, max(1, s.FallMultiple/2)
 	if s.RetryAfter {
 		b.maxWait = s.MaxRetryAfter
 	}
-	if s.FallFor <= 0 || s.FallMultiple <= 0 {
-		b.coldFor = 0 // nothing pushes a cold server over
-	} else {
-		b.floorRate = s.FallMultiple / s.FallFor * b.part
+	if b.floorRate = s.FallMultiple / s.FallFor * b.part; s.FallFor <= 0 || s.FallMultiple <= 0 {
+		b.coldFor, b.floorRate = 0, 0 // nothing pushes a cold server over
 	}
-	b.coldPush = max(1, s.FallMultiple/2)
-	top := 0.0
+	top, n := 0.0, 0.0
 	for _, m := range s.Methods {
 		top = max(top, m.Utility)
+		if m != (Method{}) {
+			n++
+		}
 	}
-	for _, m := range s.Methods {
-		k := method{Method: m, value: 1}
+	b.goal = goal
+	for i, m := range s.Methods {
+		k := &rules{Method: m, value: 1}
 		if top > 0 {
 			k.value = m.Utility / top
 		}
 		k.picks = 1 + int(math.Ceil(float64(s.MaxPicks-1)*math.Cbrt(k.value)))
-		b.methods = append(b.methods, k)
-		b.goal += lateGoal * m.LateUtility / float64(len(s.Methods))
+		b.goal += lateGoal * m.LateUtility / max(1, n)
+		if i == len(b.methods) {
+			b.methods, b.blocks = append(b.methods, method{rules: k}), append(b.blocks, nil)
+		} else if m != (Method{}) {
+			b.methods[i].rules = k
+		}
 	}
-	for _, t := range s.Tenants {
-		b.tenants = append(b.tenants, tenant{quota: t.Quota * b.part})
+	for i, t := range s.Tenants {
+		if i == len(b.tenants) {
+			b.tenants = append(b.tenants, tenant{})
+		}
+		b.tenants[i].quota = t.Quota * b.part
 	}
-	b.resets = map[int]float64{}
-	b.rows = make([]row, len(s.Methods)*max(1, len(s.Tenants))*levels)
-	if s.MustWatch {
-		// All nodes start together and the list is one slow service: each waits a random part of the time.
-		h.After(b.rng.Float64()*min(s.MustAskIn/4, 0.1*float64(s.Instances)), watchAgain{})
+	for i := range b.blocks {
+		for len(b.blocks[i]) < max(1, len(b.tenants)) {
+			b.blocks[i] = append(b.blocks[i], len(b.rows))
+			b.rows = append(b.rows, make([]row, levels)...)
+		}
 	}
-	return b
+}
+
+// Retune takes other settings. What was learnt stays; RPCs that are open keep the rules that they came under.
+func (b *Balancer) Retune(s Settings) {
+	b.tune(s)
+	for _, s := range b.servers {
+		s.entries = append(s.entries, make([]entry, len(b.rows)-len(s.entries))...)
+	}
+	b.lackAt = -1
 }
 
 // Listed takes news of the servers; a full list also tells which have left.
@@ -300,7 +335,7 @@
 func (b *Balancer) Arrived(r *RPC) {
 	now := b.host.Now()
 	m := &b.methods[r.Method]
-	r.open, r.came = true, now
+	r.open, r.came, r.rules = true, now, m.rules
 	b.open++
 	r.useful = now + m.LatencyTarget
 	if m.LateUtility > 0 {
@@ -436,7 +471,7 @@
 	if len(r.picks) == 0 {
 		return
 	}
-	wait := (now - r.came) / b.methods[r.Method].LatencyTarget
+	wait := (now - r.came) / r.rules.LatencyTarget
 	b.waits.add(wait, now, recentHalf)
 	b.oldWaits.add(wait, now, doneHalf)
 	b.oldEnds.add(1, now, doneHalf)
@@ -470,7 +505,7 @@
 
 // pickOr sends the RPC's next pick or, if there is nowhere to send it, ends it.
 func (b *Balancer) pickOr(r *RPC, now float64) {
-	if len(r.picks) < b.methods[r.Method].picks && now < r.useful && b.mayRepeat(r, now) {
+	if len(r.picks) < r.rules.picks && now < r.useful && b.mayRepeat(r, now) {
 		if s := b.choose(r, now); s != nil {
 			b.send(r, s, now)
 			return
@@ -489,12 +524,12 @@
 	if r.ran == nil {
 		return true
 	}
-	m := &b.methods[r.Method]
+	m := r.rules
 	return m.Repeat == Idempotent || m.Repeat == Deduplicated && now < r.ran.sent+m.Window-margin
 }
 
 // within tells whether a server drops repeats of what first may have run.
-func (m *method) within(s, first *Server) bool {
+func (m *rules) within(s, first *Server) bool {
 	if m.Repeat == Idempotent || m.Scope == ScopeAll {
 		return true
 	}
@@ -503,7 +538,7 @@
 
 // choose is the Q-router: the lowest time-to-go at the present load, near-ties and exploration at random.
 func (b *Balancer) choose(r *RPC, now float64) *Server {
-	m := &b.methods[r.Method]
+	m := r.rules
 	unit, typical := b.unit(now), b.typical(r.Method, now)
 	b.keep, b.keepPace = b.memory(fade, now), b.memory(paceHalf, now)
 	few := paceDoubt * typical
@@ -613,7 +648,7 @@
 		load += s.queue * math.Exp2(s.qTime-now) // a late report must not mislead for long
 	}
 	level := min(bits.Len(uint(load+1))-1, levels-1)
-	return (r.Method*max(1, len(b.tenants))+r.Tenant)*levels + level
+	return b.blocks[r.Method][r.Tenant] + level
 }
 
 // mean is where a new entry starts: at the mean of the other servers' matching entries.
@@ -683,7 +718,7 @@
 	i := b.row(r, s, now)
 	p := &Pick{RPC: r, Server: s, pick: pick{sent: now, row: i, out: true, due: b.mean(i, r.Method, now)}}
 	// Where answers take a hair's breadth, the node's own hiccups would else pass for hung servers.
-	p.late = max(overdue*p.due, quiet*b.methods[r.Method].LatencyTarget)
+	p.late = max(overdue*p.due, quiet*r.rules.LatencyTarget)
 	if b.cold(s, now) < 1 {
 		s.tokens--
 	}
@@ -748,7 +783,7 @@
 	if b.extra.read(now, extraHalf)+b.rng.Float64() > most {
 		return
 	}
-	if len(r.picks) < b.methods[r.Method].picks && b.mayRepeat(r, now) {
+	if len(r.picks) < r.rules.picks && b.mayRepeat(r, now) {
 		if other := b.choose(r, now); other != nil {
 			b.extra.add(1, now, extraHalf)
 			b.send(r, other, now)
@@ -855,7 +890,7 @@
 func (b *Balancer) fault(p *Pick, now float64) {
 	s := p.Server
 	b.pay(p, paceCap*p.due, now)
-	b.learn(p, penalty*b.methods[p.RPC.Method].Deadline, true, now)
+	b.learn(p, penalty*p.RPC.rules.Deadline, true, now)
 	s.strikes++
 	if s.strikes >= strikeOut && now >= s.ejected {
 		s.backoff = min(max(ejectMin, 2*s.backoff), ejectMax)
@@ -906,7 +941,7 @@
 
 // giveUp ends an RPC at once: with a pushback where retrying is harmless, else with an abort.
 func (b *Balancer) giveUp(r *RPC) {
-	m := &b.methods[r.Method]
+	m := r.rules
 	if r.ran == nil || m.Repeat == Idempotent || m.Repeat == Deduplicated && m.Scope == ScopeAll {
 		// Soon enough that the next try can still be in time; a later one would take room from RPCs that can.
 		wait := comeBack * m.LatencyTarget
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -136,7 +136,7 @@
 		return c.answer(q, bad)
 	}
 	defer service.leave()
-	method, tenant, bad := service.check(q, &f.limits)
+	method, tenant, bad := service.check(q, &f.limits, came)
 	if bad != nil {
 		return c.answer(q, bad)
 	}
--- a/internal/frontend/ids.go
+++ b/internal/frontend/ids.go
@@ -10,11 +10,11 @@
 // that comes again is a copy by somebody else. Sent on, it would be turned away by one server after another, since
 // they know that id, and each time a sound server would be taken for a failing one.
 type ids struct {
-	life time.Duration // that an ended one is known at least
-	most int           // of them in either half: a flood must not fill the memory
+	most int // of them in either half: a flood must not fill the memory
 	seed maphash.Seed
 
 	mu            sync.Mutex
+	life          time.Duration // that an ended one is known at least
 	open          map[uint64]struct{}
 	recent, older map[uint64]struct{} // ended; the older half is forgotten as the recent one takes its place
 	turned        time.Duration
@@ -50,3 +50,9 @@
 	}
 	k.recent[n] = struct{}{}
 }
+
+func (k *ids) keep(life time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.life = life
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -99,6 +99,9 @@
 // Swap serves another table from now on. Requests that were found a service before end where they began.
 func (f *Server) Swap(t *Table) { f.table.Store(t) }
 
+// Known has the ids of ended requests known for another time.
+func (f *Server) Known(life time.Duration) { f.ids.keep(life) }
+
 // Serve begins to take connections, until the listener is closed. Several listeners may be served at once; Drain
 // waits for them all.
 func (f *Server) Serve(ln net.Listener) {
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -29,12 +29,11 @@
 type Service struct {
 	Name string
 
-	settings *settings.Node
-	core     Core
-	picks    Picks
-	share    Share
-	methods  map[string]int
-	tenants  map[string]int
+	core    Core
+	picks   Picks
+	share   Share
+	methods map[string]class
+	tenants map[string]int
 
 	mu     sync.Mutex
 	open   int
@@ -44,13 +43,38 @@
 
 // NewService makes one; the share may be nil.
 func NewService(name string, s *settings.Node, core Core, picks Picks, share Share) *Service {
-	v := &Service{Name: name, settings: s, core: core, picks: picks, share: share, methods: map[string]int{}, tenants: map[string]int{},
+	v := &Service{Name: name, core: core, picks: picks, share: share, methods: map[string]class{}, tenants: map[string]int{},
 		empty: make(chan struct{})}
 	for i, m := range s.MethodNames {
-		v.methods[m] = i
+		if m != "" { // else a slot that another class has left
+			v.methods[m] = class{slot: i, repeat: s.Methods[i].Repeat}
+		}
 	}
 	for i, t := range s.TenantNames {
-		v.tenants[t] = i
+		if t != "" {
+			v.tenants[t] = i
+		}
+	}
+	return v
+}
+
+// class is a method as callers name it.
+type class struct {
+	slot   int
+	repeat decide.Repeat
+	until  time.Duration // 0: for good
+}
+
+// Follows has the classes that another service took before taken until a time: callers hear of new settings later than the
+// node does.
+func (v *Service) Follows(before *Service, until time.Duration) *Service {
+	for name, k := range before.methods {
+		if _, stays := v.methods[name]; !stays {
+			if k.until == 0 {
+				k.until = until
+			}
+			v.methods[name] = k
+		}
 	}
 	return v
 }
@@ -123,14 +147,14 @@
 
 // check finds what a request asks for, or the answer to one that can't be taken. None of those answers is 429
 // or 503: they would promise that asking the same again helps.
-func (v *Service) check(q *httpwire.Request, l *limits.Limits) (method, tenant int, bad *httpwire.Answer) {
+func (v *Service) check(q *httpwire.Request, l *limits.Limits, now time.Duration) (method, tenant int, bad *httpwire.Answer) {
 	first, _, _ := strings.Cut(strings.TrimPrefix(q.Path, "/"), "/")
-	method, known := v.methods[first]
-	if !known {
+	k, known := v.methods[first]
+	if !known || k.until > 0 && now > k.until {
 		return 0, 0, &httpwire.Answer{Status: 404}
 	}
 	allow := "POST"
-	if v.settings.Methods[method].Repeat == decide.Idempotent {
+	if k.repeat == decide.Idempotent {
 		allow = "GET"
 	}
 	tenant, paying := v.tenants[q.Tenant]
@@ -139,9 +163,9 @@
 		return 0, 0, &httpwire.Answer{Status: 405, Allow: allow}
 	case q.Method != first, q.Trace == "", !q.HasLeft, q.Left > l.MostLeft,
 		len(v.tenants) > 0 && !paying,
-		v.settings.Methods[method].Repeat == decide.Deduplicated && q.Key == "",
+		k.repeat == decide.Deduplicated && q.Key == "",
 		allow == "GET" && len(q.Body) > 0:
 		return 0, 0, &httpwire.Answer{Status: 400}
 	}
-	return method, tenant, nil
+	return k.slot, tenant, nil
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -53,6 +53,8 @@
 	ListAnswer  time.Duration // for the first line of a watch, which may stand in a queue
 	ListSilence time.Duration // between lines: an empty one comes every 2 s
 
+	ClassLeaves time.Duration // after it was dropped from the settings a class is taken for as long
+
 	StopTaking time.Duration // after SIGTERM new connections may come for as long
 	StopMost   time.Duration // after SIGTERM what is still out is aborted
 	StopWrite  time.Duration // for the last answers
@@ -110,6 +112,7 @@
 		ListConnect:  1500 * time.Millisecond,
 		ListAnswer:   6 * time.Second,
 		ListSilence:  3 * time.Second,
+		ClassLeaves:  3 * time.Second,
 		StopTaking:   600 * time.Millisecond,
 		StopWrite:    100 * time.Millisecond,
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	ring     wheel.Timer
 	out      int
 	ended    bool
+	left     bool // its slots
 }
 
 // Breaker is what carries a pick out. Break makes whatever waits there return at once, and waits for nothing itself.
@@ -111,15 +112,17 @@
 
 // Core drives one Balancer and is its decide.Host.
 type Core struct {
-	clock    Clock
-	origin   time.Time // the wall clock's time when clock stood at 0
-	maxPicks int
-	watch    func()
-	left     func([]*Server)
+	clock  Clock
+	origin time.Time // the wall clock's time when clock stood at 0
+	watch  func()
+	left   func([]*Server)
 
 	mu       sync.Mutex
 	balancer *decide.Balancer
 	servers  map[string]*Server
+	settings *settings.Node // in force; names in their slots
+	methods  []slot         // of the module's, by number
+	tenants  []slot
 	barred   map[string]time.Time // taken out by an operator, since when by the wall clock
 	known    names                // that were ever listed
 	picks    []*Pick              // out
@@ -132,10 +135,11 @@
 
 // New starts the core. The module's wish to watch the list goes to watch, which must not wait.
 func New(s *settings.Node, seed int64, clock Clock, wall time.Time, watch func()) *Core {
-	c := &Core{clock: clock, origin: wall.Add(-clock.Now()), maxPicks: s.MaxPicks, watch: watch,
+	c := &Core{clock: clock, origin: wall.Add(-clock.Now()), settings: s, watch: watch,
 		servers: map[string]*Server{}, barred: map[string]time.Time{}, wheel: wheel.New(grain, clock.Now(), 1024)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.methods, c.tenants = make([]slot, len(s.Methods)), make([]slot, max(1, len(s.Tenants)))
 	c.balancer = decide.New(c, s.Settings, seed)
 	c.arm()
 	if !s.MustWatch {
@@ -242,13 +246,16 @@
 // Arrived takes a request and returns its RPC, whose orders tell what to do. It came at a time of the core's
 // clock and its caller waits until the deadline.
 func (c *Core) Arrived(method, tenant int, deadline time.Duration, retry bool) *RPC {
-	r := &RPC{Orders: make(chan Order, c.maxPicks+3), Deadline: deadline,
-		obj: decide.RPC{Method: method, Tenant: tenant, Deadline: seconds(deadline) + epoch, Retry: retry}}
+	r := &RPC{Deadline: deadline, obj: decide.RPC{Method: method, Tenant: tenant, Deadline: seconds(deadline) + epoch, Retry: retry}}
 	r.obj.Of = r
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r.Orders = make(chan Order, c.settings.MaxPicks+3)
 	c.open++
+	c.methods[method].held++
+	c.tenants[tenant].held++
 	c.balancer.Arrived(&r.obj)
+	c.leaves(r)
 	c.arm()
 	return r
 }
@@ -262,6 +269,7 @@
 	}
 	c.end(r)
 	c.balancer.Vanished(&r.obj)
+	c.leaves(r)
 }
 
 // Hold names what carries a pick out, before its server is reached. It is false if the pick is not wanted any more.
@@ -327,6 +335,7 @@
 		c.end(r)
 	}
 	c.balancer.Done(p.obj, res, r.ended, seconds(c.clock.Now()-p.sent), nil)
+	c.leaves(r)
 	c.arm()
 }
 
@@ -375,6 +384,9 @@
 			c.giveUp(w)
 		default:
 			c.balancer.Wake(w)
+			if r, ok := w.(*decide.RPC); ok {
+				c.leaves(r.Of.(*RPC))
+			}
 		}
 	})
 	c.arm()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -359,3 +359,50 @@
 	assert.InDelta(t, s.Now()+60, s.listing(s.servers[out]).CameUp, 0.1, "what the list says of its start goes before")
 	assert.True(t, s.Ready(s.servers[out]))
 }
+
+func TestOpenRPCsKeepTheRulesTheyCameUnder(t *testing.T) {
+	names := func(s *settings.Node) { s.MethodNames = []string{"find", "book", "charge"} }
+	s := begin(t, names)
+	s.list("a", "b", "c")
+	r := s.arrive(find) // idempotent, three picks
+	first := next(t, r).Pick
+	once := s.arrive(charge)
+	paid := next(t, once).Pick
+	for range 40 { // what is learned of a server has to outlive the change
+		x := s.arrive(book)
+		p := next(t, x).Pick
+		s.clock.now += time.Millisecond
+		s.Done(p, decide.OK, &Answer{})
+	}
+	// Charge may be repeated from now on, find not, and book has left for pay.
+	k := decide.Method{LatencyTarget: 1, Deadline: 2, Utility: 1}
+	fresh := &settings.Node{Settings: s.settings.Settings, MethodNames: []string{"charge", "pay", "find"}}
+	fresh.Methods, fresh.MaxPicks = []decide.Method{k, k, k}, 2
+	fresh.Methods[2].Repeat = decide.NonIdempotent
+	is := s.Retune(fresh)
+	assert.Equal(t, []string{"find", "", "charge", "pay"}, is.MethodNames, "a slot that was just left is not used again")
+	s.Done(first, decide.Failed, nil)
+	second := next(t, r)
+	require.Equal(t, Send, second.Kind, "it may still be repeated")
+	s.Done(second.Pick, decide.Failed, nil)
+	third := next(t, r)
+	require.Equal(t, Send, third.Kind, "and has the picks that it came with")
+	s.Done(third.Pick, decide.Failed, nil)
+	assert.Equal(t, PushBack, next(t, r).Kind)
+	s.Done(paid, decide.Failed, nil)
+	assert.Equal(t, Abort, next(t, once).Kind, "it was not to be repeated when it came")
+	r = s.arrive(find)
+	s.Done(next(t, r).Pick, decide.Failed, nil)
+	assert.Equal(t, Abort, next(t, r).Kind, "those that come now are under the new rules")
+	r = s.arrive(3)
+	s.Done(next(t, r).Pick, decide.Failed, nil)
+	s.Done(next(t, r).Pick, decide.Failed, nil)
+	assert.Equal(t, PushBack, next(t, r).Kind, "two picks at most")
+	s.clock.until(s.clock.now + 2*slotRest)
+	fresh.MethodNames = []string{"charge", "tip", "find"}
+	assert.Equal(t, []string{"find", "tip", "charge", ""}, s.Retune(fresh).MethodNames)
+	s.nothingHeld(t)
+	for i := range s.methods {
+		assert.Zero(t, s.methods[i].held)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,7 +32,8 @@
 	}
 	RegistryMode string
 	Limits       struct {
-		MaxAttempts, MaxOpen                          int
+		MaxAttempts                                   *int
+		MaxOpen                                       int
 		MaxRetryAfterMs, ConnectTimeoutMs, ConnIdleMs float64
 		MayCancel, RetryAfter, SecondCopies           bool
 	}
@@ -92,8 +93,10 @@
 	switch {
 	case o.Instances < 0:
 		return errors.New("setting Instances must not be negative")
-	case o.Limits.MaxAttempts < 0 || o.Limits.MaxRetryAfterMs < 0:
-		return errors.New("settings Limits.MaxAttempts and Limits.MaxRetryAfterMs must not be negative")
+	case o.Limits.MaxAttempts != nil && *o.Limits.MaxAttempts < 1:
+		return errors.New("setting Limits.MaxAttempts must be above 0")
+	case o.Limits.MaxRetryAfterMs < 0:
+		return errors.New("setting Limits.MaxRetryAfterMs must not be negative")
 	case o.Limits.ConnectTimeoutMs < 0 || o.Limits.ConnIdleMs < 0 || o.Limits.MaxOpen < 0:
 		return errors.New("settings Limits.ConnectTimeoutMs, ConnIdleMs and MaxOpen must not be negative")
 	case o.Rules.FallMultiple < 0 || o.Rules.FallMs < 0 || o.Rules.MustAskInMs < 0:
@@ -107,9 +110,13 @@
 }
 
 func (o *object) node() *Node {
+	picks := 1
+	if o.Limits.MaxAttempts != nil {
+		picks = *o.Limits.MaxAttempts
+	}
 	n := &Node{
 		Settings: decide.Settings{
-			Zone: o.MyZone, Stage: o.Stage, Instances: max(1, o.Instances), MaxPicks: max(1, o.Limits.MaxAttempts),
+			Zone: o.MyZone, Stage: o.Stage, Instances: max(1, o.Instances), MaxPicks: picks,
 			MayCancel: o.Limits.MayCancel, SecondCopies: o.Limits.SecondCopies,
 			RetryAfter: o.Limits.RetryAfter, MaxRetryAfter: o.Limits.MaxRetryAfterMs / 1000,
 			OverShare: o.OverShareWorth, CrossZone: o.Deductions.CrossZone,
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -101,7 +101,7 @@
 
 // dial connects, for as long as the pick is wanted.
 func (x *exchange) dial(addr string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), x.pool.limits.Connect)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(x.pool.connect.Load()))
 	defer cancel()
 	x.cancel = cancel
 	if !x.pool.core.Hold(x.pick, x) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,10 +44,12 @@
 type Pool struct {
 	core   Core
 	limits limits.Limits
-	budget Budget
-	lot    *lot.Lot // tells of servers that close; nil: they are found closed when they are to be used
-	dialer net.Dialer
-	crew   crew.Crew // of exchanges
+	// Of the limits, what settings change while the pool works.
+	connect, idleMost atomic.Int64
+	budget            Budget
+	lot               *lot.Lot // tells of servers that close; nil: they are found closed when they are to be used
+	dialer            net.Dialer
+	crew              crew.Crew // of exchanges
 
 	mu     sync.Mutex
 	idle   map[*node.Server]*conn // the one used last
@@ -76,11 +79,18 @@
 func NewPool(core Core, l limits.Limits, budget Budget, t *lot.Lot) *Pool {
 	p := &Pool{core: core, limits: l, budget: budget, lot: t, idle: map[*node.Server]*conn{}, dialer: net.Dialer{KeepAlive: -1}}
 	p.oldest.older, p.oldest.newer = &p.oldest, &p.oldest
+	p.Tune(l)
 	budget.Evict(p.Evict)
 	core.Left(p.left)
 	return p
 }
 
+// Tune takes a service's own times towards its servers over.
+func (p *Pool) Tune(l limits.Limits) {
+	p.connect.Store(int64(l.Connect))
+	p.idleMost.Store(int64(l.ServerIdle))
+}
+
 func (p *Pool) newConn(raw net.Conn, addr string) *conn {
 	c := &conn{Conn: raw, pool: p, addr: addr}
 	c.reader.Init(raw, &p.limits.Wire)
@@ -116,7 +126,7 @@
 	for range sweepMost {
 		p.mu.Lock()
 		c := p.oldest.newer
-		if c == &p.oldest || now.Sub(c.since) < p.limits.ServerIdle {
+		if c == &p.oldest || now.Sub(c.since) < time.Duration(p.idleMost.Load()) {
 			p.mu.Unlock()
 			return
 		}
@@ -217,7 +227,7 @@
 		}
 		p.take(c)
 		p.mu.Unlock()
-		if c.addr == addr && time.Since(c.since) < p.limits.ServerIdle && !c.stale() {
+		if c.addr == addr && time.Since(c.since) < time.Duration(p.idleMost.Load()) && !c.stale() {
 			return c
 		}
 		p.close(c)
