--- a/cmd/robincart/bulk_test.go
+++ b/cmd/robincart/bulk_test.go
@@ -188,12 +188,17 @@
 	return 0
 }
 
+// fresh is a head with an id of its own.
+func fresh(line string, more ...string) string {
+	return raw(line, "charge", append(more, fmt.Sprintf("X-Trace-Id: %016x", asked.Add(1)))...)
+}
+
 // What goes wrong on either side of a large body ends as the rules want, and harms nobody else.
 func TestLargeBodiesThatBreakOff(t *testing.T) {
 	s := newBulkServer(t)
 	d := newDiscovery(t, listed("s0", s.Addr().String(), "ready"))
 	p := start(t, configuration(t, d, d.all()...))
-	head := func(more string) string { return raw("POST /charge/x?a=length.5 HTTP/1.1", "charge", more) }
+	head := func(more string) string { return fresh("POST /charge/x?a=length.5", more) }
 	say := func(text string) (net.Conn, *bufio.Reader) {
 		c, err := net.Dial("tcp", p.addr)
 		require.NoError(t, err)
@@ -245,7 +250,7 @@
 	assert.True(t, string(got) == string(contents(200_000)))
 	assert.Equal(t, 1, s.bodies())
 	// A caller that reads nothing holds up nobody, and the node ends all the same.
-	say(raw("POST /charge/x?a=length.30000000 HTTP/1.1", "charge", "Content-Length: 0"))
+	say(fresh("POST /charge/x?a=length.30000000", "Content-Length: 0"))
 	require.Eventually(t, func() bool { return s.bodies() == 2 }, 10*time.Second, time.Millisecond)
 	(&program{t: t, addr: p.addr}).ask("charge", "x")
 	assert.Equal(t, 3, s.bodies())
@@ -253,14 +258,14 @@
 }
 
 func TestASlowCallerIsServed(t *testing.T) {
-	s := newServer(t, says(200, "x"))
-	d := newDiscovery(t, listed("s0", s.addr(), "ready"))
+	s := newBulkServer(t)
+	d := newDiscovery(t, listed("s0", s.Addr().String(), "ready"))
 	p := start(t, configuration(t, d, d.all()...))
 	c, err := net.Dial("tcp", p.addr)
 	require.NoError(t, err)
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(20 * time.Second))
-	text := raw("POST /charge/x HTTP/1.1", "charge", "Content-Length: 150000", "X-Expires-In-Ms: 900") + strings.Repeat("x", 150_000)
+	text := fresh("POST /charge/x?a=length.1", "Content-Length: 150000", "X-Expires-In-Ms: 900") + strings.Repeat("x", 150_000)
 	head := strings.Index(text, "\r\n\r\n")
 	for i := range 4 { // a second for the head
 		io.WriteString(c, text[i*head/4:(i+1)*head/4])
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -406,3 +406,40 @@
 		assert.Zero(t, s.methods[i].held)
 	}
 }
+
+func TestTheTimeOfABodyThatComesLateBeginsWithItsEnd(t *testing.T) {
+	s := begin(t, nil)
+	s.list("a", "b")
+	r := s.Arrived(charge, 0, s.clock.now+4*time.Second, false, true)
+	p := next(t, r).Pick
+	assert.True(t, s.Begin(p, nil))
+	s.clock.until(s.clock.now + time.Minute) // far beyond its target and its deadline
+	assert.Empty(t, r.Orders)
+	assert.True(t, s.Begin(p, nil))
+	s.Came(p, 4*time.Second)
+	assert.Equal(t, s.clock.now+4*time.Second, r.Deadline)
+	b := &breaker{}
+	s.Begin(p, b)
+	s.clock.until(s.clock.now + 3*time.Second)
+	assert.Equal(t, Abort, next(t, r).Kind, "it may have run by then")
+	assert.True(t, b.broken)
+	s.Done(p, decide.Reset, nil)
+	// Broken before its end it never ran; what was sent is gone, so no other server can have it.
+	r = s.Arrived(charge, 0, s.clock.now+4*time.Second, false, true)
+	s.Done(next(t, r).Pick, decide.ConnectFailed, nil)
+	for o := next(t, r); ; o = next(t, r) {
+		if o.Kind == PushBack {
+			break
+		}
+		require.Equal(t, Send, o.Kind)
+		s.Done(o.Pick, decide.Ignored, nil)
+	}
+	// A caller that leaves meanwhile.
+	r = s.Arrived(charge, 0, s.clock.now+4*time.Second, false, true)
+	p = next(t, r).Pick
+	s.Vanished(r)
+	s.Came(p, time.Second)
+	s.Done(p, decide.Reset, nil)
+	s.clock.until(s.clock.now + time.Minute)
+	s.nothingHeld(t)
+}
