A server called back is begun with by how much the node used it before

Seen in a probe that logged estimates and sends: pairs of node and server that had 10 picks or more in the 5 s before count, and a server back from its restart is cold, so a node sends it what one of its average servers would get: 0.06 a second. Also, one that had gone from the list was new to the module and taken for 1.4 times the usual. Ruled out: late calls (none), late news (the list told of each start before the call back). Now the core keeps a server while it is out, and the module lets a server that is ready again be sent its cold part of what it got here before, and half of the average's at least: over all nodes that is the part of what it was seen to do.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -120,8 +120,10 @@
 	tokens       float64
 	tokensAt     float64
 	queue, qTime float64
-	cut          bool // not reached last time
-	odd          bool // among the odd
+	sent         decaying
+	back, before float64 // when it was listed as ready again, and its rate of picks here until it was not
+	cut          bool    // not reached last time
+	odd          bool    // among the odd
 }
 
 type rpc struct {
@@ -216,19 +218,13 @@
 	b.inner, b.copies, b.cancels = s.Stage > 0, s.SecondCopies, s.MayCancel
 	b.overShare, b.cross, b.zone = s.OverShare, s.CrossZone, s.Zone
 	b.coldFrom, b.coldFor, b.part = s.ColdFrom, s.ColdFor, 1/float64(max(1, s.Instances))
-	b.maxWait, b.coldPush = 0, max(1, s.FallMultiple/2)
-	if s.RetryAfter {
-		b.maxWait = s.MaxRetryAfter
-	}
+	b.maxWait, b.coldPush = s.MaxRetryAfter, max(1, s.FallMultiple/2)
 	if b.floorRate = s.FallMultiple / s.FallFor * b.part; s.FallFor <= 0 || s.FallMultiple <= 0 {
 		b.coldFor, b.floorRate = 0, 0 // nothing pushes a cold server over
 	}
-	top, n := 0.0, 0.0
+	top, n := 0.0, len(slices.DeleteFunc(slices.Clone(s.Methods), func(m Method) bool { return m == Method{} }))
 	for _, m := range s.Methods {
 		top = max(top, m.Utility)
-		if m != (Method{}) {
-			n++
-		}
 	}
 	b.goal = goal
 	for i, m := range s.Methods {
@@ -237,7 +233,7 @@
 			k.value = m.Utility / top
 		}
 		k.picks = 1 + int(math.Ceil(float64(s.MaxPicks-1)*math.Cbrt(k.value)))
-		b.goal += lateGoal * m.LateUtility / max(1, n)
+		b.goal += lateGoal * m.LateUtility / float64(n)
 		if i == len(b.methods) {
 			b.methods, b.blocks = append(b.methods, method{rules: k}), append(b.blocks, nil)
 		} else if m != (Method{}) {
@@ -279,6 +275,12 @@
 		} else if l.CameUp > s.cameUp {
 			b.restart(s, now)
 		}
+		switch ready := l.State == Ready; {
+		case ready && s.state != Ready:
+			s.back = now
+		case !ready && s.state == Ready:
+			s.before = s.sent.read(now, extraHalf) * math.Ln2 / extraHalf
+		}
 		s.state, s.zone, s.cell, s.weight, s.cameUp = l.State, l.Zone, l.Cell, max(l.Weight, 0.01), l.CameUp
 		s.seen = b.list
 	}
@@ -577,8 +579,8 @@
 		b.cands, b.ests = append(b.cands, s), append(b.ests, e)
 	}
 	b.cands, b.ests = b.cands[:0], b.ests[:0]
-	// Among hundreds the lowest of some is as good: near-ties are many there. Where most are sick a few more looks
-	// find the sound ones. Those lowest lately are looked at again: chance alone would lose the best from sight.
+	// Among hundreds the lowest of some is as good: many are near-ties. Where most are sick more looks find
+	// the sound ones. Those lowest lately are looked at again: chance alone would lose the best from sight.
 	if len(b.servers) > sight {
 		for i, s := range b.lately {
 			if s != nil && !slices.Contains(b.lately[:i], s) {
@@ -620,11 +622,7 @@
 // estimate is the time-to-go of an RPC at a server.
 func (b *Balancer) estimate(r *RPC, s *Server, typical, now float64) float64 {
 	i := b.row(r, s, now)
-	q := typical
-	if w := &b.rows[i]; w.n > 0 {
-		q = w.sum / float64(w.n)
-	}
-	q *= b.pace(s, typical, now)
+	q := b.mean(i, typical) * b.pace(s, typical, now)
 	// One sample counts for seven tenths of an entry, so an old one misleads: it fades towards the mean of
 	// the row at the server's own pace, which is also where a new entry starts.
 	if e := &s.entries[i]; e.at > 0 {
@@ -648,8 +646,7 @@
 	return q
 }
 
-// memory is a half-life stretched to a node's round of all its servers. With few picks for many servers it
-// would else forget a bad one, and try it again with every other pick.
+// memory is a half-life stretched to a node's round of its servers: it would else try a bad one every round.
 func (b *Balancer) memory(half, now float64) float64 {
 	rate := b.sent.read(now, extraHalf) * math.Ln2 / extraHalf
 	return max(half, min(float64(b.ready)/max(rate, 1e-3), rowLife))
@@ -665,11 +662,11 @@
 }
 
 // mean is where a new entry starts: at the mean of the other servers' matching entries.
-func (b *Balancer) mean(i, method int, now float64) float64 {
+func (b *Balancer) mean(i int, typical float64) float64 {
 	if w := &b.rows[i]; w.n > 0 {
 		return w.sum / float64(w.n)
 	}
-	return b.typical(method, now)
+	return typical
 }
 
 func (b *Balancer) typical(method int, now float64) float64 {
@@ -683,7 +680,7 @@
 // jammed one once, and hundreds of nodes would keep it jammed.
 func (b *Balancer) pace(s *Server, typical, now float64) float64 {
 	doubt, unknown := paceDoubt*typical, b.others
-	if b.cold(s, now) < 1 {
+	if b.cold(s, now) < 1 || s.back > 0 && now < s.back+othersHalf {
 		unknown = 1 // it cannot have jammed yet, and a deploy leaves no others
 	}
 	return (s.cost.read(now, b.keepPace) + doubt*unknown) / (s.due.read(now, b.keepPace) + doubt)
@@ -697,8 +694,7 @@
 	return b.coldFrom + (1-b.coldFrom)*max(0, now-s.cameUp)/b.coldFor
 }
 
-// unit is the rate at which one warm server answers this node at its best: a jam lowers the present rate, and
-// cold servers kept to their part of that could not take over from the jammed ones.
+// unit is the rate of one warm server here at its best: by a jam's, cold ones could not take over from it.
 func (b *Balancer) unit(now float64) float64 {
 	b.lack(now)
 	sum := float64(b.ready) - b.lackCold
@@ -716,6 +712,9 @@
 	if part >= 1 {
 		return true
 	}
+	if s.back > 0 {
+		unit = max(unit/2, s.before) // it did that; who used it most finds out first how it is
+	}
 	rate := b.coldPush * unit * part
 	s.tokens = min(s.tokens+rate*(now-s.tokensAt), 1+rate/4)
 	s.tokensAt = now
@@ -723,8 +722,8 @@
 }
 
 func (b *Balancer) send(r *RPC, s *Server, now float64) {
-	i := b.row(r, s, now)
-	p := &Pick{RPC: r, Server: s, pick: pick{sent: now, row: i, out: true, due: b.mean(i, r.Method, now)}}
+	i, typical := b.row(r, s, now), b.typical(r.Method, now)
+	p := &Pick{RPC: r, Server: s, pick: pick{sent: now, row: i, out: true, due: b.mean(i, typical)}}
 	// Where answers take a hair's breadth, the node's own hiccups would else pass for hung servers.
 	p.late = max(overdue*p.due, quiet*r.rules.LatencyTarget)
 	if b.cold(s, now) < 1 {
@@ -737,6 +736,7 @@
 	r.out++
 	b.out++
 	b.sent.add(1, now, extraHalf)
+	s.sent.add(1, now, extraHalf)
 	s.pending = append(s.pending, p)
 	b.host.Send(p, 0)
 	if wait := b.lateAfter(p, now); now+wait < r.useful && !r.Coming {
@@ -799,7 +799,7 @@
 	}
 }
 
-// overtake counts a late pick before its end, by its age, or as a failure if its server has been silent since.
+// overtake counts a late pick before its end, by its age, or as a failure if its server is silent since.
 func (b *Balancer) overtake(p *Pick, now float64) {
 	if p.charged || p.RPC.Coming || now-p.sent < p.late*0.99 {
 		return
--- a/decide/equal_test.go
+++ b/decide/equal_test.go
@@ -65,7 +65,7 @@
 			if b.cold(s, now) < 1 {
 				unknown = 1
 			}
-			q := b.mean(i, r.Method, now) * (s.cost.read(now, b.keepPace) + doubt*unknown) / (s.due.read(now, b.keepPace) + doubt)
+			q := b.mean(i, b.typical(r.Method, now)) * (s.cost.read(now, b.keepPace) + doubt*unknown) / (s.due.read(now, b.keepPace) + doubt)
 			if e := &s.entries[i]; e.at > 0 && now-e.at <= rowLife {
 				q += (e.q - q) * math.Exp2((e.at-now)/b.keep)
 			}
--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -70,7 +70,7 @@
 func story(n int, edit func(*Settings)) (*fakeHost, []*Server) { return seeded(1, n, edit) }
 
 func seeded(seed int64, n int, edit func(*Settings)) (*fakeHost, []*Server) {
-	s := Settings{Instances: 1, MaxPicks: 5, MayCancel: true, SecondCopies: true, RetryAfter: true, MaxRetryAfter: 2,
+	s := Settings{Instances: 1, MaxPicks: 5, MayCancel: true, SecondCopies: true, MaxRetryAfter: 2,
 		ColdFrom: 0.2, ColdFor: 20, FallMultiple: 3, FallFor: 3, Methods: []Method{
 			{LatencyTarget: 2.5, Deadline: 6, Utility: 10},
 			{LatencyTarget: 2.5, Deadline: 6, Utility: 10, Repeat: Deduplicated, Window: 10},
--- a/decide/host.go
+++ b/decide/host.go
@@ -66,8 +66,7 @@
 	MaxPicks      int
 	MayCancel     bool
 	SecondCopies  bool
-	RetryAfter    bool
-	MaxRetryAfter float64
+	MaxRetryAfter float64 // 0: clients are told nothing
 	OverShare     float64 // fraction of the utility left to traffic beyond a tenant's quota
 	CrossZone     float64 // price of a pick that crosses zones
 	MustWatch     bool    // the server list has to be asked for
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -173,7 +173,7 @@
 			m.HostPort = fmt.Sprintf("%0500d:80", n+i)
 			l.Tell([]Member{m})
 		}
-		a.until(t, n+50)
+		a.until(t, int64(n+50))
 	}
 }
 
--- a/internal/node/barred.go
+++ b/internal/node/barred.go
@@ -43,13 +43,14 @@
 		return c.everListed(id)
 	}
 	delete(c.barred, id)
-	if s := c.servers[id]; s != nil && s.state != decide.Gone {
+	if s := c.servers[id]; s != nil {
 		if !s.last.Started.After(since) {
 			// It was restarted meanwhile, by whoever took it out, and the list has not told. Taken for warm, it would be
 			// pushed over by its part of the traffic.
 			s.back = c.wall()
 		}
 		c.tell(s)
+		c.forget(s) // if the list says that it has gone
 	}
 	return true
 }
@@ -94,9 +95,10 @@
 // wall is the wall clock's time as the core has it.
 func (c *Core) wall() time.Time { return c.origin.Add(c.clock.Now()) }
 
-// stateOf is a listed server's state under the operators' word.
+// stateOf is a listed server's state under the operators' word. While it is out it is kept, also where the list says that it
+// has gone: it is being restarted, and how it was used before tells how to begin with it again.
 func (c *Core) stateOf(e Entry) decide.State {
-	if _, out := c.barred[e.ID]; out && e.State == decide.Ready {
+	if _, out := c.barred[e.ID]; out {
 		return decide.Draining
 	}
 	return e.State
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -201,18 +201,27 @@
 		s.set(state)
 		list = append(list, c.listing(s))
 	}
-	c.balancer.Listed(list, full)
+	var gone []*Server
 	if full {
 		for _, s := range c.servers {
-			if s.seen != c.lists {
-				if s.state == decide.Ready {
-					left = append(left, s)
-				}
-				s.set(decide.Gone)
-				c.forget(s)
+			if s.seen == c.lists {
+				continue
+			}
+			if s.state == decide.Ready {
+				left = append(left, s)
+			}
+			s.last.State = decide.Gone
+			if s.set(c.stateOf(s.last)); s.state == decide.Gone {
+				gone = append(gone, s)
+			} else { // what the module knows of it has to outlive its restart
+				list = append(list, c.listing(s))
 			}
 		}
 	}
+	c.balancer.Listed(list, full)
+	for _, s := range gone {
+		c.forget(s)
+	}
 	for _, e := range entries {
 		if s := c.servers[e.ID]; s != nil {
 			c.forget(s)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -72,7 +73,7 @@
 func begin(t *testing.T, edit func(*settings.Node)) *story {
 	k := decide.Method{LatencyTarget: 2, Deadline: 5, Utility: 1}
 	s := &settings.Node{Settings: decide.Settings{Methods: []decide.Method{k, k, k}, Instances: 1, MaxPicks: 3,
-		MayCancel: true, SecondCopies: true, RetryAfter: true, MaxRetryAfter: 1, MustWatch: true, MustAskIn: 1,
+		MayCancel: true, SecondCopies: true, MaxRetryAfter: 1, MustWatch: true, MustAskIn: 1,
 		ColdFrom: 0.1, ColdFor: 20, FallMultiple: 2, FallFor: 3}}
 	s.Methods[book].Repeat, s.Methods[book].Window = decide.Deduplicated, 10
 	s.Methods[charge].Repeat = decide.NonIdempotent
@@ -443,3 +444,42 @@
 	s.clock.until(s.clock.now + time.Minute)
 	s.nothingHeld(t)
 }
+
+// A server that was restarted while it was out is cold, and unknown: it must neither be pushed over nor left lying, and who
+// sent most there before has to find out first how it is.
+func TestAServerThatIsCalledBackIsUsedSoonAndGently(t *testing.T) {
+	s := begin(t, func(s *settings.Node) { s.Instances = 9 })
+	ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	s.list(ids...)
+	to := map[string][]time.Duration{}
+	work := func(d time.Duration) {
+		for end := s.clock.now + d; s.clock.now < end; {
+			p := next(t, s.arrive(find)).Pick
+			to[p.Server.id] = append(to[p.Server.id], s.clock.now)
+			s.clock.until(s.clock.now + 20*time.Millisecond)
+			s.Done(p, decide.OK, &Answer{})
+			s.clock.until(s.clock.now + 80*time.Millisecond)
+		}
+	}
+	work(20 * time.Second)
+	busiest := slices.MaxFunc(ids, func(a, b string) int { return len(to[a]) - len(to[b]) })
+	assert.True(t, s.Detach(busiest))
+	before := len(to[busiest])
+	s.list(slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == busiest })...)
+	work(3 * time.Second)
+	back := entry(busiest, decide.Ready)
+	back.Started = s.wall()
+	s.Listed([]Entry{back}, false)
+	work(3 * time.Second)
+	assert.Len(t, to[busiest], before)
+	assert.True(t, s.Attach(busiest))
+	work(5 * time.Second)
+	used := len(to[busiest]) - before
+	assert.Positive(t, used)
+	assert.Less(t, used, 12, "of 50, while it can do a tenth to a third of what it could")
+	s.Detach(busiest)
+	s.list()
+	assert.NotNil(t, s.servers[busiest])
+	s.Attach(busiest)
+	assert.Nil(t, s.servers[busiest], "it has gone meanwhile, and is forgotten")
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,8 +118,8 @@
 		Settings: decide.Settings{
 			Zone: o.MyZone, Stage: o.Stage, Instances: max(1, o.Instances), MaxPicks: picks,
 			MayCancel: o.Limits.MayCancel, SecondCopies: o.Limits.SecondCopies,
-			RetryAfter: o.Limits.RetryAfter, MaxRetryAfter: o.Limits.MaxRetryAfterMs / 1000,
-			OverShare: o.OverShareWorth, CrossZone: o.Deductions.CrossZone,
+			MaxRetryAfter: o.retryAfter(),
+			OverShare:     o.OverShareWorth, CrossZone: o.Deductions.CrossZone,
 			MustWatch: o.RegistryMode == "subscribe", MustAskIn: o.Rules.MustAskInMs / 1000,
 			ColdFrom: o.Rules.ColdFrom, ColdFor: o.Rules.ColdMs / 1000,
 			FallMultiple: o.Rules.FallMultiple, FallFor: o.Rules.FallMs / 1000,
@@ -141,6 +141,14 @@
 	return n
 }
 
+// retryAfter is the longest time that clients may be told to wait, in seconds.
+func (o *object) retryAfter() float64 {
+	if !o.Limits.RetryAfter {
+		return 0
+	}
+	return o.Limits.MaxRetryAfterMs / 1000
+}
+
 // Millis turns milliseconds of the settings into a Duration, a day at most: what is longer means never.
 func Millis(ms float64) time.Duration {
 	return time.Duration(min(ms, 86_400_000) * float64(time.Millisecond))
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -49,7 +49,7 @@
 }
 func (c *fakeCore) Remains(*node.Pick) time.Duration { return c.left }
 func (c *fakeCore) Left(f func([]*node.Server))      { c.leaves = f }
-func (c *fakeCore) Came(*node.Pick, time.Duration) {}
+func (c *fakeCore) Came(*node.Pick, time.Duration)   {}
 func (c *fakeCore) Done(_ *node.Pick, r decide.Result, a *node.Answer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
