The room shrinks with lost servers only as far as waits are near the goal

A probe of each pushback: waits stood at 0.3 of the target (goal 0.6), open 12 to 22 of a room of 23 that the part of able servers (0.30 to 0.87) had cut. Ruled out: the calls (none late), the settings (taken in time), the cold servers' tokens. The part is now raised to the mean wait over the goal.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -383,17 +383,16 @@
 // work above.
 func (b *Balancer) admit(r *RPC, now float64) bool {
 	m := &b.methods[r.Method]
-	left := r.useful - now
-	if m.LateUtility > 0 {
-		left = min(left, m.LatencyTarget)
-	}
+	left := min(r.useful-now, m.LatencyTarget)
 	if left <= 0 {
 		return false
 	}
 	if b.inner {
 		return true
 	}
-	room := b.room * b.able(now) * (cheapest + (1-cheapest)*math.Cbrt(r.value))
+	waited := b.waited(now)
+	// Where waits are short the other servers have room to spare.
+	room := b.room * math.Pow(b.able(now), min(1, waited/goal)) * (cheapest + (1-cheapest)*math.Cbrt(r.value))
 	room = max(room, b.leastRoom()/4)
 	// A node that holds one or two by chance knows little of a crowd: the fewer, the more the mean of late
 	// counts and the more gradually RPCs are turned away, since all nodes of the tier do the same.
@@ -406,7 +405,7 @@
 		return false
 	}
 	// Never nobody, here and above: without picks nothing would be learnt of the recovery.
-	x := b.waited(now) * m.LatencyTarget / left
+	x := waited * m.LatencyTarget / left
 	return x < 1 || b.rng.Float64() < max(0.05, 1-2*(x-1))
 }
 
