--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -197,9 +197,9 @@
 	h.b.Listed([]Listing{{Server: s[0], State: Gone}, {Server: s[1], State: Gone}}, false)
 	assert.InDelta(t, 0.5, h.b.able(h.now), 0.05)
 	spare, _ := story(4, nil) // the same with waits far below the goal: nobody need be turned away
-	spare.load(20, 0.05, always(0.2))
+	spare.load(20, 0.02, always(0.5))
 	spare.b.Listed([]Listing{{Server: spare.b.servers[0], State: Gone}, {Server: spare.b.servers[1], State: Gone}}, false)
-	_, pushed := spare.load(2, 0.05, always(0.2))
+	_, pushed := spare.load(2, 0.02, always(0.5))
 	assert.Zero(t, pushed)
 	h.b.Listed([]Listing{ready(s[0], 0), ready(s[1], 1), ready(&Server{}, 0)}, false)
 	assert.Equal(t, 1.0, h.b.able(h.now), "more servers make no more room: the next tier may not have grown")
