Places for requests go by memory; large bodies leave half of them; fuzz targets and cut files

With 1,024 descriptors and 64 MB as many requests could be in the making as would hold 60 MB of bodies and answers whole. Their number now also goes by half of the memory; large uploads have half of the places, beyond which they are pushed back before anything of them went out. The handover's form is numbered. Tests: a file cut off at every byte, or short of any key, changes nothing; an EDGE_ACCEPT_FD that is no listener is one message.

--- a/cmd/robincart/operate_test.go
+++ b/cmd/robincart/operate_test.go
@@ -6,12 +6,15 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 )
 
 // operatedNode starts a node with an operators' address.
@@ -123,6 +126,62 @@
 	return string(text)
 }
 
+// A file cut off anywhere changes nothing, and no key that stands in it may be missing.
+func TestEveryCutOfAFileIsRefused(t *testing.T) {
+	d := newDiscovery(t)
+	text, err := json.Marshal(configuration(t, d))
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "c.json")
+	env := func(name string) string {
+		if name == "EDGE_CONFIG" {
+			return path
+		}
+		return ""
+	}
+	write := func(b []byte) { require.NoError(t, os.WriteFile(path, b, 0o600)) }
+	write(text)
+	c, err := readConfig(env)
+	require.NoError(t, err)
+	moves := &moved{}
+	tuned := 0
+	reload := func() *config { return c.reload(env, moves, func(*config) { tuned++ }, zap.NewNop()) }
+	for n := range len(text) {
+		write(text[:n])
+		require.Same(t, c, reload(), "%s", text[:n])
+	}
+	var whole map[string]any
+	require.NoError(t, json.Unmarshal(text, &whole))
+	for _, in := range []map[string]any{whole, whole["settings"].(map[string]any), whole["settings"].(map[string]any)["Limits"].(map[string]any)} {
+		for key, v := range in {
+			delete(in, key)
+			short, err := json.Marshal(whole)
+			require.NoError(t, err)
+			write(short)
+			require.Same(t, c, reload(), "without %s", key)
+			in[key] = v
+		}
+	}
+	assert.Zero(t, tuned)
+	write(text)
+	assert.NotSame(t, c, reload())
+	assert.Empty(t, moves.to)
+}
+
+type moved struct{ to []string }
+
+func (m *moved) Move(addr string) { m.to = append(m.to, addr) }
+
+func TestAListenerThatIsNoneIsOnePlainMessage(t *testing.T) {
+	d := newDiscovery(t)
+	for _, fd := range []string{"x", "2", "999", "0"} {
+		cmd, log := command(t, configuration(t, d))
+		cmd.Env = append(cmd.Env, "EDGE_ACCEPT_FD="+fd)
+		assert.Error(t, cmd.Run())
+		assert.Contains(t, log.String(), "EDGE_ACCEPT_FD is ")
+		assert.Equal(t, 1, strings.Count(log.String(), "\n"), log.String())
+	}
+}
+
 func TestClassesComeAndGoUnderTrafficAndBrokenFilesChangeNothing(t *testing.T) {
 	slow := newServer(t, after(200*time.Millisecond, says(200, "x")))
 	d := newDiscovery(t, listed("s0", slow.addr(), "ready"))
--- a/cmd/robincart/succeed.go
+++ b/cmd/robincart/succeed.go
@@ -71,12 +71,16 @@
 
 // known is what a process hands to its successor.
 type known struct {
+	Form    int // of this; what another version wrote is not believed
 	Said    said
 	Servers []node.Entry
 	Listed  []string
 	Held    int // descriptors
 }
 
+// form is the number of known's form. Whoever changes what a field means counts it up.
+const form = 1
+
 const (
 	reachTime = 500 * time.Millisecond
 	stateTime = time.Second
@@ -120,7 +124,10 @@
 	}
 	if link, err := handover.Dial(s.path, reachTime); err == nil {
 		var told known
-		if err = link.First(&told, stateTime); err == nil {
+		if err = link.First(&told, stateTime); err == nil && told.Form != form {
+			err = fmt.Errorf("it speaks form %d and this one %d", told.Form, form)
+		}
+		if err == nil {
 			k, s.before = told, link
 		} else {
 			s.log.Warn("the process before this one does not hand over", zap.Error(err))
@@ -176,7 +183,7 @@
 		}
 		s.ops.link(l, true)
 		s.ops.mu.Lock()
-		err = l.State(known{Said: s.ops.said, Servers: s.core.Known(), Listed: s.core.Listings(), Held: s.limits.Descriptors - s.budget.Left()})
+		err = l.State(known{Form: form, Said: s.ops.said, Servers: s.core.Known(), Listed: s.core.Listings(), Held: s.limits.Descriptors - s.budget.Left()})
 		s.ops.mu.Unlock()
 		if err != nil {
 			s.log.Warn("a successor could not be told", zap.Error(err))
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -17,6 +17,8 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
+
+	"robincart/internal/httpwire"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -109,6 +111,26 @@
 	}
 }
 
+// Whatever a caller sends, at most one call is done, and only one whose body names its server.
+func FuzzCall(f *testing.F) {
+	f.Add([]byte(post(PathDetach, `{"host":"s1"}`)))
+	f.Add([]byte(post(PathAttach, `{"host":"s1"} x`)))
+	f.Add([]byte(post(PathOn, "")))
+	f.Add([]byte(post(PathDetach, `{"HOST":null,"host":{}}`)))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		q, err := httpwire.NewReader(bytes.NewReader(text), Defaults().Wire).ReadRequest()
+		if err != nil {
+			return
+		}
+		node := &fake{}
+		s := &Server{node: node, log: zap.NewNop()}
+		status, _, _ := s.call(q)
+		if done := len(node.heard); done > 1 || done == 1 && status != 200 && status != 404 || done == 0 && status == 200 && q.Path != PathReady {
+			t.Fatalf("%q: %d, %q", text, status, node.heard)
+		}
+	})
+}
+
 func TestCallersThatFinishNothingKeepNobodyOut(t *testing.T) {
 	l := Defaults()
 	l.Conns = 3
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -156,6 +156,13 @@
 	if c.tired || !f.begin() {
 		return c.answer(q, &httpwire.Answer{Status: 503, RetryAfter: f.limits.ComeBack, Close: true})
 	}
+	if q.Rest != nil {
+		defer f.large.Add(-1)
+		if f.large.Add(1) > int64(f.limits.Large) {
+			f.end()
+			return c.answer(q, &httpwire.Answer{Status: 503, RetryAfter: f.limits.ComeBack})
+		}
+	}
 	var recalled <-chan struct{} // never, without a share
 	if service.share != nil {
 		lease, wait, ok := service.share.Take(tenant, len(q.Body))
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -53,6 +53,7 @@
 	stopping atomic.Bool
 	lame     atomic.Bool   // emptied by an operator's word: as stopping, until it is taken back
 	making   atomic.Int64  // requests
+	large    atomic.Int64  // of them, with bodies that pass through
 	halt     chan struct{} // closed when what is still out has to be aborted
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -121,6 +122,44 @@
 	}
 }
 
+// Whatever another process sends, this one reads it as messages or ends the link.
+func FuzzLink(f *testing.F) {
+	f.Add([]byte("S\x00\x00\x00\x02{}W\x00\x00\x00\x0d{\"Call\":\"/x\"}T\x00\x00\x00\x02{}"))
+	f.Add([]byte("C\x00\x00\x00\x04true"))
+	f.Add([]byte("W\x00\xff\xff\xff{"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+		if err != nil {
+			t.Skip(err)
+		}
+		var ends [2]*net.UnixConn
+		for i, fd := range fds {
+			file := os.NewFile(uintptr(fd), "end")
+			c, err := net.FileConn(file)
+			file.Close()
+			if err != nil {
+				t.Skip(err)
+			}
+			ends[i] = c.(*net.UnixConn)
+		}
+		go func() {
+			ends[1].Write(text)
+			ends[1].Close()
+		}()
+		l := NewLink(ends[0])
+		var state any
+		if l.First(&state, 20*time.Second) != nil {
+			l.Close()
+			return
+		}
+		p := &peer{make(chan net.Conn, 1), make(chan Word, len(text)), make(chan error, 1)}
+		l.Run(p)
+		if <-p.ended == nil {
+			t.Fatal("it ended without a reason")
+		}
+	})
+}
+
 func TestWhatWasSaidIsKeptWholeOrNotAtAll(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "said")
 	got := map[string]int{"before": 1}
--- a/internal/httpwire/wire_test.go
+++ b/internal/httpwire/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"strings"
@@ -238,6 +239,38 @@
 	})
 }
 
+// However large, a body is read as what it is, and what is passed on of it is read the same.
+func FuzzLargeBody(f *testing.F) {
+	f.Add([]byte(book))
+	f.Add([]byte("POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1a;a=b\r\nabcdefghijklmnopqrstuvwxyz\r\n0\r\nX: y\r\n\r\n"))
+	f.Add([]byte("POST /x HTTP/1.1\r\nContent-Length: 20\r\n\r\n0123456789\r\n01234567"))
+	few := Sizes{Buffer: 32, Read: 8, Head: 1024, Body: 8, Stream: 64, Chunk: 16}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		q, err := NewReader(iotest.OneByteReader(bytes.NewReader(text)), few).ReadRequest()
+		if err != nil || q.Rest == nil {
+			return
+		}
+		body := bytes.Clone(q.Body)
+		head := q.AppendHead(nil, "h", time.Second)
+		more, err := io.ReadAll(q.Rest)
+		if err != nil {
+			return
+		}
+		if body = append(body, more...); len(body) > few.Stream || !q.Rest.Ended() {
+			t.Fatalf("%q: a body of %d bytes", text, len(body))
+		}
+		if bytes.Contains(head, []byte("chunked")) {
+			head = append(head, fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)...)
+		} else {
+			head = append(head, body...)
+		}
+		again, err := NewReader(bytes.NewReader(head), Sizes{Buffer: 64, Read: 64, Head: 1 << 16, Body: 4096, Chunk: 64}).ReadRequest()
+		if err != nil || !bytes.Equal(again.Body, body) {
+			t.Fatalf("%q was passed on as another request: %v", text, err)
+		}
+	})
+}
+
 func FuzzResponse(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nh\r\n0\r\n\r\n"))
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -26,6 +26,7 @@
 	Callers     int   // requests of callers in the making at once; each has a connection on either side
 	Refused     int   // further connections, on which callers are told at once that the node is full
 	Connections int   // of callers at most, those that rest included
+	Large       int   // of Callers, those whose body is passed on as it comes: they last, and small ones have to get through
 
 	Wire      httpwire.Sizes // of messages
 	ListBytes int            // of one line of the list
@@ -138,6 +139,10 @@
 		return Limits{}, errors.New("limits.sockets leaves no caller a connection")
 	}
 	l.Connections = l.Callers + l.Refused
+	// Each request in the making may hold a body and an answer whole; half of the memory is for them. Connections beyond that
+	// rest, or wait with their bytes in the kernel.
+	l.Callers = max(1, min(l.Callers, int(l.Memory/2)/(2*l.Wire.Body)))
+	l.Large = max(1, l.Callers/2)
 	l = l.For(s)
 	longest := 0.0
 	for _, m := range s.Methods {
@@ -181,7 +186,7 @@
 		if most := (l.Descriptors - l.Refused - 1) * 10 / 21; requests > most {
 			return l, fmt.Errorf("callers.requests: %d need a connection on either side and some to spare; machine.sockets leaves %d", requests, most)
 		}
-		l.Callers = requests
+		l.Callers, l.Large = requests, max(1, requests/2)
 		l.Connections = l.Callers + l.Refused
 	}
 	if connections > 0 {
