The operators' calls in an operator's file, too: [admin] listen and kept

Several services in one process had no second address. A call is done to every service's core; one that begins later hears of what was said; kept holds it over restarts. A program test takes a server out of one of two services, restarts the node and calls it back.

--- a/cmd/robincart/operate.go
+++ b/cmd/robincart/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -23,8 +24,11 @@
 	log    *zap.Logger
 	taking atomic.Bool // callers are taken
 
-	mu    sync.Mutex
+	mu    sync.Mutex                  // one call at a time
 	links map[*handover.Link]struct{} // to this node's other processes
+
+	// Apart, since a service that begins asks for it while its set is locked, and a call asks the set for its cores.
+	state sync.Mutex
 	said  said
 }
 
@@ -68,20 +72,25 @@
 	defer o.mu.Unlock()
 	switch w.Call {
 	case admin.PathDetach:
+		// Noted first: a service that begins meanwhile hears of it one way or the other.
+		fresh := o.note(w.Server, true)
 		if !o.each(w.Server, (*node.Core).Detach) {
+			if fresh {
+				o.note(w.Server, false)
+			}
 			return false
 		}
-		if _, out := o.said.Out[w.Server]; !out {
-			o.said.Out[w.Server] = time.Now().UnixMilli()
-		}
 	case admin.PathAttach:
 		if !o.each(w.Server, (*node.Core).Attach) {
 			return false
 		}
-		delete(o.said.Out, w.Server)
+		o.note(w.Server, false)
 	case admin.PathOn, admin.PathOff:
-		o.said.Lame = w.Call == admin.PathOn
-		o.front.Lame(o.said.Lame)
+		on := w.Call == admin.PathOn
+		o.state.Lock()
+		o.said.Lame = on
+		o.state.Unlock()
+		o.front.Lame(on)
 	default:
 		return false
 	}
@@ -94,13 +103,36 @@
 	}
 	if o.file != "" {
 		// In force all the same: what a full disk costs is only that a process killed now is followed by one that does not know.
-		if err := handover.Save(o.file, o.said); err != nil {
+		if err := handover.Save(o.file, o.sayings()); err != nil {
 			o.log.Error("what operators said could not be kept", zap.Error(err))
 		}
 	}
 	return true
 }
 
+// note puts a server among those that are out, or takes it from them, and tells whether that is new.
+func (o *operations) note(server string, out bool) bool {
+	o.state.Lock()
+	defer o.state.Unlock()
+	_, was := o.said.Out[server]
+	switch {
+	case was == out:
+		return false
+	case out:
+		o.said.Out[server] = time.Now().UnixMilli()
+	default:
+		delete(o.said.Out, server)
+	}
+	return true
+}
+
+// sayings are a copy of what was said.
+func (o *operations) sayings() said {
+	o.state.Lock()
+	defer o.state.Unlock()
+	return said{Out: maps.Clone(o.said.Out), Lame: o.said.Lame}
+}
+
 func (o *operations) each(server string, do func(*node.Core, string) bool) bool {
 	any := false
 	for _, c := range o.cores() {
@@ -116,13 +148,18 @@
 	if s.Out == nil {
 		s.Out = map[string]int64{}
 	}
+	o.state.Lock()
 	o.said = s
+	o.state.Unlock()
 	for _, c := range o.cores() {
 		c.Succeed(s.out(), listed)
 	}
 	o.front.Lame(s.Lame)
 }
 
+// begun tells the core of a service that has just begun what was said before.
+func (o *operations) begun(c *node.Core) { c.Succeed(o.sayings().out(), nil) }
+
 // link has another process of this node told of calls, or no longer.
 func (o *operations) link(l *handover.Link, on bool) {
 	o.mu.Lock()
@@ -146,7 +183,7 @@
 	}
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, fmt.Errorf("admin_addr: %w", err)
+		return nil, fmt.Errorf("the operators' address: %w", err)
 	}
 	return admin.Serve(ln, o, admin.Defaults(), log).Close, nil
 }
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"robincart/internal/frontend"
+	"robincart/internal/handover"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
 	"robincart/internal/lot"
@@ -111,6 +112,16 @@
 	defer watch.Close()
 	front := frontend.New(l, budget, clk.Now, log, watch)
 	set := pools.New(c, clk, budget, log, watch)
+	ops := newOperations(front, set.Cores, log)
+	if ops.file = c.Admin.Kept; ops.file != "" {
+		kept := said{}
+		if err := handover.Load(ops.file, &kept); err != nil {
+			set.Close()
+			return fmt.Errorf("admin.kept: %w", err)
+		}
+		ops.succeed(kept, nil)
+	}
+	set.Begun = ops.begun
 	written := c // the file alone
 	var facts <-chan struct{}
 	if c.Record.Store != "" {
@@ -124,9 +135,18 @@
 		c = over(c, kept, c, log)
 	}
 	front.Swap(set.Apply(c))
+	closeAdmin, err := operated(c.Admin.Listen, ops, log)
+	if err != nil {
+		set.Close()
+		return err
+	}
 	log.Info("serving", zap.Strings("listen", c.Listen), zap.Int("services", len(c.Pools)), zap.Int("descriptors", l.Descriptors),
 		zap.Int64("memory", l.Memory))
-	s := &served{front: front, listeners: listeners, limits: l, log: log, open: set.Open, close: set.Close,
+	s := &served{front: front, listeners: listeners, limits: l, log: log, open: set.Open, serving: func() { ops.taking.Store(true) },
+		close: func() {
+			closeAdmin()
+			set.Close()
+		},
 		reload: func() {
 			fresh, err := operator.Read(file)
 			if err != nil {
--- a/cmd/robincart/services_test.go
+++ b/cmd/robincart/services_test.go
@@ -394,3 +394,30 @@
 	assert.Contains(t, ask("--host", "x.org"), "404")
 	assert.Contains(t, ask("--host", "a.example.org", "--path", "/a/../b"), "400")
 }
+
+func TestOperatorsOfSeveralServicesTakeAServerOutOfAllOfThem(t *testing.T) {
+	a, b := newServer(t, says(200, "a")), newServer(t, says(200, "b"))
+	admin, kept := freeAddress(t), filepath.Join(t.TempDir(), "said.json")
+	text := service("one", a, 0.3, "") + service("two", b, 0.3, "") + route("one.test", "one") + route("two.test", "two") +
+		fmt.Sprintf("[admin]\nlisten = %q\nkept = %q\n", admin, kept)
+	p := withServices(t, text)
+	ask := func(host string) int {
+		c, err := net.Dial("tcp", p.addr)
+		require.NoError(t, err)
+		defer c.Close()
+		status, _ := p.asks(c, "GET /find/x", "Host: "+host)
+		return status
+	}
+	assert.Equal(t, 200, ask("one.test"))
+	assert.Equal(t, 404, calls(t, admin, "/_servers/detach", `{"host":"nobody"}`))
+	assert.Equal(t, 200, calls(t, admin, "/_servers/detach", fmt.Sprintf(`{"host":%q}`, a.addr())))
+	before := a.count()
+	assert.Equal(t, 503, ask("one.test"))
+	assert.Equal(t, 200, ask("two.test"))
+	p.stop(20 * time.Second)
+	require.NoError(t, p.Start(t.Context()))
+	assert.Equal(t, 503, ask("one.test"), "it was kept")
+	assert.Equal(t, before, a.count())
+	assert.Equal(t, 200, calls(t, admin, "/_servers/attach", fmt.Sprintf(`{"host":%q}`, a.addr())))
+	assert.Eventually(t, func() bool { return ask("one.test") == 200 }, 20*time.Second, 10*time.Millisecond)
+}
--- a/cmd/robincart/succeed.go
+++ b/cmd/robincart/succeed.go
@@ -181,9 +181,9 @@
 			l.Close()
 			continue
 		}
-		s.ops.link(l, true)
-		s.ops.mu.Lock()
-		err = l.State(known{Form: form, Said: s.ops.said, Servers: s.core.Known(), Listed: s.core.Listings(), Held: s.limits.Descriptors - s.budget.Left()})
+		s.ops.mu.Lock() // what is said from now on goes to it as a word
+		err = l.State(known{Form: form, Said: s.ops.sayings(), Servers: s.core.Known(), Listed: s.core.Listings(), Held: s.limits.Descriptors - s.budget.Left()})
+		s.ops.links[l] = struct{}{}
 		s.ops.mu.Unlock()
 		if err != nil {
 			s.log.Warn("a successor could not be told", zap.Error(err))
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"robincart/decide"
+	"robincart/internal/admin"
 	"robincart/internal/limits"
 	"robincart/internal/node"
 	"robincart/internal/routes"
@@ -32,6 +33,7 @@
 	Log     Log
 	Machine limits.Machine
 	Callers Callers
+	Admin   Admin
 	Record  Record
 	Sharing Sharing
 	Service []Service
@@ -56,6 +58,12 @@
 	Status   string    // loopback address where GET /record tells how it stands
 }
 
+// Admin says where operators' calls are answered. Without an address there is none.
+type Admin struct {
+	Listen string
+	Kept   string // a file that keeps what they said over a restart; empty: it ends with the process
+}
+
 // Callers says how many connections callers may hold, and for how long. Zeros leave what the machine gives.
 type Callers struct {
 	Connections int      // at once, those that rest included
@@ -342,6 +350,12 @@
 		bad(err != nil, "listen: %q is no address with a port", a)
 		bad(slices.Contains(c.Listen[:i], a), "listen: %s stands twice", a)
 	}
+	if c.Admin.Listen != "" {
+		_, _, err := net.SplitHostPort(c.Admin.Listen)
+		bad(err != nil, "admin.listen: %q is no address with a port", c.Admin.Listen)
+		bad(slices.Contains(c.Listen, c.Admin.Listen), "admin.listen: %s is an address for callers, too", c.Admin.Listen)
+	}
+	bad(c.Admin.Listen == "" && c.Admin.Kept != "", "admin.kept: there is no admin.listen")
 	bad(!slices.Contains([]string{"debug", "info", "warn", "error"}, c.Log.Level), "log.level: %q is none of debug, info, warn, error", c.Log.Level)
 	bad(!slices.Contains([]string{"json", "console"}, c.Log.Form), "log.form: %q is neither json nor console", c.Log.Form)
 	if err := c.Record.check(); err != nil {
@@ -409,7 +423,11 @@
 	if len(all) > 0 {
 		return errors.Join(all...)
 	}
-	l, err := limits.Fill(c.Machine, longest(c.Pools))
+	m := c.Machine
+	if c.Admin.Listen != "" {
+		m.Sockets -= admin.Defaults().Descriptors()
+	}
+	l, err := limits.Fill(m, longest(c.Pools))
 	if err != nil {
 		return fmt.Errorf("machine: %w", err)
 	}
@@ -515,13 +533,13 @@
 // KeepProcess puts what a running process can't change back to what it runs with, and names it.
 func (c *Config) KeepProcess(running *Config) (waits []string) {
 	for name, same := range map[string]bool{"name": c.Name == running.Name, "listen": slices.Equal(c.Listen, running.Listen),
-		"log": c.Log == running.Log, "machine": c.Machine == running.Machine, "callers": c.Callers == running.Callers, "record": c.Record.same(&running.Record), "deadlines longer than any before": c.Limits.IDLife <= running.Limits.IDLife} {
+		"log": c.Log == running.Log, "machine": c.Machine == running.Machine, "callers": c.Callers == running.Callers, "admin": c.Admin == running.Admin, "record": c.Record.same(&running.Record), "deadlines longer than any before": c.Limits.IDLife <= running.Limits.IDLife} {
 		if !same {
 			waits = append(waits, name)
 		}
 	}
 	slices.Sort(waits)
-	c.Name, c.Listen, c.Log, c.Machine, c.Callers, c.Record, c.Limits = running.Name, running.Listen, running.Log, running.Machine, running.Callers, running.Record, running.Limits
+	c.Name, c.Listen, c.Log, c.Machine, c.Callers, c.Admin, c.Record, c.Limits = running.Name, running.Listen, running.Log, running.Machine, running.Callers, running.Admin, running.Record, running.Limits
 	c.Shares.Total = running.Shares.Total
 	return waits
 }
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -29,6 +29,8 @@
 type Set struct {
 	// Keeper, if set before the first Apply, keeps the record of the services' servers.
 	Keeper *keeper.Keeper
+	// Begun, if set before the first Apply, is told of each service's core before it hears of its servers.
+	Begun func(*node.Core)
 
 	lot    *lot.Lot
 	clock  node.Clock
@@ -167,6 +169,9 @@
 		ask = p.watcher.Ask
 	}
 	p.core = node.New(x.Node, c.SeedOf(x.Name), s.clock, time.Now(), ask)
+	if s.Begun != nil {
+		s.Begun(p.core)
+	}
 	var to registry.Core = p.core
 	if s.Keeper != nil {
 		p.sink = s.Keeper.Sink(x.Name, p.core)
@@ -294,6 +299,17 @@
 	return false
 }
 
+// Cores are those of the services in force.
+func (s *Set) Cores() []*node.Core {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*node.Core
+	for _, p := range s.all() {
+		out = append(out, p.core)
+	}
+	return out
+}
+
 // Open counts the requests in all pools.
 func (s *Set) Open() int {
 	s.mu.Lock()
