Record: a node before its file makes no empty one; a killed node is excused until it is back

The experiment noted a kill before it and excused what was lost for 50 ms: a process that takes longer to die was blamed for requests it could not answer; it is excused until it is ready again.

--- a/cmd/robincart-record/record.go
+++ b/cmd/robincart-record/record.go
@@ -366,7 +366,7 @@
 	if address == "" || socket == "" {
 		return errors.New("ROBINCART_STORE and --socket name the store and the socket")
 	}
-	s, err := sqlstore.Open(address)
+	s, err := sqlstore.OpenThere(address)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/chaos/chaos.go
+++ b/internal/lab/chaos/chaos.go
@@ -63,6 +63,7 @@
 	mu     sync.Mutex // held while it is killed and started
 	down   bool
 	downs  []time.Time // when it was killed
+	dead   bool        // from its kill until it is ready again
 	since  map[string]time.Time
 }
 
@@ -305,6 +306,9 @@
 func (r *Record) killedIn(n *one, from time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if n.dead { // a killed process may take its time to go, and the kernel accepts for it meanwhile
+		return true
+	}
 	for _, at := range n.downs {
 		if at.After(from.Add(-50 * time.Millisecond)) {
 			return true
@@ -470,7 +474,7 @@
 		r.broken("%v", err)
 	}
 	r.mu.Lock()
-	n.downs = append(n.downs, time.Now())
+	n.downs, n.dead = append(n.downs, time.Now()), true
 	r.mu.Unlock()
 	n.Signal(syscall.SIGKILL)
 	n.Wait(5 * time.Second)
@@ -480,7 +484,7 @@
 		return
 	}
 	r.mu.Lock()
-	n.downs = append(n.downs, time.Now())
+	n.downs, n.dead = append(n.downs, time.Now()), false
 	r.mu.Unlock()
 	r.count("nodes killed")
 }
--- a/internal/store/sqlstore/database.go
+++ b/internal/store/sqlstore/database.go
@@ -23,10 +23,16 @@
 const application = "robincart record"
 
 // Open prepares a store; nothing is reached yet. The address is sqlite:PATH or a postgres:// one.
-func Open(address string) (store.Store, error) {
+func Open(address string) (store.Store, error) { return open(address, true) }
+
+// OpenThere prepares a store that has to be there: a node that comes before its file must not make an empty one in its
+// place, which it would go on reading when the file is put back.
+func OpenThere(address string) (store.Store, error) { return open(address, false) }
+
+func open(address string, make bool) (store.Store, error) {
 	switch {
 	case strings.HasPrefix(address, "sqlite:"):
-		return openSQLite(strings.TrimPrefix(address, "sqlite:"))
+		return openSQLite(strings.TrimPrefix(address, "sqlite:"), make)
 	case strings.HasPrefix(address, "postgres://"), strings.HasPrefix(address, "postgresql://"):
 		return openPostgres(address)
 	}
--- a/internal/store/sqlstore/sqlite.go
+++ b/internal/store/sqlstore/sqlite.go
@@ -16,11 +16,14 @@
 
 // openSQLite opens a file. Writers take turns by SQLite's own lock, taken at a transaction's begin; a commit is on the disk
 // before it returns.
-func openSQLite(path string) (store.Store, error) {
+func openSQLite(path string, make bool) (store.Store, error) {
 	if path == "" {
 		return nil, errors.New("sqlite: without a path")
 	}
 	q := url.Values{"_txlock": {"immediate"}, "_pragma": {"journal_mode(WAL)", "synchronous(FULL)", "busy_timeout(2000)", "foreign_keys(1)"}}
+	if !make {
+		q.Set("mode", "rw")
+	}
 	db, err := sql.Open("sqlite", "file:"+(&url.URL{Path: path}).EscapedPath()+"?"+q.Encode())
 	if err != nil {
 		return nil, fmt.Errorf("sqlite: %w", err)
@@ -41,7 +44,12 @@
 				return store.ErrForeign
 			case lib.SQLITE_CORRUPT:
 				return store.ErrDamaged
-			case lib.SQLITE_PERM, lib.SQLITE_READONLY, lib.SQLITE_AUTH, lib.SQLITE_CANTOPEN:
+			case lib.SQLITE_CANTOPEN:
+				if make {
+					return store.ErrDenied
+				}
+				return store.ErrNone
+			case lib.SQLITE_PERM, lib.SQLITE_READONLY, lib.SQLITE_AUTH:
 				return store.ErrDenied
 			case lib.SQLITE_FULL:
 				return store.ErrFull
