--- a/cmd/robincart/services_test.go
+++ b/cmd/robincart/services_test.go
@@ -118,19 +118,27 @@
 	record("set", "route", "r", text("[[route]]\nname = \"r\"\nhost = \"b.example.org\"\nto = \"second\"\n"))
 	becomes := func(want int) {
 		t.Helper()
-		require.Eventually(t, func() bool { status, _ := p.asks(nil, "GET /find", "Host: b.example.org"); return status == want }, 20*time.Second, 20*time.Millisecond)
+		require.Eventually(t, func() bool { status, _ := p.asks(nil, "GET /find", "Host: b.example.org"); return status == want }, 20*time.Second, 20*time.Millisecond, "%s", lateLog{p})
 	}
 	becomes(200)
 	record("set", "route", "bad", text("[[route]]\nname = \"bad\"\nhost = \"c.example.org\"\nto = \"nowhere\"\n"))
 	require.Eventually(t, func() bool { return strings.Contains(p.Log(), "nowhere") }, 20*time.Second, 20*time.Millisecond)
 	becomes(200)
 	p.Kill()
-	require.NoError(t, os.Rename(filepath.Join(dir, "record.db"), filepath.Join(dir, "lost")))
+	// With what the database has beside its file: a log left behind would be taken for the one of the file put back.
+	move := func(from, to string) {
+		for _, part := range []string{"", "-wal", "-shm"} {
+			if err := os.Rename(filepath.Join(dir, from)+part, filepath.Join(dir, to)+part); part == "" || !os.IsNotExist(err) {
+				require.NoError(t, err)
+			}
+		}
+	}
+	move("record.db", "lost")
 	require.NoError(t, exec.Command(helper, "delete", "route", "bad", "--store", "sqlite:"+filepath.Join(dir, "lost")).Run())
 	require.NoError(t, p.Start(t.Context()))
 	status, _ = p.asks(nil, "GET /find", "Host: a.example.org")
 	assert.Equal(t, 200, status, "without its store, and with a bad route in its snapshot, the file alone is in force")
-	require.NoError(t, os.Rename(filepath.Join(dir, "lost"), filepath.Join(dir, "record.db")))
+	move("lost", "record.db")
 	becomes(200)
 }
 
@@ -421,3 +429,8 @@
 	assert.Equal(t, 200, calls(t, admin, "/_servers/attach", fmt.Sprintf(`{"host":%q}`, a.addr())))
 	assert.Eventually(t, func() bool { return ask("one.test") == 200 }, 20*time.Second, 10*time.Millisecond)
 }
+
+// lateLog is a program's log at the time that it is printed.
+type lateLog struct{ p *program }
+
+func (l lateLog) String() string { return l.p.Log() }
