--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -179,9 +180,18 @@
 			end()
 			owned.Wait()
 		}}
+	var tunes atomic.Int64
 	s.reload = func() {
 		c = c.reload(os.Getenv, watcher, func(now *config) {
-			service = frontend.NewService("", core.Retune(now.node), core, pool, nil).Follows(service, clk.Now()+now.limits.ClassLeaves)
+			is := core.Retune(now.node.Between(c.node))
+			none := func(int) bool { return false }
+			service = frontend.NewService("", now.node.Over(is, none, none), core, pool, nil).Follows(service, clk.Now()+now.limits.ClassLeaves)
+			turn := tunes.Add(1)
+			time.AfterFunc(now.limits.ClassLeaves, func() {
+				if tunes.Load() == turn { // callers have heard of it, and nothing newer has come
+					core.Retune(now.node)
+				}
+			})
 			front.Swap(&frontend.Table{Only: service})
 			front.Known(now.limits.IDLife)
 			pool.Tune(now.limits)
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -169,3 +169,24 @@
 	}
 	return nil
 }
+
+// Between are settings for the time in which callers may still go by those before: a method that stays is repeated only as
+// both allow, since what its callers expect of it is not known yet.
+func (n *Node) Between(before *Node) *Node {
+	out := *n
+	out.Methods = slices.Clone(n.Methods)
+	for i, name := range n.MethodNames {
+		k := slices.Index(before.MethodNames, name)
+		if name == "" || k < 0 {
+			continue
+		}
+		m, was := &out.Methods[i], before.Methods[k]
+		if m.Repeat == decide.Deduplicated && was.Repeat == decide.Deduplicated {
+			m.Window = min(m.Window, was.Window)
+			m.Scope = max(m.Scope, was.Scope)
+		} else if was.Repeat > m.Repeat {
+			m.Repeat, m.Window, m.Scope = was.Repeat, was.Window, was.Scope
+		}
+	}
+	return &out
+}
--- a/internal/settings/change_test.go
+++ b/internal/settings/change_test.go
@@ -65,6 +65,28 @@
 	})
 }
 
+func TestWhileCallersGoByEitherAMethodIsRepeatedOnlyAsBothAllow(t *testing.T) {
+	once, free := decide.Method{Repeat: decide.NonIdempotent, Deadline: 2}, decide.Method{Deadline: 1}
+	zone := decide.Method{Repeat: decide.Deduplicated, Scope: decide.ScopeZone, Window: 5}
+	all := decide.Method{Repeat: decide.Deduplicated, Window: 9}
+	for _, x := range []struct{ was, is, between decide.Method }{
+		{once, free, decide.Method{Repeat: decide.NonIdempotent, Deadline: 1}},
+		{free, once, once},
+		{zone, free, decide.Method{Repeat: decide.Deduplicated, Scope: decide.ScopeZone, Window: 5, Deadline: 1}},
+		{zone, all, zone},
+		{all, zone, zone},
+		{once, all, decide.Method{Repeat: decide.NonIdempotent}},
+	} {
+		n := &Node{MethodNames: []string{"new", "a"}}
+		n.Methods = []decide.Method{free, x.is}
+		before := &Node{MethodNames: []string{"", "a"}}
+		before.Methods = []decide.Method{{}, x.was}
+		got := n.Between(before)
+		assert.Equal(t, []decide.Method{free, x.between}, got.Methods)
+		assert.Equal(t, x.is, n.Methods[1])
+	}
+}
+
 func TestAFileThatLacksWhatTheOneInForceHasIsRefused(t *testing.T) {
 	old := `{"a":1,"known":{"x":1},"s":{"Classes":[{"Name":"f","Repeat":"by_key","WindowMs":5,"Extra":1},{"Name":"g","Repeat":"by_key","WindowMs":5}],"Zones":["z"]}}`
 	for fresh, lacks := range map[string]string{
