--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -387,12 +387,18 @@
 func TestCallersThatDripGiveWay(t *testing.T) {
 	l := bounds()
 	l.Callers, l.Refused, l.Connections = 4, 4, 8 // two slow ones
-	_, core, addr := beginWith(t, l, node.Order{Kind: node.Abort})
+	f, core, addr := beginWith(t, l, node.Order{Kind: node.Abort})
 	var drips []*caller
-	for range 2 {
+	for i := range 2 {
 		c := dial(t, addr)
 		io.WriteString(c, "POST /find HTTP/1.1\r\nContent-Length: 60\r\n\r\nx")
 		drips = append(drips, c)
+		// The first has to be the older one at the gate, too.
+		require.Eventually(t, func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.gate.Slows() == i+1
+		}, 20*time.Second, time.Millisecond)
 	}
 	time.Sleep(40 * time.Millisecond) // past CallerRest
 	c := dial(t, addr)
--- a/internal/wake/wake.go
+++ b/internal/wake/wake.go
@@ -172,6 +172,9 @@
 // Served is how many have a place.
 func (g *Gate) Served() int { return g.served }
 
+// Slows is how many of those served are slow.
+func (g *Gate) Slows() int { return g.slows.n }
+
 // Slow tells that a member's request comes in pieces. Where as many as may be are slow already, the one that has been for
 // longest has to end, if it has had its time; else the newcomer has to. It returns who has to end, or nil.
 func (g *Gate) Slow(m *Member, now time.Duration) *Member {
