Refactor: one framing and one buffer for large bodies on both sides; one door for connections

Read again as a whole: chunks were framed, and 32 KB buffers kept, once in the frontend and once in the upstream; a connection's wait for its place stood twice; Peer.Ended had a parameter that nobody read. One mistake was found: a dropped class was handed on from settings to settings for ever, refused but never forgotten; one whose time is over is left out now. No measured change was looked for; the tests of both sides pass under the race detector.

--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -185,7 +185,7 @@
 		c = c.reload(os.Getenv, watcher, func(now *config) {
 			is := core.Retune(now.node.Between(c.node))
 			none := func(int) bool { return false }
-			service = frontend.NewService("", now.node.Over(is, none, none), core, pool, nil).Follows(service, clk.Now()+now.limits.ClassLeaves)
+			service = frontend.NewService("", now.node.Over(is, none, none), core, pool, nil).Follows(service, clk.Now(), clk.Now()+now.limits.ClassLeaves)
 			turn := tunes.Add(1)
 			time.AfterFunc(now.limits.ClassLeaves, func() {
 				if tunes.Load() == turn { // callers have heard of it, and nothing newer has come
--- a/cmd/robincart/succeed.go
+++ b/cmd/robincart/succeed.go
@@ -241,7 +241,7 @@
 func (h *heir) Word(w handover.Word) { h.ops.do(w, h.heir) }
 
 // Ended takes callers up again where the successor has died and nobody ends this process: nobody else would take them.
-func (h *heir) Ended(err error, _ bool) {
+func (h *heir) Ended(err error) {
 	h.ops.link(h.heir, false)
 	h.mu.Lock()
 	resumes := h.gave && !h.stopping
@@ -283,7 +283,7 @@
 
 func (f *forebear) Word(w handover.Word) { f.ops.do(w, f.before) }
 
-func (f *forebear) Ended(error, bool) {
+func (f *forebear) Ended(error) {
 	f.ops.link(f.before, false)
 	for ; f.lent > 0; f.lent-- {
 		f.budget.Give()
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"os"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -338,29 +337,19 @@
 	return c.write(a, q.Verb == "HEAD") && !a.Close
 }
 
-// pieces are what large answers pass through.
-var pieces = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
-
 // stream passes an answer on while it comes, at its reader's pace. One that breaks off looks broken: the connection ends
 // short of the length, without the last chunk or, where neither can be told, by a reset.
 func (c *conn) stream(a *httpwire.Answer) bool {
-	piece := pieces.Get().(*[]byte)
-	defer pieces.Put(piece)
-	chunked, frame := a.Chunked(), make([]byte, 0, 16)
-	write := func(parts ...[]byte) bool {
+	piece, frame := httpwire.Piece(), make([]byte, 0, 16)
+	defer httpwire.Done(piece)
+	chunked := a.Chunked()
+	write := func(parts net.Buffers) bool {
 		c.SetWriteDeadline(time.Now().Add(c.server.limits.CallerTakes))
-		b := net.Buffers(parts)
-		_, err := b.WriteTo(c.Conn)
+		_, err := parts.WriteTo(c.Conn)
 		return err == nil
 	}
-	body := func(p []byte) bool {
-		if !chunked {
-			return write(p)
-		}
-		frame = append(strconv.AppendInt(frame[:0], int64(len(p)), 16), "\r\n"...)
-		return write(frame, p, []byte("\r\n"))
-	}
-	ok := write(a.AppendHead(nil)) && (len(a.Body) == 0 || body(a.Body))
+	body := func(p []byte) bool { return write(httpwire.Frame(p, chunked, frame)) }
+	ok := write(net.Buffers{a.AppendHead(nil)}) && (len(a.Body) == 0 || body(a.Body))
 	for ok {
 		n, err := a.Rest.Read(*piece)
 		if n > 0 {
@@ -372,7 +361,7 @@
 		ok = ok && err == nil
 	}
 	if ok && chunked {
-		ok = write([]byte("0\r\n\r\n"))
+		ok = write(net.Buffers{httpwire.LastChunk})
 	}
 	a.Rest.Close(ok)
 	if t, is := c.Conn.(*net.TCPConn); is && !ok && a.Old && a.Rest.Length() < 0 {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -138,16 +138,10 @@
 		raw.Close()
 		return
 	}
-	for !f.room() || !f.budget.TakeLast() {
-		f.closeIdle()
-		time.Sleep(f.limits.LastLook)
-	}
-	if c := f.newConn(raw); c != nil {
-		f.add(c)
-	}
+	f.Adopt(raw, false)
 }
 
-// Adopt takes over a connection that another process had; asked tells whether it has brought an RPC there.
+// Adopt finds a place for a connection, also one that another process had; asked tells whether it has brought an RPC there.
 func (f *Server) Adopt(raw net.Conn, asked bool) {
 	for !f.room() || !f.budget.TakeLast() {
 		f.closeIdle()
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -67,14 +67,15 @@
 
 // Follows has the classes that another service took before taken until a time: callers hear of new settings later than the
 // node does.
-func (v *Service) Follows(before *Service, until time.Duration) *Service {
+func (v *Service) Follows(before *Service, now, until time.Duration) *Service {
 	for name, k := range before.methods {
-		if _, stays := v.methods[name]; !stays {
-			if k.until == 0 {
-				k.until = until
-			}
-			v.methods[name] = k
+		if _, stays := v.methods[name]; stays || k.until > 0 && now > k.until {
+			continue // one that is over would else be handed on from settings to settings
+		}
+		if k.until == 0 {
+			k.until = until
 		}
+		v.methods[name] = k
 	}
 	return v
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -39,10 +39,10 @@
 
 // Peer is what an end does with what comes. The methods are called one at a time.
 type Peer interface {
-	Takes()                       // the successor takes callers
-	Conn(c net.Conn, asked bool)  // a caller's connection
-	Word(Word)                    // an operator's
-	Ended(err error, spoken bool) // the other end has gone; spoken: after it had said all that begins a handover
+	Takes()                      // the successor takes callers
+	Conn(c net.Conn, asked bool) // a caller's connection
+	Word(Word)                   // an operator's
+	Ended(err error)             // the other end has gone
 }
 
 // Path is where a process of a name listens for its successor. Names may be of any length and form, and the kernel takes
@@ -179,7 +179,6 @@
 
 // Run hands what comes to a peer until the other end goes.
 func (l *Link) Run(p Peer) {
-	spoken := false
 	for {
 		kind, text, fd, err := l.read()
 		if err == nil {
@@ -190,10 +189,9 @@
 		}
 		if err != nil {
 			l.c.Close()
-			p.Ended(err, spoken)
+			p.Ended(err)
 			return
 		}
-		spoken = spoken || kind == kindTakes || kind == kindConn
 	}
 }
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -30,8 +30,8 @@
 		c.Close()
 	}
 }
-func (p *peer) Word(w Word)             { p.words <- w }
-func (p *peer) Ended(err error, _ bool) { p.ended <- err }
+func (p *peer) Word(w Word)     { p.words <- w }
+func (p *peer) Ended(err error) { p.ended <- err }
 
 func one[T any](t *testing.T, from chan T) T {
 	t.Helper()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -212,17 +211,9 @@
 	body := x.q.Rest
 	defer body.Release()
 	chunked := body.Length() < 0
-	piece := pieces.Get().(*[]byte)
-	defer pieces.Put(piece)
-	frame := make([]byte, 0, 16)
-	write := func(p []byte) bool {
-		parts := net.Buffers{p}
-		if chunked {
-			frame = append(strconv.AppendInt(frame[:0], int64(len(p)), 16), "\r\n"...)
-			parts = net.Buffers{frame, p, []byte("\r\n")}
-		}
-		return x.write(c, parts)
-	}
+	piece, frame := httpwire.Piece(), make([]byte, 0, 16)
+	defer httpwire.Done(piece)
+	write := func(p []byte) bool { return x.write(c, httpwire.Frame(p, chunked, frame)) }
 	if !x.write(c, net.Buffers{head}) || len(x.q.Body) > 0 && !write(x.q.Body) {
 		return decide.ConnectFailed, false
 	}
@@ -235,7 +226,7 @@
 			return decide.ConnectFailed, false
 		}
 	}
-	if chunked && !x.write(c, net.Buffers{[]byte("0\r\n\r\n")}) {
+	if chunked && !x.write(c, net.Buffers{httpwire.LastChunk}) {
 		return decide.ConnectFailed, false
 	}
 	c.SetWriteDeadline(time.Time{})
@@ -246,9 +237,6 @@
 	return 0, true
 }
 
-// pieces are what large bodies pass through.
-var pieces = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
-
 // write writes to a server that may take its time, but not for ever.
 func (x *exchange) write(c *conn, parts net.Buffers) bool {
 	c.SetWriteDeadline(time.Now().Add(x.pool.limits.ServerTakes))
