Lab: the look at what is left meets no fault that was ordered for the nodes

An error or a cut ordered in the last moment of play was still waiting when the experiment itself looked into the store, and met that look. Ruled out: the node (its status page followed the store) and the machine's speed.

Change: orders that nothing has met are taken back before the look, which uses connections of its own.

--- a/internal/lab/chaos/chaos.go
+++ b/internal/lab/chaos/chaos.go
@@ -155,7 +155,7 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	return r.settle(ctx, s)
+	return r.settle(ctx)
 }
 
 func (r *Record) startStore() (err error) {
@@ -489,8 +489,17 @@
 	r.count("nodes killed")
 }
 
-// settle waits until all is well again, and looks at what is left.
-func (r *Record) settle(ctx context.Context, s store.Store) error {
+// settle waits until all is well again, and looks at what is left. It does so over connections of its own and with no order
+// left to break them: else the last fault would meet the look instead of a node.
+func (r *Record) settle(ctx context.Context) error {
+	if r.pg != nil {
+		r.pg.Well()
+	}
+	s, err := sqlstore.Open(r.addr)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
 	limit := time.Now().Add(30 * time.Second)
 	for i, n := range r.nodes {
 		for {
--- a/internal/lab/pgstand/pgstand.go
+++ b/internal/lab/pgstand/pgstand.go
@@ -111,6 +111,12 @@
 // CutIn cuts a connection at so many statements from now, in the middle of its transaction.
 func (s *Server) CutIn(n int) { s.set(func() { s.cutIn = n }) }
 
+// Well takes back every order that nothing has met yet.
+func (s *Server) Well() {
+	s.Stall(false)
+	s.set(func() { s.refuse, s.commits, s.codes, s.cutIn = false, 0, 0, 0 })
+}
+
 func (s *Server) set(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
