--- a/cmd/robincart/succeed.go
+++ b/cmd/robincart/succeed.go
@@ -75,11 +75,12 @@
 	Said    said
 	Servers []node.Entry
 	Listed  []string
-	Held    int // descriptors
+	Held    int    // descriptors
+	Seed    uint64 // that ids of requests are known under
 }
 
 // form is the number of known's form. Whoever changes what a field means counts it up.
-const form = 1
+const form = 2
 
 const (
 	reachTime = 500 * time.Millisecond
@@ -119,7 +120,7 @@
 	s.ops.file = s.path + ".said"
 	var k known
 	if err := handover.Load(s.ops.file, &k.Said); err != nil {
-		s.log.Error("what operators told the process before can't be read", zap.Error(err))
+		s.log.Error("what operators told the process before can't be read; bans have to be told again", zap.Error(err))
 		k.Said = said{}
 	}
 	if link, err := handover.Dial(s.path, reachTime); err == nil {
@@ -136,6 +137,7 @@
 	}
 	if s.before != nil {
 		s.lent = s.budget.Lend(k.Held + ownFiles)
+		s.front.Seeded(k.Seed)
 		debug.SetMemoryLimit(s.limits.Memory / 2) // both together count against it
 		if len(k.Servers) > 0 {
 			s.core.Listed(k.Servers, true)
@@ -182,7 +184,8 @@
 			continue
 		}
 		s.ops.mu.Lock() // what is said from now on goes to it as a word
-		err = l.State(known{Form: form, Said: s.ops.sayings(), Servers: s.core.Known(), Listed: s.core.Listings(), Held: s.limits.Descriptors - s.budget.Left()})
+		err = l.State(known{Form: form, Said: s.ops.sayings(), Servers: s.core.Known(), Listed: s.core.Listings(), Held: s.limits.Descriptors - s.budget.Left(),
+			Seed: s.front.Seed()})
 		s.ops.links[l] = struct{}{}
 		s.ops.mu.Unlock()
 		if err != nil {
@@ -230,6 +233,10 @@
 	h.ops.taking.Store(false)
 	h.log.Info("callers are handed to a successor")
 	h.door.listener().Close()
+	// No request begins here from now on but on connections that are in use, which have one by then.
+	if err := link.IDs(h.front.IDs()); err != nil {
+		h.log.Warn("the successor could not be told which requests are open", zap.Error(err))
+	}
 	h.front.PassOn(link.Conn)
 	for h.pool.Evict() { // its descriptors count against the successor's
 	}
@@ -238,6 +245,8 @@
 
 func (h *heir) Conn(c net.Conn, _ bool) { c.Close() } // not a successor's to send
 
+func (h *heir) IDs([]byte) {} // nor these
+
 func (h *heir) Word(w handover.Word) { h.ops.do(w, h.heir) }
 
 // Ended takes callers up again where the successor has died and nobody ends this process: nobody else would take them.
@@ -273,6 +282,8 @@
 
 func (f *forebear) Takes() {}
 
+func (f *forebear) IDs(all []byte) { f.front.TakeIDs(all) }
+
 func (f *forebear) Conn(c net.Conn, asked bool) {
 	if f.lent > 0 { // it holds one less
 		f.lent--
--- a/cmd/robincart/succeed_test.go
+++ b/cmd/robincart/succeed_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -15,6 +16,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"robincart/internal/handover"
 )
 
 // place is where processes of one node follow one another: one listener, one directory, one file.
@@ -210,3 +213,63 @@
 	require.NoError(t, third.Process.Signal(syscall.SIGTERM))
 	third.exits(t)
 }
+
+// What can hinder a replacement costs the successor nothing but what it would have been told.
+func TestASuccessorStartsWhateverIsInItsWay(t *testing.T) {
+	slow := newServer(t, after(time.Second, says(200, "x")))
+	l, _ := newPlace(t, slow)
+	sock := handover.Path(l.dir, fmt.Sprint(l.config["name"], " ", l.addr))
+	// Somebody else's socket, who says what is no state, or one of another form.
+	for _, says := range []any{"foreign", known{Form: form + 1, Said: said{Lame: true}}} {
+		ln, err := handover.Listen(sock)
+		require.NoError(t, err)
+		go func() {
+			if c, err := ln.AcceptUnix(); err == nil {
+				handover.NewLink(c).State(says)
+			}
+		}()
+		require.NoError(t, os.WriteFile(sock+".said", []byte("torn"), 0o600))
+		p := l.start()
+		assert.Contains(t, p.log.String(), "does not hand over")
+		assert.Contains(t, p.log.String(), "set aside")
+		p.Process.Kill()
+		<-p.ended
+		ln.Close()
+	}
+	first := l.start()
+	// An id that is open there is known to the next one, too.
+	connect := func() net.Conn {
+		c, err := net.Dial("tcp", l.addr)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	ask := func(c net.Conn, id string) int {
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		fmt.Fprintf(c, "GET /find/x HTTP/1.1\r\nHost: n\r\nX-Trace-Id: %s\r\nX-Qos: find\r\nX-Customer: acme\r\nX-Expires-In-Ms: 3000\r\n\r\n", id)
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		return r.StatusCode
+	}
+	rests, uses := connect(), connect()
+	assert.Equal(t, 200, ask(rests, "before"))
+	out := make(chan int, 1)
+	go func() { out <- ask(uses, "open") }()
+	require.Eventually(t, func() bool { return slow.count() == 2 }, 20*time.Second, time.Millisecond)
+	second := l.start()
+	require.Eventually(t, func() bool { return !first.ready() }, 20*time.Second, time.Millisecond)
+	assert.Equal(t, 409, ask(rests, "open"), "this connection goes over after what is open")
+	assert.Equal(t, 200, <-out)
+	assert.Equal(t, 2, slow.count())
+	// One that stands still, then: the next one serves without it, and is the one that counts.
+	require.NoError(t, first.Process.Signal(syscall.SIGTERM))
+	first.exits(t)
+	assert.Equal(t, 200, calls(t, second.admin, "/_servers/detach", `{"host":"s0"}`))
+	require.NoError(t, second.Process.Signal(syscall.SIGSTOP))
+	third := l.start()
+	assert.Contains(t, third.log.String(), "does not hand over")
+	second.Process.Kill()
+	assert.Equal(t, 503, ask(connect(), "banned"), "it has read what was kept")
+	assert.Equal(t, 200, calls(t, third.admin, "/_servers/attach", `{"host":"s0"}`))
+	assert.Equal(t, 200, ask(connect(), "back"))
+}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -176,6 +176,16 @@
 	assert.True(t, fresh)
 	_, fresh = k.begin("open")
 	assert.False(t, fresh, "one that is open is never forgotten")
+	// Another process that takes them over knows them all, and under no other seed.
+	heir := newIDs(time.Minute, 3)
+	heir.seeded(k.seed)
+	heir.take(append(k.hand(), 1), time.Second)
+	_, fresh = heir.begin("open")
+	assert.False(t, fresh)
+	_, fresh = heir.begin("later8")
+	assert.False(t, fresh)
+	_, fresh = heir.begin("another")
+	assert.True(t, fresh)
 	k.end(open, 9*time.Hour)
 }
 
--- a/internal/frontend/ids.go
+++ b/internal/frontend/ids.go
@@ -1,9 +1,12 @@
 package frontend
 
 import (
-	"hash/maphash"
+	"encoding/binary"
+	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // ids knows the requests that are open and those that ended lately. A caller gives each request a new id, so one
@@ -11,9 +14,11 @@
 // they know that id, and each time a sound server would be taken for a failing one.
 type ids struct {
 	most int // of them in either half: a flood must not fill the memory
-	seed maphash.Seed
 
-	mu            sync.Mutex
+	mu sync.Mutex
+	// A successor goes on with it. Who finds two ids of one hash can only turn himself away: to hit another's he has to know
+	// that one, and could copy it.
+	seed          uint64
 	life          time.Duration // that an ended one is known at least
 	open          map[uint64]struct{}
 	recent, older map[uint64]struct{} // ended; the older half is forgotten as the recent one takes its place
@@ -21,16 +26,19 @@
 }
 
 func newIDs(life time.Duration, most int) *ids {
-	return &ids{life: life, most: most, seed: maphash.MakeSeed(), open: map[uint64]struct{}{},
+	return &ids{life: life, most: most, seed: rand.Uint64(), open: map[uint64]struct{}{},
 		recent: map[uint64]struct{}{}}
 }
 
 // begin notes that a request with an id is open, and returns false if it is known already. Its end is due with
 // the number returned.
 func (k *ids) begin(id string) (uint64, bool) {
-	n := maphash.String(k.seed, id)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	var d xxhash.Digest
+	d.ResetWithSeed(k.seed)
+	d.WriteString(id)
+	n := d.Sum64()
 	for _, known := range []map[uint64]struct{}{k.open, k.recent, k.older} {
 		if _, ok := known[n]; ok {
 			return 0, false
@@ -56,3 +64,29 @@
 	defer k.mu.Unlock()
 	k.life = life
 }
+
+// hand is what a successor has to know: all that are open or ended lately, eight bytes each.
+func (k *ids) hand() []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make([]byte, 0, 8*(len(k.open)+len(k.recent)+len(k.older)))
+	for _, half := range []map[uint64]struct{}{k.older, k.recent, k.open} {
+		for n := range half {
+			out = binary.BigEndian.AppendUint64(out, n)
+		}
+	}
+	return out
+}
+
+// take knows what another process handed over, as ended now.
+func (k *ids) take(all []byte, now time.Duration) {
+	for ; len(all) >= 8; all = all[8:] {
+		k.end(binary.BigEndian.Uint64(all), now)
+	}
+}
+
+func (k *ids) seeded(seed uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.seed = seed
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -103,6 +103,18 @@
 // Known has the ids of ended requests known for another time.
 func (f *Server) Known(life time.Duration) { f.ids.keep(life) }
 
+// Seed is what ids are known under.
+func (f *Server) Seed() uint64 { return f.ids.seed }
+
+// Seeded goes on with another process's, before anything is served.
+func (f *Server) Seeded(seed uint64) { f.ids.seeded(seed) }
+
+// IDs are those that are open here or ended lately, for another process that serves from now on.
+func (f *Server) IDs() []byte { return f.ids.hand() }
+
+// TakeIDs knows another's: who sends one of them again copies a request.
+func (f *Server) TakeIDs(all []byte) { f.ids.take(all, f.now()) }
+
 // Serve begins to take connections, until the listener is closed. Several listeners may be served at once; Drain
 // waits for them all.
 func (f *Server) Serve(ln net.Listener) {
