A class that changes its effect is taken in either form for 3 s, and not repeated meanwhile

Cause: callers that still went by the old effect got 405 or 400 for the 1.2 s until they heard of the new one; and one that changed between idempotent and deduplicated was repeated by a key that an old caller's request need not have. Change: the door takes either form until callers have heard; between two effects a method counts as non-idempotent. Measured: go test -race ./internal/frontend ./internal/settings, ok; every pair of effects is asked for before, at and after the 3 s.

--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -189,6 +189,35 @@
 	k.end(open, 9*time.Hour)
 }
 
+// Callers hear of new settings later than the node, which takes what either may send until then.
+func TestAClassThatChangesItsEffectIsTakenInEitherFormForAWhile(t *testing.T) {
+	service := func(r decide.Repeat) *Service {
+		n := &settings.Node{MethodNames: []string{"a"}}
+		n.Methods = []decide.Method{{Repeat: r}}
+		return NewService("", n, nil, nil, nil)
+	}
+	forms := map[decide.Repeat]httpwire.Request{decide.Idempotent: {Verb: "GET"}, decide.Deduplicated: {Verb: "POST", Key: "k"}, decide.NonIdempotent: {Verb: "POST"}}
+	status := func(v *Service, r decide.Repeat, now time.Duration) int {
+		q := forms[r]
+		q.Path, q.Method, q.Trace, q.HasLeft = "/a", "a", "id", true
+		if _, _, bad := v.check(&q, &limits.Limits{}, now); bad != nil {
+			return bad.Status
+		}
+		return 200
+	}
+	const now, until = time.Second, 4 * time.Second
+	for was := range forms {
+		for is := range forms {
+			v := service(is).Follows(service(was), now, until)
+			assert.Equal(t, 200, status(v, was, until-1), "%v to %v", was, is)
+			assert.Equal(t, status(service(is), was, now), status(v, was, until), "%v to %v: over", was, is)
+			assert.Equal(t, 200, status(v, is, until))
+			again := service(is).Follows(v, now, until+1)
+			assert.Equal(t, status(service(is), was, now), status(again, was, until), "what is handed on is the last change alone")
+		}
+	}
+}
+
 func TestOrdersAreCarriedOutInTurn(t *testing.T) {
 	_, core, addr := begin(t, node.Order{Kind: node.Send}, node.Order{Kind: node.Send},
 		node.Order{Kind: node.PushBack, Wait: 250 * time.Millisecond})
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -63,13 +63,41 @@
 	slot   int
 	repeat decide.Repeat
 	until  time.Duration // 0: for good
+	// Its effect was another: a request may come in that one's form, too, for a while.
+	was      decide.Repeat
+	wasUntil time.Duration
 }
 
-// Follows has the classes that another service took before taken until a time: callers hear of new settings later than the
-// node does.
+// misfit is the status of a request that does not have the form of an effect; 0: it has.
+func misfit(r decide.Repeat, q *httpwire.Request) int {
+	switch {
+	case q.Verb != verb(r):
+		return 405
+	case r == decide.Deduplicated && q.Key == "", r == decide.Idempotent && len(q.Body) > 0:
+		return 400
+	}
+	return 0
+}
+
+func verb(r decide.Repeat) string {
+	if r == decide.Idempotent {
+		return "GET"
+	}
+	return "POST"
+}
+
+// Follows has the classes that another service took before taken until a time, and those whose effect has changed in either
+// form: callers hear of new settings later than the node does.
 func (v *Service) Follows(before *Service, now, until time.Duration) *Service {
 	for name, k := range before.methods {
-		if _, stays := v.methods[name]; stays || k.until > 0 && now > k.until {
+		if is, stays := v.methods[name]; stays {
+			if k.until == 0 && k.repeat != is.repeat {
+				is.was, is.wasUntil = k.repeat, until
+				v.methods[name] = is
+			}
+			continue
+		}
+		if k.until > 0 && now > k.until {
 			continue // one that is over would else be handed on from settings to settings
 		}
 		if k.until == 0 {
@@ -154,18 +182,15 @@
 	if !known || k.until > 0 && now > k.until {
 		return 0, 0, &httpwire.Answer{Status: 404}
 	}
-	allow := "POST"
-	if k.repeat == decide.Idempotent {
-		allow = "GET"
-	}
 	tenant, paying := v.tenants[q.Tenant]
+	wrong := misfit(k.repeat, q)
+	if wrong != 0 && now < k.wasUntil && misfit(k.was, q) == 0 {
+		wrong = 0
+	}
 	switch {
-	case q.Verb != allow:
-		return 0, 0, &httpwire.Answer{Status: 405, Allow: allow}
-	case q.Method != first, q.Trace == "", !q.HasLeft, q.Left > l.MostLeft,
-		len(v.tenants) > 0 && !paying,
-		k.repeat == decide.Deduplicated && q.Key == "",
-		allow == "GET" && len(q.Body) > 0:
+	case wrong == 405:
+		return 0, 0, &httpwire.Answer{Status: 405, Allow: verb(k.repeat)}
+	case wrong != 0, q.Method != first, q.Trace == "", !q.HasLeft, q.Left > l.MostLeft, len(v.tenants) > 0 && !paying:
 		return 0, 0, &httpwire.Answer{Status: 400}
 	}
 	return k.slot, tenant, nil
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -181,11 +181,13 @@
 			continue
 		}
 		m, was := &out.Methods[i], before.Methods[k]
-		if m.Repeat == decide.Deduplicated && was.Repeat == decide.Deduplicated {
+		switch {
+		case m.Repeat != was.Repeat:
+			// A request of either form may come, with a key or without: what drops its repeats is not known.
+			m.Repeat, m.Window, m.Scope = decide.NonIdempotent, 0, 0
+		case m.Repeat == decide.Deduplicated:
 			m.Window = min(m.Window, was.Window)
 			m.Scope = max(m.Scope, was.Scope)
-		} else if was.Repeat > m.Repeat {
-			m.Repeat, m.Window, m.Scope = was.Repeat, was.Window, was.Scope
 		}
 	}
 	return &out
