One budget of bytes for bodies and answers; large answers leave half of the places

Need: the places went by the largest body and answer that each might have, so a node of 32 MB turned away small requests it had memory for; large answers held all places, and as long as a caller took one byte in 30 s. Change: what outgrows its usual buffer takes room from one budget and passes in pieces where there is none; a class whose last answer was large counts as large from its start; an answer's reader, and its server, keep the least rate in the long run.

--- a/cmd/robincart/bulk_test.go
+++ b/cmd/robincart/bulk_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"crypto/sha256"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand"
@@ -17,6 +18,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"robincart/internal/lab/wire"
 )
 
 // bulkServer speaks HTTP by hand: it reads a body as it comes and gives an answer in pieces, of a form that the path names.
@@ -281,3 +284,33 @@
 	require.NoError(t, err)
 	assert.Equal(t, 200, a.StatusCode, "its time runs from its last byte on")
 }
+
+// A small node holds as many requests as it has memory for, not as if each had the largest body and answer; a body that
+// finds no room passes in pieces.
+func TestASmallNodeHoldsManyRequestsAtOnce(t *testing.T) {
+	const callers = 170
+	all := make(chan struct{})
+	came := sync.OnceFunc(func() { close(all) })
+	var s *server
+	s = newServer(t, func(c net.Conn, q *wire.Request) bool {
+		if s.count() >= callers {
+			came()
+		}
+		select {
+		case <-all:
+		case <-time.After(4 * time.Second): // some have been turned away, then
+		}
+		return says(200, strings.Repeat("y", 3000))(c, q)
+	})
+	d := newDiscovery(t, listed("s0", s.addr(), "ready"))
+	c := configuration(t, d, d.all()...)
+	c["limits"] = map[string]any{"cores": 1, "memory_mb": 32, "sockets": 1024}
+	c["settings"] = json.RawMessage(strings.Replace(testSettings, `"Instances":1`, `"Instances":1,"Stage":1`, 1)) // which takes all that can be in time
+	p := start(t, c)
+	var at sync.WaitGroup
+	for range callers {
+		at.Go(func() { assert.Equal(t, 200, p.ask("slow", strings.Repeat("x", 60_000)).status) })
+	}
+	at.Wait()
+	assert.Equal(t, 200, p.ask("slow", "x").status)
+}
--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -139,7 +139,7 @@
 	}
 	defer watch.Close()
 	clk := clock{time.Now()}
-	budget := limits.NewBudget(l.Descriptors, l.Refused)
+	budget := limits.NewBudget(l.Descriptors, l.Refused, limits.NewBytes(l.Bytes))
 	watcher := registry.New(c.Discovery, c.node.ZoneNames, l, budget, log)
 	core := node.New(c.node, c.seed(), clk, time.Now(), watcher.Ask)
 	watcher.Start(core, c.list)
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -104,7 +104,7 @@
 		listeners = append(listeners, ln)
 	}
 	clk := clock{time.Now()}
-	budget := limits.NewBudget(l.Descriptors-len(listeners), l.Refused)
+	budget := limits.NewBudget(l.Descriptors-len(listeners), l.Refused, limits.NewBytes(l.Bytes))
 	watch, err := lot.New()
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
--- a/cmd/robincart/succeed.go
+++ b/cmd/robincart/succeed.go
@@ -138,7 +138,7 @@
 	if s.before != nil {
 		s.lent = s.budget.Lend(k.Held + ownFiles)
 		s.front.Seeded(k.Seed)
-		debug.SetMemoryLimit(s.limits.Memory / 2) // both together count against it
+		s.part(2) // both together count against it
 		if len(k.Servers) > 0 {
 			s.core.Listed(k.Servers, true)
 		}
@@ -154,6 +154,12 @@
 	s.all.Go(func() { s.accept(ln) })
 }
 
+// part is how many processes of this node share its memory now.
+func (s *succession) part(of int64) {
+	debug.SetMemoryLimit(s.limits.Memory / of)
+	s.budget.Bytes().Resize(s.limits.Bytes / of)
+}
+
 // takes tells the process before this one that callers are taken here.
 func (s *succession) takes() {
 	if s.before == nil {
@@ -240,7 +246,7 @@
 	h.front.PassOn(link.Conn)
 	for h.pool.Evict() { // its descriptors count against the successor's
 	}
-	debug.SetMemoryLimit(h.limits.Memory / 2)
+	(*succession)(h).part(2)
 }
 
 func (h *heir) Conn(c net.Conn, _ bool) { c.Close() } // not a successor's to send
@@ -260,7 +266,7 @@
 		return
 	}
 	h.log.Error("the successor has gone; callers are taken here again", zap.Error(err))
-	debug.SetMemoryLimit(h.limits.Memory)
+	(*succession)(h).part(1)
 	h.front.PassOn(nil)
 	if err := h.door.open(); err != nil {
 		h.log.Error("the listener could not be opened again", zap.Error(err))
@@ -299,6 +305,6 @@
 	for ; f.lent > 0; f.lent-- {
 		f.budget.Give()
 	}
-	debug.SetMemoryLimit(f.limits.Memory)
+	(*succession)(f).part(1)
 	f.log.Info("the process before has ended")
 }
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -12,6 +12,7 @@
 
 	"robincart/decide"
 	"robincart/internal/httpwire"
+	"robincart/internal/limits"
 	"robincart/internal/lot"
 	"robincart/internal/node"
 	"robincart/internal/socket"
@@ -97,7 +98,7 @@
 	f := c.server
 	r := readers.Get().(*httpwire.Reader)
 	r.Init(c, &f.limits.Wire)
-	r.Headers, r.Pace, r.Expected = f.table.Load().Find != nil, c, c.goAhead
+	r.Headers, r.Pace, r.Expected, r.Room = f.table.Load().Find != nil, c, c.goAhead, f.bodies
 	c.reader = r
 	for next := goOn; next == goOn; {
 		c.try = !r.Beyond()
@@ -128,6 +129,9 @@
 	if err != nil {
 		return c.unread(err)
 	}
+	if q.Held > 0 {
+		defer f.bodies.Give(q.Held)
+	}
 	came := f.now() // the caller's time runs from its last byte on: it may take seconds to send
 	if c.first = false; q.Rest == nil {
 		c.whole()
@@ -142,7 +146,7 @@
 		return c.answer(q, bad)
 	}
 	defer service.leave()
-	method, tenant, bad := service.check(q, &f.limits, came)
+	class, tenant, bad := service.check(q, &f.limits, came)
 	if bad != nil {
 		return c.answer(q, bad)
 	}
@@ -155,8 +159,13 @@
 	if c.tired || !f.begin() {
 		return c.answer(q, &httpwire.Answer{Status: 503, RetryAfter: f.limits.ComeBack, Close: true})
 	}
-	if q.Rest != nil {
-		defer f.large.Add(-1)
+	large := q.Rest != nil || class.large.Load()
+	defer func() {
+		if large {
+			f.large.Add(-1)
+		}
+	}()
+	if large {
 		if f.large.Add(1) > int64(f.limits.Large) {
 			f.end()
 			return c.answer(q, &httpwire.Answer{Status: 503, RetryAfter: f.limits.ComeBack})
@@ -173,9 +182,10 @@
 		recalled = lease.Recalled()
 	}
 
-	rpc := service.core.Arrived(method, tenant, came+q.Left, q.SecondTry, q.Rest != nil)
+	rpc := service.core.Arrived(class.slot, tenant, came+q.Left, q.SecondTry, q.Rest != nil)
 	c.watch(rpc)
 	var a *httpwire.Answer
+	held := 0 // by the answer
 	for a == nil {
 		select {
 		case o := <-rpc.Orders:
@@ -187,6 +197,14 @@
 				if o.Answer.Rest != nil {
 					a.Rest = o.Answer.Rest
 				}
+				if class.large.Load() != (a.Rest != nil) {
+					class.large.Store(a.Rest != nil)
+				}
+				if a.Rest != nil && !large { // who would have thought: it is passed on all the same
+					large = true
+					f.large.Add(1)
+				}
+				held = o.Answer.Held
 			case node.PushBack:
 				f.turns(c, service.share != nil)
 				a = &httpwire.Answer{Status: 503, RetryAfter: o.Wait}
@@ -197,19 +215,22 @@
 					continue // what it asks next may be in there, and its end is found behind that
 				}
 				c.rpc.Store(nil)
-				service.giveUp(rpc)
+				service.giveUp(rpc, f.answers)
 				f.end()
 				return false
 			}
 		case <-recalled: // what it holds was borrowed, and its owner needs it
-			service.giveUp(rpc)
+			service.giveUp(rpc, f.answers)
 			a = &httpwire.Answer{Status: 504}
 		case <-f.halt:
-			service.giveUp(rpc)
+			service.giveUp(rpc, f.answers)
 			a = &httpwire.Answer{Status: 504}
 		}
 	}
 	c.rpc.Store(nil)
+	if held > 0 {
+		defer f.answers.Give(held)
+	}
 	if a.Rest != nil { // its server's connection is in use until it has passed
 		defer f.end()
 		return c.answer(q, a)
@@ -221,7 +242,7 @@
 
 // giveUp ends an RPC that gets no answer from the module, and the picks that were ordered meanwhile: nobody sends them
 // any more.
-func (v *Service) giveUp(rpc *node.RPC) {
+func (v *Service) giveUp(rpc *node.RPC, answers limits.Room) {
 	v.core.Vanished(rpc)
 	for {
 		select {
@@ -229,8 +250,11 @@
 			if o.Kind == node.Send {
 				v.core.Done(o.Pick, decide.Ignored, nil)
 			}
-			if o.Kind == node.Served && o.Answer.Rest != nil {
-				o.Answer.Rest.Close(false)
+			if o.Kind == node.Served {
+				answers.Give(o.Answer.Held)
+				if o.Answer.Rest != nil {
+					o.Answer.Rest.Close(false)
+				}
 			}
 		default:
 			return
@@ -343,9 +367,15 @@
 	piece, frame := httpwire.Piece(), make([]byte, 0, 16)
 	defer httpwire.Done(piece)
 	chunked := a.Chunked()
+	// A reader may stand still for a while, and slower than the least rate in the long run nobody may be: its place would be
+	// held for hours. What its server takes is not its own.
+	l, taken, waited := &c.server.limits, 0, time.Duration(0)
 	write := func(parts net.Buffers) bool {
-		c.SetWriteDeadline(time.Now().Add(c.server.limits.CallerTakes))
-		_, err := parts.WriteTo(c.Conn)
+		began := time.Now()
+		c.SetWriteDeadline(began.Add(min(l.CallerTakes, l.CallerTakes+l.Slowest(taken)-waited)))
+		n, err := parts.WriteTo(c.Conn)
+		taken += int(n)
+		waited += time.Since(began)
 		return err == nil
 	}
 	body := func(p []byte) bool { return write(httpwire.Frame(p, chunked, frame)) }
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -90,7 +90,7 @@
 	s := &settings.Node{MethodNames: []string{"find"}, Settings: decide.Settings{Methods: make([]decide.Method, 1)}}
 	watch, err := lot.New()
 	require.NoError(t, err)
-	f := New(l, limits.NewBudget(9, 0), func() time.Duration { return time.Minute }, zap.NewNop(), watch)
+	f := New(l, limits.NewBudget(9, 0, nil), func() time.Duration { return time.Minute }, zap.NewNop(), watch)
 	f.Swap(&Table{Only: NewService("only", s, core, core, nil)})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -189,6 +189,53 @@
 	k.end(open, 9*time.Hour)
 }
 
+// following is a large answer's rest.
+type following struct {
+	io.Reader
+	closed chan bool
+}
+
+func (f following) Length() int64    { return 1 << 24 }
+func (f following) Close(whole bool) { f.closed <- whole }
+
+// Small requests have to get through among large answers, and nobody holds a place by reading next to nothing.
+func TestLargeAnswersLeavePlacesAndTheirReadersMustRead(t *testing.T) {
+	l := bounds()
+	l.Callers, l.Large, l.Connections = 3, 1, 6
+	l.CallerTakes, l.Rate = 300*time.Millisecond, 1<<20
+	f, core, addr := beginWith(t, l)
+	rest := following{strings.NewReader(strings.Repeat("x", 1<<24)), make(chan bool, 1)}
+	large := dial(t, addr)
+	large.ask()
+	rpc := await.One(t, core.came)
+	rpc.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("begun"), Rest: rest}}
+	line, err := large.r.ReadString('\n') // the rest is not read, or a byte at a time
+	require.NoError(t, err)
+	assert.Contains(t, line, "200")
+	next := dial(t, addr)
+	next.ask()
+	assert.Equal(t, 503, next.hears(t).StatusCode, "the next of its class would most likely be as large")
+	drip := make([]byte, 1)
+	for reading := true; reading; {
+		_, err := large.Read(drip)
+		select {
+		case whole := <-rest.closed:
+			assert.False(t, whole)
+			reading = false
+		case <-time.After(time.Millisecond):
+			reading = err == nil
+		}
+	}
+	assert.Eventually(t, func() bool { return f.large.Load() == 0 }, 20*time.Second, time.Millisecond)
+	for _, counts := range []int64{1, 0} { // until it is seen that they are small
+		next.ask()
+		small := await.One(t, core.came)
+		assert.Equal(t, counts, f.large.Load())
+		small.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}}
+		assert.Equal(t, 200, next.hears(t).StatusCode)
+	}
+}
+
 // Callers hear of new settings later than the node, which takes what either may send until then.
 func TestAClassThatChangesItsEffectIsTakenInEitherFormForAWhile(t *testing.T) {
 	service := func(r decide.Repeat) *Service {
@@ -363,7 +410,7 @@
 	s := &settings.Node{MethodNames: []string{"find"}, Settings: decide.Settings{Methods: make([]decide.Method, 1)}}
 	watch, err := lot.New()
 	require.NoError(t, err)
-	f := New(l, limits.NewBudget(5000, 0), func() time.Duration { return time.Minute }, zap.NewNop(), watch)
+	f := New(l, limits.NewBudget(5000, 0, nil), func() time.Duration { return time.Minute }, zap.NewNop(), watch)
 	f.Swap(&Table{Only: NewService("only", s, core, core, nil)})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -42,6 +42,8 @@
 type Server struct {
 	limits  limits.Limits
 	budget  *limits.Budget
+	bodies  limits.Room
+	answers limits.Room
 	now     func() time.Duration // the cores' clock
 	started time.Time
 	log     *zap.Logger
@@ -84,7 +86,7 @@
 // New makes a Server that has nothing to serve yet; Swap gives it that and Serve starts it. The lot tells of what comes
 // on connections that rest.
 func New(l limits.Limits, budget *limits.Budget, now func() time.Duration, log *zap.Logger, t *lot.Lot) *Server {
-	f := &Server{limits: l, budget: budget, now: now, started: time.Now(), log: log, conns: map[*conn]struct{}{},
+	f := &Server{limits: l, budget: budget, bodies: budget.Bytes().Bodies(), answers: budget.Bytes().Answers(), now: now, started: time.Now(), log: log, conns: map[*conn]struct{}{},
 		halt: make(chan struct{}), ids: newIDs(l.IDLife, l.IDs), lot: t, ends: wheel.New(grain, 0, 4096),
 		gate: wake.New(wake.Config{Serve: l.Callers + l.Refused, Refuse: max(1, l.Refused), Slow: max(1, l.Callers/2), Rest: l.CallerRest,
 			Pace: 16 * max(1, l.Cores), Step: time.Millisecond, Patience: l.ComeBack})}
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"robincart/decide"
@@ -47,7 +48,7 @@
 		empty: make(chan struct{})}
 	for i, m := range s.MethodNames {
 		if m != "" { // else a slot that another class has left
-			v.methods[m] = class{slot: i, repeat: s.Methods[i].Repeat}
+			v.methods[m] = class{slot: i, repeat: s.Methods[i].Repeat, large: &atomic.Bool{}}
 		}
 	}
 	for i, t := range s.TenantNames {
@@ -66,6 +67,7 @@
 	// Its effect was another: a request may come in that one's form, too, for a while.
 	was      decide.Repeat
 	wasUntil time.Duration
+	large    *atomic.Bool // its last answer was: its next one counts as large from the start
 }
 
 // misfit is the status of a request that does not have the form of an effect; 0: it has.
@@ -176,11 +178,11 @@
 
 // check finds what a request asks for, or the answer to one that can't be taken. None of those answers is 429
 // or 503: they would promise that asking the same again helps.
-func (v *Service) check(q *httpwire.Request, l *limits.Limits, now time.Duration) (method, tenant int, bad *httpwire.Answer) {
+func (v *Service) check(q *httpwire.Request, l *limits.Limits, now time.Duration) (k class, tenant int, bad *httpwire.Answer) {
 	first, _, _ := strings.Cut(strings.TrimPrefix(q.Path, "/"), "/")
 	k, known := v.methods[first]
 	if !known || k.until > 0 && now > k.until {
-		return 0, 0, &httpwire.Answer{Status: 404}
+		return k, 0, &httpwire.Answer{Status: 404}
 	}
 	tenant, paying := v.tenants[q.Tenant]
 	wrong := misfit(k.repeat, q)
@@ -189,9 +191,9 @@
 	}
 	switch {
 	case wrong == 405:
-		return 0, 0, &httpwire.Answer{Status: 405, Allow: verb(k.repeat)}
+		return k, 0, &httpwire.Answer{Status: 405, Allow: verb(k.repeat)}
 	case wrong != 0, q.Method != first, q.Trace == "", !q.HasLeft, q.Left > l.MostLeft, len(v.tenants) > 0 && !paying:
-		return 0, 0, &httpwire.Answer{Status: 400}
+		return k, 0, &httpwire.Answer{Status: 400}
 	}
-	return k.slot, tenant, nil
+	return k, tenant, nil
 }
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -27,6 +27,7 @@
 	Type      string
 	Body      []byte
 	Rest      *Rest // of the body; nil: it is here
+	Held      int   // of the reader's room: to be given back
 	Old       bool  // HTTP/1.0
 
 	// Where the reader keeps them, since requests are routed by them:
@@ -36,6 +37,14 @@
 
 // ReadRequest reads one request.
 func (r *Reader) ReadRequest() (*Request, error) {
+	q, err := r.readRequest()
+	if held := r.hold(err); held > 0 {
+		q.Held = held
+	}
+	return q, err
+}
+
+func (r *Reader) readRequest() (*Request, error) {
 	r.got = r.n
 	if err := r.blank(); err != nil {
 		return nil, err
@@ -195,11 +204,20 @@
 	Type     string
 	Body     []byte
 	Rest     *Rest // of the body; nil: it is here
+	Held     int   // of the reader's room: to be given back
 }
 
 // ReadResponse reads one answer. One whose end only the end of its connection tells is refused unless it says so: a server
 // that died in it would look like one that had finished.
 func (r *Reader) ReadResponse() (*Response, error) {
+	p, err := r.readResponse()
+	if held := r.hold(err); held > 0 {
+		p.Held = held
+	}
+	return p, err
+}
+
+func (r *Reader) readResponse() (*Response, error) {
 	for {
 		r.got = r.n
 		if err := r.First(); err != nil {
--- a/internal/httpwire/reader.go
+++ b/internal/httpwire/reader.go
@@ -36,6 +36,7 @@
 	Headers  bool   // requests come with all their headers
 	Pace     Pace   // may be nil
 	Expected func() // called before a body is read whose sender waits for a word; may be nil
+	Room     Room   // for bodies beyond the usual buffer; nil: no bounds
 
 	src   io.Reader
 	sizes *Sizes
@@ -45,6 +46,37 @@
 	brim  bool
 	begun bool // a message has: all its bytes so far may have been taken already
 	got   int  // bytes read since the last message ended
+	held  int  // of the room, for the body that is being read
+}
+
+// Room is asked before a body may take more than the usual buffer. One that finds none passes in pieces, however small.
+type Room interface {
+	Take(n int) bool
+	Give(n int)
+}
+
+// room asks for as much as a body of n bytes needs.
+func (r *Reader) room(n int) bool {
+	more := n - r.sizes.Buffer - r.held
+	if r.Room == nil || more <= 0 {
+		return true
+	}
+	if !r.Room.Take(more) {
+		return false
+	}
+	r.held += more
+	return true
+}
+
+// hold is what a message holds of the room from now on: who takes it gives that back. One that could not be read gives it
+// back at once.
+func (r *Reader) hold(err error) int {
+	n := r.held
+	if r.held = 0; err != nil && n > 0 {
+		r.Room.Give(n)
+		return 0
+	}
+	return n
 }
 
 // Pace is told before each read for the rest of a message that has begun, and, with false, once such a message was only
@@ -313,7 +345,7 @@
 		return body, rest, true, err
 	case length < 0:
 		return nil, nil, false, nil
-	case length <= r.sizes.Body:
+	case length <= r.sizes.Body && (r.sizes.Stream == 0 || r.room(length)):
 		if err := r.need(length); err != nil {
 			return nil, nil, true, err
 		}
@@ -327,7 +359,7 @@
 
 // toEnd reads a body that only the end of its connection ends.
 func (r *Reader) toEnd() (body []byte, rest *Rest, err error) {
-	for r.n <= r.sizes.Body {
+	for r.n <= r.sizes.Body && (r.sizes.Stream == 0 || r.room(min(2*r.n, r.sizes.Body))) {
 		if err := r.fill(min(max(2*r.n, r.sizes.Buffer), r.sizes.Body+1)); errors.Is(err, io.EOF) {
 			return r.take(r.n), nil, nil
 		} else if err != nil {
@@ -419,7 +451,7 @@
 				}
 			}
 		}
-		if body+size > r.sizes.Body {
+		if body+size > r.sizes.Body || r.sizes.Stream > 0 && !r.room(body+size) {
 			if body+size > r.sizes.Stream {
 				return nil, nil, ErrBodyLarge
 			}
--- a/internal/httpwire/rest_test.go
+++ b/internal/httpwire/rest_test.go
@@ -30,6 +30,18 @@
 	return n, nil
 }
 
+// room has so many bytes left.
+type room int
+
+func (r *room) Take(n int) bool {
+	if int(*r) < n {
+		return false
+	}
+	*r -= room(n)
+	return true
+}
+func (r *room) Give(n int) { *r += room(n) }
+
 // However a message is cut, its body comes out the same, whole or in pieces, and the next message is found behind it.
 func TestBodiesComeOutAsTheyWentIn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -49,15 +61,23 @@
 		}
 		src := &drawn{text: text + "\r\n" + text, sizes: rapid.SliceOfN(rapid.IntRange(1, 300), 1, 9).Draw(t, "pieces")}
 		r := NewReader(src, Sizes{Buffer: 64, Read: 16, Head: 400, Body: 100, Stream: 4999, Chunk: 32})
+		had := room(rapid.IntRange(0, 50).Draw(t, "room")) // without enough of it a smaller one passes in pieces, too
+		left := had
+		r.Room = &left
 		for range 2 {
 			q, err := r.ReadRequest()
+			if q != nil {
+				require.LessOrEqual(t, q.Held, max(0, len(q.Body)-64+r.sizes.Chunk))
+				left.Give(q.Held)
+			}
+			require.Equal(t, had, left)
 			if n > 4999 && q == nil {
 				require.ErrorIs(t, err, ErrBodyLarge)
 				return
 			}
 			require.NoError(t, err)
 			got := bytes.Clone(q.Body)
-			if assert.Equal(t, n > 100, q.Rest != nil); q.Rest != nil {
+			if assert.Equal(t, n > 100 || n-64 > int(had), q.Rest != nil); q.Rest != nil {
 				require.True(t, q.Rest.Claim())
 				require.False(t, q.Rest.Claim())
 				more, err := io.ReadAll(q.Rest)
--- a/internal/limits/budget.go
+++ b/internal/limits/budget.go
@@ -5,6 +5,8 @@
 // Budget counts the descriptors of callers, servers and discovery, so that no call for one fails for want of
 // them.
 type Budget struct {
+	bytes *Bytes
+
 	mu    sync.Mutex
 	left  int
 	spare int
@@ -13,7 +15,12 @@
 
 // NewBudget starts with n descriptors free. The last few, spare, are for callers alone: one who finds the
 // node full has to be told so, and that takes a connection.
-func NewBudget(n, spare int) *Budget { return &Budget{left: n, spare: spare} }
+func NewBudget(n, spare int, bytes *Bytes) *Budget {
+	return &Budget{left: n, spare: spare, bytes: bytes}
+}
+
+// Bytes is the process's budget of memory.
+func (b *Budget) Bytes() *Bytes { return b.bytes }
 
 // Evict names what gives one descriptor back when none is left: it closes an idle server connection. It is
 // set before the first Take.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -23,6 +23,7 @@
 	Cores       int
 	Memory      int64 // bytes that Go's collector keeps to
 	Descriptors int   // for callers, servers and discovery together
+	Bytes       int64 // for bodies and answers beyond the buffers that each place has
 	Callers     int   // requests of callers in the making at once; each has a connection on either side
 	Refused     int   // further connections, on which callers are told at once that the node is full
 	Connections int   // of callers at most, those that rest included
@@ -69,6 +70,7 @@
 const (
 	ownFiles   = 10 // standard streams, the poller, the listener, and some to spare
 	refusedMax = 32
+	placeBytes = 32 << 10
 	mb         = 1 << 20
 
 	// SIGKILL may come 0.7 s after the longest deadline, and 3 s of that are the most it waits for.
@@ -139,9 +141,10 @@
 		return Limits{}, errors.New("limits.sockets leaves no caller a connection")
 	}
 	l.Connections = l.Callers + l.Refused
-	// Each request in the making may hold a body and an answer whole; half of the memory is for them. Connections beyond that
-	// rest, or wait with their bytes in the kernel.
-	l.Callers = max(1, min(l.Callers, int(l.Memory/2)/(2*l.Wire.Body)))
+	// Half of the memory is for bodies and answers, a quarter for what each request in the making has beside them: stacks,
+	// buffers, and a piece either way where it is large. Connections beyond that rest, or wait with their bytes in the kernel.
+	l.Bytes = l.Memory / 2
+	l.Callers = max(1, min(l.Callers, int(l.Memory/4)/placeBytes))
 	l.Large = max(1, l.Callers/2)
 	l = l.For(s)
 	longest := 0.0
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -39,7 +39,7 @@
 }
 
 func TestTheLastDescriptorsAreForCallersAlone(t *testing.T) {
-	b := NewBudget(3, 1)
+	b := NewBudget(3, 1, nil)
 	assert.True(t, b.Take())
 	assert.True(t, b.TakeLast())
 	assert.False(t, b.Take(), "a server must not take what a caller needs to be told that the node is full")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	Type string
 	Body []byte
 	Rest Rest // of the body; nil: that is all
+	Held int  // of the process's bytes: who has passed it on gives them back
 }
 
 // Rest is what of an answer had not come yet when it was passed on. Who gets the answer has to close it.
--- a/internal/pools/gate.go
+++ b/internal/pools/gate.go
@@ -90,6 +90,8 @@
 	b.all.Give()
 }
 
+func (b *budget) Bytes() *limits.Bytes { return b.all.Bytes() }
+
 func (b *budget) Evict(f func() bool) { b.evict = f }
 
 // plain counts against the process's descriptors alone. It leaves to the set whose idle connections give way.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -79,7 +79,7 @@
 	}()
 	l := limits.Limits{Wire: httpwire.Sizes{Buffer: 64, Read: 64, Head: 4096, Body: 4096, Chunk: 64}, ListBytes: 1 << 16,
 		ListConnect: time.Second, ListAnswer: 200 * time.Millisecond, ListSilence: 100 * time.Millisecond}
-	w := New(ln.Addr().String(), []string{"north", "south"}, l, limits.NewBudget(1, 0), zap.NewNop())
+	w := New(ln.Addr().String(), []string{"north", "south"}, l, limits.NewBudget(1, 0, nil), zap.NewNop())
 	core := make(fakeCore, 9)
 	list, err := Parse([]byte(known))
 	require.NoError(t, err)
@@ -215,7 +215,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ln.Close()
-	w := New(ln.Addr().String(), nil, limits.Limits{ListConnect: time.Second}, limits.NewBudget(1, 0), zap.NewNop())
+	w := New(ln.Addr().String(), nil, limits.Limits{ListConnect: time.Second}, limits.NewBudget(1, 0, nil), zap.NewNop())
 	core := make(fakeCore, 2)
 	w.core = core
 	ctx, end := context.WithCancel(context.Background())
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -61,6 +61,9 @@
 func (x *exchange) Run() {
 	res, answer := x.run()
 	served := x.pool.core.Done(x.pick, res, answer)
+	if answer != nil && !served {
+		x.pool.bytes.Give(answer.Held)
+	}
 	if answer == nil || answer.Rest == nil {
 		return
 	}
@@ -122,9 +125,10 @@
 	switch running := x.stage.CompareAndSwap(running, over); {
 	case running && answer != nil && answer.Rest != nil:
 		c.onTime()
-		c.streams = true
+		c.streams, c.first = true, time.Now()
 	case answer != nil && answer.Rest != nil:
 		p.close(c)
+		p.bytes.Give(answer.Held)
 		return decide.Reset, nil // given up as it began
 	case !running || !whole:
 		p.close(c)
@@ -194,11 +198,15 @@
 	}
 	c.onTime()
 	whole = !r.Close && r.Rest == nil && !c.reader.Beyond()
+	if r.Status == 200 {
+		answer = &node.Answer{Type: r.Type, Body: r.Body, Held: r.Held}
+		if r.Rest != nil {
+			answer.Rest = &rest{Rest: r.Rest, again: !r.Close, read: make(chan bool, 1)}
+		}
+		return decide.OK, answer, whole
+	}
+	x.pool.bytes.Give(r.Held)
 	switch {
-	case r.Status == 200 && r.Rest != nil:
-		return decide.OK, &node.Answer{Type: r.Type, Body: r.Body, Rest: &rest{Rest: r.Rest, again: !r.Close, read: make(chan bool, 1)}}, false
-	case r.Status == 200:
-		return decide.OK, &node.Answer{Type: r.Type, Body: r.Body}, whole
 	case (r.Status == 503 || r.Status == 504) && r.NeverRan:
 		return decide.Full, nil, whole
 	}
@@ -258,7 +266,12 @@
 	l := &c.pool.limits
 	switch {
 	case c.streams: // as long as it comes; who waits for it sees how far it has come
-		c.SetReadDeadline(time.Now().Add(l.AnswerSilence))
+		// In the long run it comes no slower than its caller may take it, beside which it has its own silences.
+		most := c.first.Add(l.CallerTakes + l.AnswerSilence + 2*l.Slowest(c.reader.Got()))
+		if soon := time.Now().Add(l.AnswerSilence); soon.Before(most) {
+			most = soon
+		}
+		c.SetReadDeadline(most)
 		c.timed = true
 		return
 	case !c.timed:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -36,6 +36,7 @@
 	Give()
 	// Evict names what gives one back when none is left.
 	Evict(func() bool)
+	Bytes() *limits.Bytes
 }
 
 // slowStep is how many bytes of an answer put its deadline off.
@@ -51,7 +52,8 @@
 	// Of the limits, what settings change while the pool works.
 	connect, idleMost atomic.Int64
 	budget            Budget
-	lot               *lot.Lot // tells of servers that close; nil: they are found closed when they are to be used
+	bytes             limits.Room // for answers
+	lot               *lot.Lot    // tells of servers that close; nil: they are found closed when they are to be used
 	dialer            net.Dialer
 	crew              crew.Crew // of exchanges
 
@@ -85,7 +87,7 @@
 
 // NewPool starts with no connection. The lot may be nil.
 func NewPool(core Core, l limits.Limits, budget Budget, t *lot.Lot) *Pool {
-	p := &Pool{core: core, limits: l, budget: budget, lot: t, idle: map[*node.Server]*conn{}, dialer: net.Dialer{KeepAlive: -1}}
+	p := &Pool{core: core, limits: l, budget: budget, bytes: budget.Bytes().Answers(), lot: t, idle: map[*node.Server]*conn{}, dialer: net.Dialer{KeepAlive: -1}}
 	p.oldest.older, p.oldest.newer = &p.oldest, &p.oldest
 	p.Tune(l)
 	budget.Evict(p.Evict)
@@ -102,7 +104,7 @@
 func (p *Pool) newConn(raw net.Conn, addr string) *conn {
 	c := &conn{Conn: raw, pool: p, addr: addr}
 	c.reader.Init(raw, &p.limits.Wire)
-	c.reader.Pace = c
+	c.reader.Pace, c.reader.Room = c, p.bytes
 	if sc, ok := raw.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -138,7 +138,7 @@
 
 func begin(addr string, descriptors int) *story {
 	core := &fakeCore{addr: addr, left: 2 * time.Second}
-	b := limits.NewBudget(descriptors, 0)
+	b := limits.NewBudget(descriptors, 0, nil)
 	return &story{Pool: NewPool(core, bounds(), b, watched()), core: core, budget: b, server: &node.Server{},
 		q: &httpwire.Request{Verb: "GET", Target: "/find?k=1", Host: "h", Trace: "t1", Method: "find"}}
 }
