A call back says which word still keeps the server out

Need: three words can keep a server out (the list's, the record's drains, this node's ban); whoever called one back and saw no traffic had nothing to go by. Change: the yes of a call back names what is left.

--- a/cmd/robincart/operate.go
+++ b/cmd/robincart/operate.go
@@ -58,6 +58,16 @@
 	return o.do(handover.Word{Call: admin.PathAttach, Server: server}, nil)
 }
 
+// Kept is what one of the services has against it.
+func (o *operations) Kept(server string) string {
+	for _, c := range o.cores() {
+		if why := c.Kept(server); why != "" {
+			return why
+		}
+	}
+	return ""
+}
+
 func (o *operations) Lame(on bool) {
 	w := handover.Word{Call: admin.PathOff}
 	if on {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -31,6 +31,7 @@
 	Ready() bool               // this process takes callers
 	Detach(server string) bool // nothing more to a server; false: no such server was ever listed
 	Attach(server string) bool // it may serve again
+	Kept(server string) string // what keeps it out all the same
 	Lame(on bool)              // empty the node, or let it work again
 }
 
@@ -202,6 +203,9 @@
 		return http.StatusNotFound, "", says("no such server was ever listed")
 	}
 	s.log.Info("a server is taken "+done+" by an operator", zap.String("server", *of.Host))
+	if why := s.node.Kept(*of.Host); q.Path == PathAttach && why != "" {
+		done += "; " + why // a ban is one of the words that a server has to be free of
+	}
 	return http.StatusOK, "", says(done)
 }
 
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -37,6 +37,7 @@
 func (f *fake) Ready() bool           { return true }
 func (f *fake) Detach(id string) bool { f.note("out " + id); return id == "s1" }
 func (f *fake) Attach(id string) bool { f.note("back " + id); return id == "s1" }
+func (f *fake) Kept(string) string    { return "" }
 func (f *fake) Lame(on bool)          { f.note(fmt.Sprint("lame ", on)) }
 
 func begin(t *testing.T, l Limits) (*Server, *fake) {
--- a/internal/node/barred.go
+++ b/internal/node/barred.go
@@ -55,6 +55,23 @@
 	return true
 }
 
+// Kept tells what keeps a server from being sent to: "" is nothing, or it was never listed here.
+func (c *Core) Kept(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[id]
+	_, out := c.barred[id]
+	switch {
+	case out:
+		return "an operator's call keeps it out"
+	case s == nil && c.known.has(id), s != nil && s.state == decide.Gone:
+		return "the list does not have it now"
+	case s != nil && s.state == decide.Draining:
+		return "the list, or the record, has it as draining"
+	}
+	return ""
+}
+
 // everListed tells whether a server stands in the list or did lately.
 func (c *Core) everListed(id string) bool { return c.servers[id] != nil || c.known.has(id) }
 
