--- a/cmd/robincart/succeed_test.go
+++ b/cmd/robincart/succeed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -29,12 +31,13 @@
 	addr   string
 }
 
-// process is one of them.
+// started is one of them.
 type started struct {
 	*exec.Cmd
-	log   *logged
-	admin string
-	ended chan error
+	log    *logged
+	admin  string
+	config string
+	ended  chan error
 }
 
 func newPlace(t *testing.T, servers ...*server) (*place, *discovery) {
@@ -56,14 +59,21 @@
 // start starts one more and waits until it takes callers.
 func (l *place) start() *started {
 	l.t.Helper()
-	p := &started{admin: freeAddress(l.t), log: &logged{}, ended: make(chan error, 1)}
-	l.config["admin_addr"] = p.admin
+	l.config["admin_addr"] = freeAddress(l.t)
+	p := l.begin()
+	require.Eventually(l.t, p.ready, 20*time.Second, 5*time.Millisecond, "%s", p.log)
+	return p
+}
+
+// begin starts one more, by the configuration as it is.
+func (l *place) begin() *started {
+	l.t.Helper()
+	p := &started{admin: l.config["admin_addr"].(string), log: &logged{}, ended: make(chan error, 1), config: filepath.Join(l.t.TempDir(), "config.json")}
 	text, err := json.Marshal(l.config)
 	require.NoError(l.t, err)
-	path := filepath.Join(l.t.TempDir(), "config.json")
-	require.NoError(l.t, os.WriteFile(path, text, 0o600))
+	require.NoError(l.t, os.WriteFile(p.config, text, 0o600))
 	p.Cmd = exec.Command(os.Args[0])
-	p.Env = append(os.Environ(), "ROBINCART_TEST_PROGRAM=1", "GORACE=atexit_sleep_ms=0", "EDGE_CONFIG="+path, "EDGE_ACCEPT_FD=3", "TMPDIR="+l.dir)
+	p.Env = append(os.Environ(), "ROBINCART_TEST_PROGRAM=1", "GORACE=atexit_sleep_ms=0", "EDGE_CONFIG="+p.config, "EDGE_ACCEPT_FD=3", "TMPDIR="+l.dir)
 	p.ExtraFiles, p.Stderr = []*os.File{l.file}, p.log
 	require.NoError(l.t, p.Start())
 	go func() { p.ended <- p.Wait() }()
@@ -72,7 +82,6 @@
 		assert.NotContains(l.t, p.log.String(), "DATA RACE")
 		assert.NotContains(l.t, p.log.String(), "panic:")
 	})
-	require.Eventually(l.t, p.ready, 20*time.Second, 5*time.Millisecond, "%s", p.log)
 	return p
 }
 
@@ -273,3 +282,66 @@
 	assert.Equal(t, 200, calls(t, third.admin, "/_servers/attach", `{"host":"s0"}`))
 	assert.Equal(t, 200, ask(connect(), "back"))
 }
+
+// What staff do comes in any order and in quick turns: callers see none of it, and the last word is in force.
+func TestWhatStaffDoInQuickTurnsLosesNothing(t *testing.T) {
+	l, _ := newPlace(t, newServer(t, after(5*time.Millisecond, says(200, "x"))), newServer(t, says(200, "y")))
+	first := l.start()
+	asker := &program{t: t, addr: l.addr}
+	var all sync.WaitGroup
+	var asked, failed atomic.Int64
+	end, stop := context.WithCancel(t.Context())
+	defer all.Wait()
+	defer stop()
+	for range 10 {
+		all.Go(func() {
+			for end.Err() == nil {
+				asked.Add(1)
+				if r := asker.ask("find", ""); r.err != nil || r.status != 200 {
+					failed.Add(1)
+					t.Logf("%+v", r)
+				}
+			}
+		})
+	}
+	for i, turn := range []string{"on", "on", "off", "on", "off"} {
+		assert.Equal(t, 200, calls(t, first.admin, "/_lameduck/"+turn, ""))
+		if i == 1 { // long enough for what rests to be ended
+			time.Sleep(800 * time.Millisecond)
+		}
+	}
+	// A process that can't start changes nothing for the one that serves.
+	l.config["admin_addr"] = first.admin
+	broken := l.begin()
+	require.Error(t, <-broken.ended)
+	assert.True(t, first.ready())
+	// Files one after another, the last of them bad, while a successor begins.
+	l.config["admin_addr"] = freeAddress(t)
+	second := l.begin()
+	reload := func(p *started) {
+		good, err := os.ReadFile(p.config)
+		require.NoError(t, err)
+		for i := range 6 {
+			text := good
+			if i%2 == 1 {
+				text = good[:len(good)/2]
+			}
+			require.NoError(t, os.WriteFile(p.config, text, 0o600))
+			p.Process.Signal(syscall.SIGHUP)
+		}
+	}
+	reload(first)
+	require.Eventually(t, second.ready, 20*time.Second, 5*time.Millisecond, "%s", second.log)
+	reload(second)
+	assert.Equal(t, 200, calls(t, first.admin, "/_servers/detach", `{"host":"s0"}`))
+	assert.Equal(t, 200, calls(t, second.admin, "/_servers/attach", `{"host":"s0"}`))
+	require.NoError(t, first.Process.Signal(syscall.SIGTERM))
+	first.exits(t)
+	stop()
+	all.Wait()
+	assert.Zero(t, failed.Load())
+	assert.Greater(t, asked.Load(), int64(100))
+	r := asker.ask("find", "")
+	assert.Equal(t, 200, r.status)
+	assert.False(t, r.closes)
+}
