--- a/decide/decide.go
+++ b/decide/decide.go
@@ -507,7 +507,7 @@
 	case w > crowded*b.base:
 		// By Little's law a slowdown of all servers needs no more RPCs held than usual to keep them at work, and
 		// no fewer either.
-		b.room = max(b.room*(1-roomDown/max(float64(b.open), 4)), min(b.room, roomMost*b.usual))
+		b.room = max(b.room*(1-roomDown/max(float64(b.open), 4)), min(b.room, b.usual))
 	case float64(b.open-1) > 0.6*b.room:
 		b.room *= 1 + roomUp/max(float64(b.open), 4)
 	}
