--- a/internal/lab/cost/stall.go
+++ b/internal/lab/cost/stall.go
@@ -49,18 +49,24 @@
 	defer rig.Close()
 	w := &workers{free: make(chan *caller, 64), addr: rig.node.Addr}
 	w.phase("warm", l.Rate, 2*time.Second, nil)
-	// In turns, so that what else the machine does meets all of them alike.
+	// In turns, each of them first as often as last: what else the machine does meets all alike, and the record grows with
+	// every server that has left, so that a phase which always came later would have more to do.
 	l.Phases = make([]Phase, 3)
-	for range 5 {
-		l.Phases[0].join(w.phase("well", l.Rate, l.For, nil))
-		pg.Stall(true)
-		l.Phases[1].join(w.phase("stalled", l.Rate, l.For, nil))
-		pg.Stall(false)
-		pg.Refuse(true)
-		pg.Cut()
-		l.Phases[2].join(w.phase("gone", l.Rate, l.For, nil))
-		pg.Refuse(false)
-		time.Sleep(time.Second)
+	for turn := range 6 {
+		for k := range l.Phases {
+			i := (turn + k) % len(l.Phases)
+			if turn%2 == 1 {
+				i = (turn + len(l.Phases) - k) % len(l.Phases)
+			}
+			pg.Stall(i == 1)
+			if pg.Refuse(i == 2); i == 2 {
+				pg.Cut()
+			}
+			l.Phases[i].join(w.phase([]string{"well", "stalled", "gone"}[i], l.Rate, l.For, nil))
+			pg.Stall(false)
+			pg.Refuse(false)
+			time.Sleep(time.Second) // what waited is written
+		}
 	}
 	for len(w.free) > 0 {
 		(<-w.free).Close()
