Keys between nodes and the controller: mutual TLS, followed in their files

Need: lists of servers went over plain TCP; whoever reached a node's discovery could have told it where to send. Change: internal/keys opens, checks, follows and watches the end of a certificate, a key and the authorities; the controller's lists and a node's watch are behind it where the operator's files say so; robincart-controller certs makes keys for tests. A full controller no longer speaks to whom it turns away over TLS, which would have held up others.

--- a/cmd/robincart-controller/main.go
+++ b/cmd/robincart-controller/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 
 	"robincart/internal/controller"
 	"robincart/internal/fanout"
+	"robincart/internal/keys"
 	"robincart/internal/membership"
 	"robincart/internal/tomlfile"
 )
@@ -56,6 +58,7 @@
 		History  int
 		Watchers int
 	}
+	Keys    keys.Files // towards nodes
 	Service []struct{ Name, Service, Port, Listen string }
 }
 
@@ -79,13 +82,34 @@
 					fmt.Fprintf(c.OutOrStdout(), "list %s of service %s, port %q, at %s\n", s.Name, s.Service, s.Port, s.Listen)
 				}
 				return nil
-			}})
+			}}, certs())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "robincart-controller:", err)
 		os.Exit(1)
 	}
 }
 
+// certs makes keys to try things with.
+func certs() *cobra.Command {
+	var dir string
+	var names, hosts []string
+	var life time.Duration
+	c := &cobra.Command{Use: "certs", Short: "Make an authority and keys for tests and drills only: its own key is thrown away", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := keys.Make(dir, names, hosts, life); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s: ca.pem, and NAME.pem and NAME.key for %s, until %s. For tests only.\n", dir, strings.Join(names, ", "),
+				time.Now().Add(life).UTC().Format(time.DateTime))
+			return nil
+		}}
+	c.Flags().StringVar(&dir, "dir", ".", "where")
+	c.Flags().StringSliceVar(&names, "names", []string{"controller", "node"}, "whose")
+	c.Flags().StringSliceVar(&hosts, "hosts", nil, "names and addresses beside loopback that they are good for")
+	c.Flags().DurationVar(&life, "for", 30*24*time.Hour, "how long")
+	return c
+}
+
 func serve(path string) error {
 	if path == "" {
 		return errors.New("--config is missing: it names the operator's file")
@@ -154,6 +178,9 @@
 		}
 	}
 	m.Cordons = f.Membership.Cordons
+	if c.Keys = f.Keys; c.Keys.Check() != nil {
+		bad(true, "keys: %w", c.Keys.Check())
+	}
 	if err := m.Valid(); err != nil {
 		all = append(all, fmt.Errorf("membership: %w", err))
 	}
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -15,6 +15,7 @@
 	"robincart/internal/frontend"
 	"robincart/internal/handover"
 	"robincart/internal/httpwire"
+	"robincart/internal/keys"
 	"robincart/internal/limits"
 	"robincart/internal/lot"
 	"robincart/internal/operator"
@@ -122,6 +123,13 @@
 		ops.succeed(kept, nil)
 	}
 	set.Begun = ops.begun
+	if c.Keys.On() {
+		if set.Keys, err = keys.Open(c.Keys, log); err != nil {
+			set.Close()
+			return err
+		}
+		set.Own(set.Keys.Run)
+	}
 	written := c // the file alone
 	var facts <-chan struct{}
 	if c.Record.Store != "" {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -32,6 +33,7 @@
 	"k8s.io/client-go/tools/leaderelection/resourcelock"
 
 	"robincart/internal/fanout"
+	"robincart/internal/keys"
 	"robincart/internal/membership"
 )
 
@@ -60,7 +62,8 @@
 	Membership membership.Config
 	Fanout     fanout.Config
 	Services   []Service
-	Status     string // address of the status page
+	Status     string     // address of the status page
+	Keys       keys.Files // towards nodes; none: plain TCP
 }
 
 // Controller is one replica.
@@ -148,10 +151,19 @@
 	if err != nil {
 		return fmt.Errorf("the API at %s: %w", k.c.API.Host, err)
 	}
+	var ring *keys.Ring
+	if k.c.Keys.On() {
+		if ring, err = keys.Open(k.c.Keys, k.log); err != nil {
+			return err
+		}
+	}
 	ctx, end := context.WithCancel(ctx)
 	defer end()
 	var all sync.WaitGroup
 	defer all.Wait()
+	if ring != nil {
+		all.Go(func() { ring.Run(ctx) })
+	}
 	// Nodes are let in once the view is whole: where several replicas stand behind one address, one that has just started
 	// would else cost each node that comes to it a pause.
 	broken := make(chan error, len(k.c.Services))
@@ -167,6 +179,9 @@
 				broken <- fmt.Errorf("listen: %w", err)
 				return
 			}
+			if ring != nil {
+				ln = tls.NewListener(ln, ring.Server())
+			}
 			k.lists[s.Service].Serve(ctx, ln)
 		})
 	}
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -275,8 +275,10 @@
 		if l.watchers.Add(1) > int64(l.c.Watchers) {
 			l.watchers.Add(-1)
 			l.refused.Add(1)
-			c.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
-			fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\nRetry-After: 1\r\n\r\n")
+			if _, plain := c.(*net.TCPConn); plain { // else it would first have to be spoken to, while others wait
+				c.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+				fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\nRetry-After: 1\r\n\r\n")
+			}
 			c.Close()
 			continue
 		}
@@ -290,7 +292,7 @@
 
 // answer is the life of one connection: one request, and its watch if it asks for one.
 func (l *List) answer(ctx context.Context, c net.Conn) {
-	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	c.SetDeadline(time.Now().Add(5 * time.Second)) // over TLS its first read writes, too
 	q, err := http.ReadRequest(bufio.NewReaderSize(&limited{c, 8 << 10}, 1024))
 	if err != nil {
 		return
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -14,6 +14,7 @@
 
 	"robincart/decide"
 	"robincart/internal/admin"
+	"robincart/internal/keys"
 	"robincart/internal/limits"
 	"robincart/internal/node"
 	"robincart/internal/routes"
@@ -35,6 +36,7 @@
 	Callers Callers
 	Admin   Admin
 	Record  Record
+	Keys    keys.Files // towards discovery; none: plain TCP
 	Sharing Sharing
 	Service []Service
 	Route   []Route
@@ -420,6 +422,9 @@
 		}
 		c.Table = table
 	}
+	if err := c.Keys.Check(); err != nil {
+		bad(true, "keys: %w", err)
+	}
 	if len(all) > 0 {
 		return errors.Join(all...)
 	}
@@ -533,13 +538,13 @@
 // KeepProcess puts what a running process can't change back to what it runs with, and names it.
 func (c *Config) KeepProcess(running *Config) (waits []string) {
 	for name, same := range map[string]bool{"name": c.Name == running.Name, "listen": slices.Equal(c.Listen, running.Listen),
-		"log": c.Log == running.Log, "machine": c.Machine == running.Machine, "callers": c.Callers == running.Callers, "admin": c.Admin == running.Admin, "record": c.Record.same(&running.Record), "deadlines longer than any before": c.Limits.IDLife <= running.Limits.IDLife} {
+		"log": c.Log == running.Log, "machine": c.Machine == running.Machine, "callers": c.Callers == running.Callers, "admin": c.Admin == running.Admin, "record": c.Record.same(&running.Record), "keys": c.Keys == running.Keys, "deadlines longer than any before": c.Limits.IDLife <= running.Limits.IDLife} {
 		if !same {
 			waits = append(waits, name)
 		}
 	}
 	slices.Sort(waits)
-	c.Name, c.Listen, c.Log, c.Machine, c.Callers, c.Admin, c.Record, c.Limits = running.Name, running.Listen, running.Log, running.Machine, running.Callers, running.Admin, running.Record, running.Limits
+	c.Name, c.Listen, c.Log, c.Machine, c.Callers, c.Admin, c.Record, c.Keys, c.Limits = running.Name, running.Listen, running.Log, running.Machine, running.Callers, running.Admin, running.Record, running.Keys, running.Limits
 	c.Shares.Total = running.Shares.Total
 	return waits
 }
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -15,6 +15,7 @@
 	"robincart/internal/frontend"
 	"robincart/internal/httpwire"
 	"robincart/internal/keeper"
+	"robincart/internal/keys"
 	"robincart/internal/limits"
 	"robincart/internal/lot"
 	"robincart/internal/node"
@@ -31,6 +32,8 @@
 	Keeper *keeper.Keeper
 	// Begun, if set before the first Apply, is told of each service's core before it hears of its servers.
 	Begun func(*node.Core)
+	// Keys, if set before the first Apply, are shown to discovery, and ask for its own.
+	Keys *keys.Ring
 
 	lot    *lot.Lot
 	clock  node.Clock
@@ -70,6 +73,9 @@
 	return s
 }
 
+// Own runs something for as long as the set lives.
+func (s *Set) Own(f func(context.Context)) { s.owned.Go(func() { f(s.life) }) }
+
 // Apply puts a configuration in force, as one step, and returns the table to serve. Pools that stay keep what their
 // modules have learned; what changes in place does; the others leave once their last request has ended.
 func (s *Set) Apply(c *operator.Config) *frontend.Table {
@@ -166,6 +172,9 @@
 	ask := func() {}
 	if x.Discovery != "" {
 		p.watcher = registry.New(x.Discovery, x.Node.ZoneNames, x.Timeout, s.budget, log)
+		if s.Keys != nil {
+			p.watcher.Secure(s.Keys.Client)
+		}
 		ask = p.watcher.Ask
 	}
 	p.core = node.New(x.Node, c.SeedOf(x.Name), s.clock, time.Now(), ask)
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -30,6 +31,7 @@
 	budget *limits.Budget
 	log    *zap.Logger
 	wake   chan struct{}
+	secure func(addr string) *tls.Config // nil: discovery speaks plain TCP
 
 	mu    sync.Mutex
 	addr  string
@@ -50,6 +52,9 @@
 		wake: make(chan struct{}, 1), cut: func() {}}
 }
 
+// Secure has discovery reached over TLS, by a configuration for each connection. It is told before Run.
+func (w *Watcher) Secure(by func(addr string) *tls.Config) { w.secure = by }
+
 // Ask wants a watch; it never waits. While one lasts, that is enough.
 func (w *Watcher) Ask() {
 	w.mu.Lock()
@@ -160,6 +165,14 @@
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
 
+	if w.secure != nil {
+		t := tls.Client(c, w.secure(w.at))
+		c.SetDeadline(time.Now().Add(w.limits.ListConnect))
+		if err := t.HandshakeContext(ctx); err != nil {
+			return fmt.Errorf("discovery's keys: %w", err)
+		}
+		c = t
+	}
 	c.SetDeadline(time.Now().Add(w.limits.ListAnswer))
 	if _, err := fmt.Fprintf(c, "GET %s?%s=1&%s=%d HTTP/1.1\r\nHost: %s\r\n\r\n", httpwire.PathList,
 		httpwire.QueryWatch, httpwire.QuerySince, w.revision, w.at); err != nil {
