Lab: robinlab apiserver, a scripted cluster to try the controller with

Need: the controller could be tried only inside an experiment; the issue asks for the stand-in as a command, with a cluster manager that rolls, evicts, cordons and scales.

--- a/internal/lab/chaos/controller.go
+++ b/internal/lab/chaos/controller.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -101,13 +100,15 @@
 			return fmt.Sprintf("[keys]\ncert = %q\nkey = %q\nca = %q\n", filepath.Join(r.dir, name+".pem"), filepath.Join(r.dir, name+".key"), filepath.Join(r.dir, "ca.pem"))
 		}
 	}
-	cluster := &cluster{r: r, rng: rand.New(rand.NewSource(r.Seed))}
-	for i := range r.Servers {
-		cluster.add(i / 50)
-	}
-	for k := range cluster.slices {
-		cluster.write(k)
-	}
+	port, _ := strconv.Atoi(r.port)
+	cluster := &apiserver.Cluster{API: r.api, Service: "s", Port: port, PerSlice: 50, Rand: rand.New(rand.NewSource(r.Seed)),
+		Address: func(n int) string { return fmt.Sprintf("127.%d.%d.%d", 20+n/62500, n/250%250, n%250+1) },
+		Word: func(ip string) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.word[net.JoinHostPort(ip, r.port)] = time.Now()
+		}}
+	cluster.Scale(r.Servers)
 	defer func() {
 		for _, x := range r.replicas {
 			x.kill()
@@ -166,11 +167,14 @@
 	tick := time.NewTicker(time.Second / time.Duration(r.Pace))
 	for n := 0; n < r.Drains && ctx.Err() == nil; n++ {
 		<-tick.C
+		r.writes.Lock()
 		if r.restore.CompareAndSwap(true, false) {
-			cluster.restored()
+			r.count("API restored from a backup")
+			r.api.Restore()
+			time.Sleep(50 * time.Millisecond) // servers that have ended stand in it as if they had not
+			cluster.Repair()
 		}
-		r.writes.Lock()
-		cluster.roll()
+		cluster.Roll()
 		r.writes.Unlock()
 	}
 	tick.Stop()
@@ -207,108 +211,6 @@
 	}
 }
 
-// cluster is the scripted cluster manager: it rolls its servers, one after another, for ever.
-type cluster struct {
-	r      *Controller
-	rng    *rand.Rand
-	n      int
-	live   []string // pods, the oldest first
-	eps    map[string]apiserver.Object
-	slices map[int][]string
-	of     map[string]int
-	ips    map[string]string
-	ended  []string // pods that have been told to end, the latest last
-}
-
-// restored takes the API back to its backup. What it lost or has again is put right at once, as a cluster manager would; until
-// then servers that have ended stand in it as if they had not.
-func (c *cluster) restored() {
-	c.r.count("API restored from a backup")
-	c.r.api.Restore()
-	time.Sleep(50 * time.Millisecond)
-	for _, name := range c.live {
-		c.pod(name)
-	}
-	for k := range c.slices {
-		c.write(k)
-	}
-	for _, name := range c.ended {
-		c.r.api.Delete("pods", "default", name)
-	}
-}
-
-func (c *cluster) pod(name string) {
-	c.r.api.Set("pods", apiserver.Object{"metadata": map[string]any{"name": name, "namespace": "default", "uid": "uid-" + name},
-		"status": map[string]any{"phase": "Running", "podIP": c.ips[name]}})
-}
-
-func (c *cluster) address(n int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 20+n/62500, n/250%250, n%250+1)
-}
-
-func (c *cluster) add(k int) {
-	name := fmt.Sprint("p", c.n)
-	ip := c.address(c.n)
-	c.n++
-	if c.eps == nil {
-		c.eps, c.ips = map[string]apiserver.Object{}, map[string]string{}
-	}
-	c.ips[name] = ip
-	c.pod(name)
-	c.eps[name] = apiserver.Object{"addresses": []string{ip}, "conditions": map[string]any{"ready": true}, "zone": "a",
-		"targetRef": map[string]any{"kind": "Pod", "name": name, "uid": "uid-" + name}}
-	c.live = append(c.live, name)
-	if c.slices == nil {
-		c.slices, c.of = map[int][]string{}, map[string]int{}
-	}
-	c.slices[k], c.of[name] = append(c.slices[k], name), k
-}
-
-// write puts one slice; fifty endpoints are in each.
-func (c *cluster) write(k int) {
-	var eps []apiserver.Object
-	for _, name := range c.slices[k] {
-		eps = append(eps, c.eps[name])
-	}
-	port, _ := strconv.Atoi(c.r.port)
-	c.r.api.Set("endpointslices", apiserver.Object{"metadata": map[string]any{"name": fmt.Sprint("s-", k), "namespace": "default",
-		"labels": map[string]any{"kubernetes.io/service-name": "s"}}, "addressType": "IPv4", "endpoints": eps,
-		"ports": []map[string]any{{"name": "http", "port": port}}})
-}
-
-// roll drains the oldest server and starts another. The words come in either order, as the parts of a cluster manager are not
-// in step.
-func (c *cluster) roll() {
-	name := c.live[0]
-	c.live = c.live[1:]
-	k := c.of[name]
-	ip := fmt.Sprint(c.eps[name]["addresses"].([]string)[0])
-	ends := func() {
-		c.r.api.Set("pods", apiserver.Object{"metadata": map[string]any{"name": name, "namespace": "default", "uid": "uid-" + name,
-			"deletionTimestamp": time.Now().UTC().Format(time.RFC3339)}, "status": map[string]any{"phase": "Running", "podIP": ip}})
-	}
-	terminating := func() {
-		c.eps[name]["conditions"] = map[string]any{"ready": false, "serving": true, "terminating": true}
-		c.write(k)
-	}
-	c.r.mu.Lock()
-	c.r.word[net.JoinHostPort(ip, c.r.port)] = time.Now()
-	c.r.mu.Unlock()
-	if c.rng.Intn(2) == 0 {
-		ends()
-	} else {
-		terminating()
-	}
-	c.slices[k] = slices.DeleteFunc(c.slices[k], func(x string) bool { return x == name })
-	c.add(k)
-	c.write(k) // without the old one: by now its pod's end, or its own, has been told
-	time.AfterFunc(500*time.Millisecond, func() { c.r.api.Delete("pods", "default", name) })
-	delete(c.eps, name)
-	delete(c.ips, name)
-	c.ended = append(c.ended, name)
-	c.ended = c.ended[max(0, len(c.ended)-500):]
-}
-
 func (r *Controller) newReplica(i int, more string) (*replica, error) {
 	x := &replica{name: fmt.Sprint("c", i)}
 	for _, to := range []*string{&x.list, &x.status} {
