Lab: robinlab view, how long all nodes take to a full list after a controller's restart

Need: the issue asks for the time to a full view with memory and CPU, and for all nodes reconnecting in one second; neither had been measured.

--- a/cmd/robinlab/record.go
+++ b/cmd/robinlab/record.go
@@ -115,6 +115,42 @@
 	return c
 }
 
+func viewCommand() *cobra.Command {
+	var program string
+	var servers, watchers []int
+	c := &cobra.Command{Use: "view", Short: "How long a controller takes to its full view, from nothing and with all nodes coming back in one moment", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if len(servers) != len(watchers) {
+				return fmt.Errorf("--servers and --watchers go together, one of each a run")
+			}
+			path, err := run.FindProgram("")
+			if err != nil {
+				return err
+			}
+			if program == "" {
+				program = filepath.Join(filepath.Dir(path), "robincart-controller")
+			}
+			run.RaiseDescriptors()
+			fmt.Fprintf(c.OutOrStdout(), "%8s %9s %14s %12s %12s %12s %10s %10s %10s\n", "servers", "watchers", "whole list KB", "from nothing", "half back", "all back", "CPU", "MB", "most MB")
+			for i, n := range servers {
+				if n < 1 || n > 20_000 || watchers[i] < 1 || watchers[i] > 10_000 {
+					return fmt.Errorf("%d servers and %d watchers: up to 20,000 and 10,000", n, watchers[i])
+				}
+				v := &chaos.View{Program: program, Servers: n, Watchers: watchers[i]}
+				if err := v.Play(c.Context()); err != nil {
+					return err
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%8d %9d %14d %12v %12v %12v %10v %10.1f %10.1f\n", n, watchers[i], v.Wholes>>10, v.First.Round(time.Millisecond), v.Half.Round(time.Millisecond),
+					v.Last.Round(time.Millisecond), v.CPU, float64(v.Idle)/(1<<20), float64(v.Most)/(1<<20))
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&program, "controller", "", "the controller's program")
+	c.Flags().IntSliceVar(&servers, "servers", []int{1000, 1000, 20000}, "of each run")
+	c.Flags().IntSliceVar(&watchers, "watchers", []int{100, 5000, 500}, "of each run")
+	return c
+}
+
 func counts(w io.Writer, all map[string]int) {
 	var names []string
 	for n := range all {
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -231,21 +231,29 @@
 	if cmd == nil || cmd.Process == nil {
 		return cpu, rss
 	}
-	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", cmd.Process.Pid)); err == nil {
+	used, _, peak := Process(cmd.Process.Pid)
+	return cpu + used, max(rss, peak)
+}
+
+// Process reads what a process has used of a CPU, and its resident bytes, now and at most. It is zero for one that has gone.
+func Process(pid int) (cpu time.Duration, rss, peak int64) {
+	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err == nil {
 		f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
 		if len(f) > 12 {
 			u, _ := strconv.Atoi(f[11])
 			s, _ := strconv.Atoi(f[12])
-			cpu += time.Duration(u+s) * 10 * time.Millisecond
+			cpu = time.Duration(u+s) * 10 * time.Millisecond
 		}
 	}
-	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid)); err == nil {
+	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)); err == nil {
 		for line := range strings.SplitSeq(string(text), "\n") {
-			if kb, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-				n, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(kb), " kB"), 10, 64)
-				rss = max(rss, n<<10)
+			for name, to := range map[string]*int64{"VmRSS:": &rss, "VmHWM:": &peak} {
+				if kb, ok := strings.CutPrefix(line, name); ok {
+					n, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(kb), " kB"), 10, 64)
+					*to = n << 10
+				}
 			}
 		}
 	}
-	return cpu, rss
+	return cpu, rss, peak
 }
