Controller: Setting objects with a status, kept in the record

Need: services, routes and quotas had to be written into the record by hand; the issue asks for a custom resource with a checked schema, a status, and the store of record behind the controller. Change: internal/wishes decides, level by level, what all objects make of the record; the leader writes it by compare and set and patches each object's status. Facts by people are never touched.

--- a/cmd/robincart-controller/main.go
+++ b/cmd/robincart-controller/main.go
@@ -24,6 +24,7 @@
 	"robincart/internal/fanout"
 	"robincart/internal/keys"
 	"robincart/internal/membership"
+	"robincart/internal/store/sqlstore"
 	"robincart/internal/tomlfile"
 )
 
@@ -59,6 +60,7 @@
 		Watchers int
 	}
 	Keys    keys.Files // towards nodes
+	Record  struct{ Store string }
 	Service []struct{ Name, Service, Port, Listen string }
 }
 
@@ -181,6 +183,11 @@
 	if c.Keys = f.Keys; c.Keys.Check() != nil {
 		bad(true, "keys: %w", c.Keys.Check())
 	}
+	if f.Record.Store != "" {
+		if c.Store, err = sqlstore.OpenThere(f.Record.Store); err != nil {
+			bad(true, "record.store: %w", err)
+		}
+	}
 	if err := m.Valid(); err != nil {
 		all = append(all, fmt.Errorf("membership: %w", err))
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,7 +22,8 @@
 	discovery "k8s.io/api/discovery/v1"
 	"k8s.io/apimachinery/pkg/api/meta"
 	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
-	"k8s.io/apimachinery/pkg/fields"
+	"k8s.io/apimachinery/pkg/apis/meta/v1/unstructured"
+	selection "k8s.io/apimachinery/pkg/fields"
 	"k8s.io/apimachinery/pkg/runtime/schema"
 	"k8s.io/apimachinery/pkg/types"
 	"k8s.io/client-go/kubernetes/scheme"
@@ -35,6 +36,7 @@
 	"robincart/internal/fanout"
 	"robincart/internal/keys"
 	"robincart/internal/membership"
+	"robincart/internal/store"
 )
 
 // Gate is the condition type of the readiness gate that paces cold starts: a Pod that names it in spec.readinessGates is ready
@@ -64,6 +66,8 @@
 	Services   []Service
 	Status     string     // address of the status page
 	Keys       keys.Files // towards nodes; none: plain TCP
+	// Store, if set, is the record that the settings of the API go into. Run closes it.
+	Store store.Store
 }
 
 // Controller is one replica.
@@ -85,6 +89,7 @@
 	bad    map[string]string    // objects that were skipped, and why
 	cut    map[string]time.Time // kinds that can't be followed, since when
 	gates  int
+	book   *book // nil without a record
 }
 
 // New prepares one.
@@ -190,8 +195,7 @@
 		all.Go(func() { srv.Serve(listeners[0]) })
 		defer srv.Close()
 	}
-	follow := func(group, resource, namespace string, example any, s sink) {
-		lw := cache.NewListWatchFromClient(clients[group], resource, namespace, fields.Everything())
+	from := func(lw cache.ListerWatcher, resource string, example any, s sink) {
 		r := cache.NewReflectorWithOptions(lw, example, &objects{Store: cache.NewStore(cache.MetaNamespaceKeyFunc), sink: s, k: k, kind: resource},
 			cache.ReflectorOptions{Name: resource, TypeDescription: resource})
 		all.Go(func() {
@@ -212,6 +216,21 @@
 			}
 		})
 	}
+	follow := func(group, resource, namespace string, example any, s sink) {
+		from(cache.NewListWatchFromClient(clients[group], resource, namespace, selection.Everything()), resource, example, s)
+	}
+	if k.c.Store != nil {
+		defer k.c.Store.Close()
+		b, err := newBook(k, k.c.Store)
+		if err != nil {
+			return err
+		}
+		k.mu.Lock()
+		k.book = b
+		k.mu.Unlock()
+		from(b.lists(), settings.Resource, &unstructured.Unstructured{Object: map[string]any{"apiVersion": "robincart.dev/v1", "kind": "Setting"}}, b.hear)
+		all.Go(func() { b.run(ctx) })
+	}
 	follow("discovery.k8s.io", "endpointslices", k.c.Namespace, &discovery.EndpointSlice{}, k.slice)
 	follow("", "pods", k.c.Namespace, &core.Pod{}, k.pod)
 	follow("", "nodes", "", &core.Node{}, k.node)
@@ -588,6 +607,7 @@
 	Cut      map[string]float64       `json:"cut_seconds"` // kinds that can't be followed, for how long
 	Skipped  map[string]string        `json:"skipped"`
 	Gates    int                      `json:"gates_opened"`
+	Record   string                   `json:"record,omitempty"` // what keeps it from following the settings
 	Services map[string]fanout.Status `json:"services"`
 }
 
@@ -597,6 +617,9 @@
 	defer k.mu.Unlock()
 	s := Status{Identity: k.c.Identity, Leads: k.leads, Epoch: k.epoch, Whole: k.ready(), Cut: map[string]float64{}, Skipped: map[string]string{}, Gates: k.gates,
 		Services: map[string]fanout.Status{}}
+	if k.book != nil {
+		s.Record = k.book.fault
+	}
 	for kind, at := range k.cut {
 		s.Cut[kind] = time.Since(at).Seconds()
 	}
--- a/internal/lab/apiserver/apiserver.go
+++ b/internal/lab/apiserver/apiserver.go
@@ -35,7 +35,7 @@
 	{"", "v1", "pods", "Pod", true},
 	{"", "v1", "nodes", "Node", false},
 	{"coordination.k8s.io", "v1", "leases", "Lease", true},
-	{"robincart.dev", "v1", "services", "Service", true},
+	{"robincart.dev", "v1", "settings", "Setting", true},
 }
 
 type event struct {
@@ -156,7 +156,19 @@
 	m := meta(o)
 	m["resourceVersion"] = strconv.FormatInt(s.revision, 10)
 	what := "MODIFIED"
-	if old, ok := st.objects[key(o)]; !ok {
+	old, ok := st.objects[key(o)]
+	if k.Group == "robincart.dev" { // custom resources with a status: the spec's changes are counted
+		gen := 0.0
+		if ok {
+			gen, _ = meta(old)["generation"].(float64)
+		}
+		was, _ := json.Marshal(old["spec"])
+		if is, _ := json.Marshal(o["spec"]); !ok || string(was) != string(is) {
+			gen++
+		}
+		m["generation"] = gen
+	}
+	if !ok {
 		what = "ADDED"
 		if text(m, "uid") == "" {
 			m["uid"] = fmt.Sprintf("uid-%d", s.revision)
--- a/internal/operator/record.go
+++ b/internal/operator/record.go
@@ -50,6 +50,53 @@
 	Weight float64 `json:"weight"`
 }
 
+// fact is one read: one of its fields is set, or none for a kind that is not an operator's.
+type fact struct {
+	service *Service
+	route   *Route
+	tenant  *Tenant
+}
+
+func read(f record.Fact) (one fact, err error) {
+	switch f.Kind {
+	case record.Service, record.Route:
+		var t text
+		var parts struct {
+			Service []Service
+			Route   []Route
+		}
+		if err := json.Unmarshal(f.Value, &t); err != nil {
+			return one, err
+		}
+		if err := tomlfile.Decode([]byte(t.TOML), &parts); err != nil {
+			return one, err
+		}
+		switch {
+		case f.Kind == record.Service && len(parts.Service) == 1 && len(parts.Route) == 0 && parts.Service[0].Name == f.Name:
+			one.service = &parts.Service[0]
+		case f.Kind == record.Route && len(parts.Route) == 1 && len(parts.Service) == 0 && parts.Route[0].Name == f.Name:
+			one.route = &parts.Route[0]
+		default:
+			return one, fmt.Errorf("it has to be one [[%s]] of that name", f.Kind)
+		}
+	case record.Tenant:
+		_, name, _ := strings.Cut(f.Name, "/")
+		var q quota
+		if err := json.Unmarshal(f.Value, &q); err != nil || !(q.Quota >= 0) || !(q.Weight >= 0) {
+			return one, errors.Join(err, errors.New("a tenant needs a quota and a weight of 0 or more"))
+		}
+		one.tenant = &Tenant{Name: name, Quota: q.Quota, Weight: q.Weight}
+	}
+	return one, nil
+}
+
+// Fact tells what is wrong with a service, a route or a tenant by itself. Whether it fits the others only a node can tell, which
+// has them all.
+func Fact(f record.Fact) error {
+	_, err := read(f)
+	return err
+}
+
 // With is a file with what the record says over it: services and routes by their names, and tenants' quotas. The error holds
 // every mistake, with the fact that it is in; then the file alone, or what was in force, is to go on.
 func (c *Config) With(facts []record.Fact) (*Config, error) {
@@ -60,45 +107,26 @@
 		all = append(all, fmt.Errorf("%s %s, revision %d: %w", f.Kind, f.Name, f.Revision, err))
 	}
 	for _, f := range facts {
-		var t text
-		var one struct {
-			Service []Service
-			Route   []Route
-		}
-		switch f.Kind {
-		case record.Service, record.Route:
-			err := json.Unmarshal(f.Value, &t)
-			if err == nil {
-				err = tomlfile.Decode([]byte(t.TOML), &one)
-			}
-			switch {
-			case err != nil:
-				bad(f, err)
-			case f.Kind == record.Service && (len(one.Service) != 1 || len(one.Route) > 0 || one.Service[0].Name != f.Name):
-				bad(f, errors.New("it has to be one [[service]] of that name"))
-			case f.Kind == record.Route && (len(one.Route) != 1 || len(one.Service) > 0 || one.Route[0].Name != f.Name):
-				bad(f, errors.New("it has to be one [[route]] of that name"))
-			case f.Kind == record.Service:
-				put(&out.Service, one.Service[0], func(s Service) bool { return s.Name == f.Name })
-			default:
-				put(&out.Route, one.Route[0], func(r Route) bool { return r.Name == f.Name })
-			}
+		one, err := read(f)
+		switch {
+		case err != nil:
+			bad(f, err)
+		case one.service != nil:
+			put(&out.Service, *one.service, func(s Service) bool { return s.Name == f.Name })
+		case one.route != nil:
+			put(&out.Route, *one.route, func(r Route) bool { return r.Name == f.Name })
 		}
 	}
 	for _, f := range facts {
-		if f.Kind != record.Tenant {
+		one, err := read(f)
+		if err != nil || one.tenant == nil {
 			continue
 		}
 		service, name, _ := strings.Cut(f.Name, "/")
-		var q quota
-		if err := json.Unmarshal(f.Value, &q); err != nil || !(q.Quota >= 0) || !(q.Weight >= 0) {
-			bad(f, errors.Join(err, errors.New("a tenant needs a quota and a weight of 0 or more")))
-			continue
-		}
 		for i := range out.Service {
 			if s := &out.Service[i]; s.Name == service {
 				s.Tenant = slices.Clone(s.Tenant)
-				put(&s.Tenant, Tenant{Name: name, Quota: q.Quota, Weight: q.Weight}, func(t Tenant) bool { return t.Name == name })
+				put(&s.Tenant, *one.tenant, func(t Tenant) bool { return t.Name == name })
 			}
 		}
 	}
--- /dev/null
+++ b/internal/wishes/wishes.go
@@ -0,0 +1,126 @@
+// Package wishes decides what the objects of a cluster manager that wish for services, routes and quotas make of the record, and
+// what each of them is told. It is level-triggered: from all objects and all facts to what is to be written, and it knows no
+// store, no API and no clock.
+package wishes
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"robincart/internal/operator"
+	"robincart/internal/record"
+)
+
+// By is who writes these facts. Facts by anybody else are not touched.
+const By = "controller"
+
+// Object is one wish as the API has it.
+type Object struct {
+	Key        string // NAMESPACE/NAME
+	UID        string
+	Generation int64
+	Created    int64 // in milliseconds of Unix time
+	Spec       Spec
+	Malformed  string // why its spec could not be read; empty: it could
+}
+
+// Spec is what it wishes for.
+type Spec struct {
+	Kind string `json:"kind"` // service, route or tenant
+	Name string `json:"name"` // a tenant's is SERVICE/TENANT
+	Text string `json:"text"` // a service's or a route's as in the operator's file; a tenant's {"quota":..,"weight":..}
+}
+
+// Status is what an object is told.
+type Status struct {
+	Accepted   bool   `json:"accepted"`
+	Reason     string `json:"reason,omitempty"`
+	Generation int64  `json:"observedGeneration"`
+	Revision   int64  `json:"recordRevision,omitempty"` // of the fact that it made
+	Epoch      string `json:"recordEpoch,omitempty"`
+}
+
+// Decide tells what is to be written, and each object's status by its key. Marks come from the function, a new one each time.
+// A fact without an object is taken out only if the objects are whole: a list that is lacking is no word.
+func Decide(objects []Object, whole bool, facts []record.Fact, epoch string, mark func() string) ([]record.Change, map[string]Status) {
+	there := map[record.Key]record.Fact{}
+	for _, f := range facts {
+		if !f.Deleted && (f.Kind == record.Service || f.Kind == record.Route || f.Kind == record.Tenant) {
+			there[f.Key] = f
+		}
+	}
+	objects = slices.Clone(objects)
+	slices.SortFunc(objects, func(a, b Object) int { // the first who wished holds a name
+		return cmp.Or(cmp.Compare(a.Created, b.Created), cmp.Compare(a.UID, b.UID))
+	})
+	var changes []record.Change
+	told, holds := map[string]Status{}, map[record.Key]string{}
+	for _, o := range objects {
+		s := Status{Generation: o.Generation}
+		key, value, err := o.fact()
+		holder, held := holds[key]
+		f, is := there[key]
+		switch {
+		case err != nil:
+			s.Reason = err.Error()
+		case held:
+			s.Reason = fmt.Sprintf("%s %s is wished for by %s already", key.Kind, key.Name, holder)
+		case is && f.By != By && !same(f.Value, value):
+			holds[key] = o.Key
+			s.Reason = fmt.Sprintf("the record has another %s %s, by %s: take that out first", key.Kind, key.Name, f.By)
+		case is && same(f.Value, value):
+			holds[key] = o.Key
+			s.Accepted, s.Revision, s.Epoch = true, f.Revision, epoch
+		default:
+			holds[key] = o.Key
+			s.Reason = "being written to the record"
+			changes = append(changes, record.Change{Key: key, Expect: f.Revision, By: By, Mark: mark(), Value: value})
+		}
+		told[o.Key] = s
+	}
+	if whole {
+		for key, f := range there {
+			if _, held := holds[key]; !held && f.By == By {
+				changes = append(changes, record.Change{Key: key, Expect: f.Revision, Delete: true, By: By, Mark: mark()})
+			}
+		}
+	}
+	slices.SortFunc(changes, func(a, b record.Change) int { // services before what names them
+		return cmp.Or(cmp.Compare(slices.Index(record.Kinds, a.Kind), slices.Index(record.Kinds, b.Kind)), cmp.Compare(a.Name, b.Name))
+	})
+	return changes, told
+}
+
+// same tells whether two values say the same, however they are spaced.
+func same(a, b json.RawMessage) bool {
+	var x, y bytes.Buffer
+	return json.Compact(&x, a) == nil && json.Compact(&y, b) == nil && bytes.Equal(x.Bytes(), y.Bytes())
+}
+
+// fact is what an object wishes to stand in the record, checked.
+func (o *Object) fact() (record.Key, json.RawMessage, error) {
+	key := record.Key{Kind: record.Kind(o.Spec.Kind), Name: o.Spec.Name}
+	if o.Malformed != "" {
+		return key, nil, fmt.Errorf("spec: %s", o.Malformed)
+	}
+	var value json.RawMessage
+	switch key.Kind {
+	case record.Service, record.Route:
+		var err error
+		if value, err = json.Marshal(map[string]string{"toml": o.Spec.Text}); err != nil {
+			return key, nil, err
+		}
+	case record.Tenant:
+		value = json.RawMessage(o.Spec.Text)
+	default:
+		return key, nil, fmt.Errorf("spec.kind is %q, not service, route or tenant", o.Spec.Kind)
+	}
+	c := record.Change{Key: key, Mark: "check", Value: value}
+	if err := c.Valid(); err != nil {
+		return key, nil, err
+	}
+	return key, value, operator.Fact(record.Fact{Key: key, Value: value})
+}
