Controller: a replica that is cut off says so; nodes and revision in a Setting's status

Cause: a test that cuts a leader off found that its status page showed no cut: the client library takes a connection that is closed at once for a watch that has ended, returns no error, and tries lists for tens of seconds before it does. Change: a kind counts as followed only while a watch has stood for 0.25 s or since it was heard; the log tells after 2 s. A service's Setting shows how many nodes follow its list and at which revision. Ruled out: the elector (the lead went over in 3 s) and fan-out (the last list was served throughout).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -24,8 +24,10 @@
 	metav1 "k8s.io/apimachinery/pkg/apis/meta/v1"
 	"k8s.io/apimachinery/pkg/apis/meta/v1/unstructured"
 	selection "k8s.io/apimachinery/pkg/fields"
+	"k8s.io/apimachinery/pkg/runtime"
 	"k8s.io/apimachinery/pkg/runtime/schema"
 	"k8s.io/apimachinery/pkg/types"
+	"k8s.io/apimachinery/pkg/watch"
 	"k8s.io/client-go/kubernetes/scheme"
 	typed "k8s.io/client-go/kubernetes/typed/coordination/v1"
 	"k8s.io/client-go/rest"
@@ -86,8 +88,8 @@
 	conds  map[string][]core.PodCondition
 	epoch  int64
 	leads  bool
-	bad    map[string]string    // objects that were skipped, and why
-	cut    map[string]time.Time // kinds that can't be followed, since when
+	bad    map[string]string // objects that were skipped, and why
+	cut    map[string]*cut   // kinds that are not followed
 	gates  int
 	book   *book // nil without a record
 }
@@ -99,7 +101,7 @@
 	}
 	c.Fanout.Epoch = func(revision int64) int64 { return revision >> epochBits }
 	k := &Controller{c: c, log: log, begin: time.Now(), whole: make(chan struct{}), state: membership.New(c.Membership, 0), synced: map[string]bool{}, lists: map[string]*fanout.List{},
-		names: map[string]string{}, conds: map[string][]core.PodCondition{}, bad: map[string]string{}, cut: map[string]time.Time{}}
+		names: map[string]string{}, conds: map[string][]core.PodCondition{}, bad: map[string]string{}, cut: map[string]*cut{}}
 	for _, s := range c.Services {
 		if k.lists[s.Service] != nil {
 			return nil, fmt.Errorf("service %s stands twice", s.Service)
@@ -196,14 +198,14 @@
 		defer srv.Close()
 	}
 	from := func(lw cache.ListerWatcher, resource string, example any, s sink) {
-		r := cache.NewReflectorWithOptions(lw, example, &objects{Store: cache.NewStore(cache.MetaNamespaceKeyFunc), sink: s, k: k, kind: resource},
+		r := cache.NewReflectorWithOptions(k.watched(lw, resource), example, &objects{Store: cache.NewStore(cache.MetaNamespaceKeyFunc), sink: s, k: k, kind: resource},
 			cache.ReflectorOptions{Name: resource, TypeDescription: resource})
 		all.Go(func() {
 			// A watch that ends is begun again at once, since a word may come in between; failures wait longer each time.
 			for pause := 10 * time.Millisecond; ctx.Err() == nil; {
 				begun := time.Now()
 				if err := r.ListAndWatchWithContext(ctx); err != nil && ctx.Err() == nil {
-					k.failed(resource, err)
+					k.ended(resource, err)
 				}
 				if pause *= 2; time.Since(begun) > time.Second {
 					pause = 10 * time.Millisecond
@@ -247,17 +249,87 @@
 		case <-tick.C:
 			k.apply(func(s *membership.State, now float64) []membership.Change { return s.Tick(now) })
 			k.openGates(ctx)
+			k.tellCut()
 		}
 	}
 }
 
-// failed notes that a kind can't be followed; the log tells of changes.
-func (k *Controller) failed(kind string, err error) {
+// cutTold is how long a kind may not be followed before the log tells: a watch that ends and begins again is no news.
+const cutTold = 2 * time.Second
+
+// cut is a kind that is not followed now.
+type cut struct {
+	since time.Time
+	err   error // the last; nil where the client library took the end of its watch for an ordinary one
+	told  bool
+}
+
+// stands is how long a watch has to last to count: one over a connection that is closed at once looks like an ordinary one.
+const stands = 250 * time.Millisecond
+
+// watched notes when a kind's watch begins and ends. The client library can't be asked: it takes a closed connection for a watch
+// that has ended, and tries for tens of seconds before it tells of a fault.
+func (k *Controller) watched(lw cache.ListerWatcher, kind string) cache.ListerWatcher {
+	return &cache.ListWatch{ListWithContextFunc: func(ctx context.Context, o metav1.ListOptions) (runtime.Object, error) {
+		return cache.ToListerWatcherWithContext(lw).ListWithContext(ctx, o)
+	}, WatchFuncWithContext: func(ctx context.Context, o metav1.ListOptions) (watch.Interface, error) {
+		w, err := cache.ToListerWatcherWithContext(lw).WatchWithContext(ctx, o)
+		if err != nil {
+			return nil, err
+		}
+		return &standing{Interface: w, since: time.AfterFunc(stands, func() { k.followed(kind) }), end: func() { k.ended(kind, nil) }}, nil
+	}}
+}
+
+// standing is a watch whose end is noted.
+type standing struct {
+	watch.Interface
+	since *time.Timer
+	end   func()
+}
+
+// Stop is called by who follows it, when it has ended, too.
+func (s *standing) Stop() {
+	s.since.Stop()
+	s.Interface.Stop()
+	s.end()
+}
+
+// followed notes that a kind is.
+func (k *Controller) followed(kind string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if c := k.cut[kind]; c != nil {
+		delete(k.cut, kind)
+		if c.told {
+			k.log.Info("the API is followed again", zap.String("kind", kind), zap.Duration("after", time.Since(c.since)))
+		}
+	}
+}
+
+// ended notes that a kind's watch has ended, and why if that is known. Until another stands, or the kind is heard, it is not followed.
+func (k *Controller) ended(kind string, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c := k.cut[kind]
+	if c == nil {
+		c = &cut{since: time.Now()}
+		k.cut[kind] = c
+	}
+	if err != nil {
+		c.err = err
+	}
+}
+
+// tellCut logs what has not been followed for a while.
+func (k *Controller) tellCut() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if _, known := k.cut[kind]; !known {
-		k.cut[kind] = time.Now()
-		k.log.Warn("the API can't be followed; the last list stays", zap.String("kind", kind), zap.Error(err))
+	for kind, c := range k.cut {
+		if !c.told && time.Since(c.since) > cutTold {
+			c.told = true
+			k.log.Warn("the API can't be followed; the last list stays", zap.String("kind", kind), zap.Error(c.err))
+		}
 	}
 }
 
@@ -293,14 +365,7 @@
 	return false
 }
 
-func (o *objects) told() {
-	o.k.mu.Lock()
-	defer o.k.mu.Unlock()
-	if since, was := o.k.cut[o.kind]; was {
-		delete(o.k.cut, o.kind)
-		o.k.log.Info("the API is followed again", zap.String("kind", o.kind), zap.Duration("after", time.Since(since)))
-	}
-}
+func (o *objects) told() { o.k.followed(o.kind) }
 
 func (o *objects) pass(x any, gone bool) {
 	key, err := cache.DeletionHandlingMetaNamespaceKeyFunc(x)
@@ -620,8 +685,8 @@
 	if k.book != nil {
 		s.Record = k.book.fault
 	}
-	for kind, at := range k.cut {
-		s.Cut[kind] = time.Since(at).Seconds()
+	for kind, c := range k.cut {
+		s.Cut[kind] = time.Since(c.since).Seconds()
 	}
 	for key, why := range k.bad {
 		s.Skipped[key] = why
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -29,6 +30,8 @@
 	api *apiserver.Server
 	k   *Controller
 	at  string // where nodes ask
+	// of the first replica
+	stop func()
 }
 
 func free(t *testing.T) string {
@@ -50,14 +53,21 @@
 	return s
 }
 
-func (s *story) replica(name, at string) *Controller {
-	k, err := New(Config{API: &rest.Config{Host: "http://" + s.api.Addr()}, Namespace: "default", Identity: name, Lease: "l", Hold: 2 * time.Second,
+func (s *story) replica(name, at string) *Controller { return s.reach(name, at, s.api.Addr()) }
+
+// reach starts one that reaches the API at an address; stop ends the first.
+func (s *story) reach(name, at, api string) *Controller {
+	k, err := New(Config{API: &rest.Config{Host: "http://" + api}, Namespace: "default", Identity: name, Lease: "l", Hold: 2 * time.Second,
 		Membership: membership.Defaults(), Fanout: fanout.Defaults(), Services: []Service{{Name: "s", Service: "s", Listen: at}}}, zap.NewNop())
 	require.NoError(s.t, err)
 	ctx, end := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	all.Go(func() { assert.NoError(s.t, k.Run(ctx)) })
-	s.t.Cleanup(func() { end(); all.Wait() })
+	ended := func() { end(); all.Wait() }
+	s.t.Cleanup(ended)
+	if s.stop == nil {
+		s.stop = ended
+	}
 	return k
 }
 
@@ -220,3 +230,104 @@
 	require.NoError(t, err)
 	assert.Error(t, k.Run(t.Context()))
 }
+
+// A leader that is cut off from the API goes on serving its list and says how old its view is; another leads, and no node goes
+// back to the epoch before.
+func TestALeaderThatIsCutOffServesOnAndIsSucceeded(t *testing.T) {
+	s := begin(t, func(a *apiserver.Server) { a.Set("endpointslices", slice("a", "b")) })
+	s.becomes(map[string]string{"a": "ready", "b": "ready"})
+	require.Eventually(t, func() bool { return s.k.Status().Leads }, 20*time.Second, 5*time.Millisecond)
+	wire := newWire(t, s.api.Addr())
+	require.Eventually(t, func() bool { return s.k.Status().Epoch > 0 }, 20*time.Second, 5*time.Millisecond)
+	first := s.k.Status().Epoch
+	second := s.reach("two", free(t), wire.addr())
+	require.Eventually(t, func() bool { return second.Status().Whole }, 20*time.Second, 5*time.Millisecond)
+	// The first one hands the lead over, so that the second, behind the wire, leads; then the wire is cut.
+	s.stop()
+	require.Eventually(t, func() bool { return second.Status().Leads && second.Status().Epoch > first }, 20*time.Second, 5*time.Millisecond)
+	cut := second.Status().Epoch
+	wire.cut(true)
+	third := s.replica("three", s.at)
+	require.Eventually(t, func() bool { return third.Status().Leads && third.Status().Epoch > cut }, 20*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool {
+		st := second.Status()
+		return !st.Leads && st.Cut["endpointslices"] > 0 && st.Cut["pods"] > 0
+	}, 20*time.Second, 5*time.Millisecond, "it says what it can't follow: %v", probe{second})
+	s.api.Set("endpointslices", slice("b", "c"))
+	s.becomes(map[string]string{"b": "ready", "c": "ready"})
+	was, old := s.list(second.c.Services[0].Listen)
+	assert.Equal(t, map[string]string{"a": "ready", "b": "ready"}, was, "its last list goes on being served")
+	_, now := s.list(s.at)
+	assert.Greater(t, now>>epochBits, old>>epochBits)
+	c := http.Client{Timeout: 5 * time.Second}
+	r, err := c.Get(fmt.Sprintf("http://%s/registry/instances?follow=1&since=%d", second.c.Services[0].Listen, now))
+	require.NoError(t, err)
+	r.Body.Close()
+	assert.Equal(t, 503, r.StatusCode, "not to a node that has heard a later epoch")
+	wire.cut(false)
+	require.Eventually(t, func() bool {
+		is, at := s.list(second.c.Services[0].Listen)
+		return assert.ObjectsAreEqual(map[string]string{"b": "ready", "c": "ready"}, is) && at>>epochBits == now>>epochBits && len(second.Status().Cut) == 0
+	}, 30*time.Second, 5*time.Millisecond, "and it follows again")
+}
+
+// wire stands between a replica and the API, and can be cut.
+type wire struct {
+	ln net.Listener
+	to string
+
+	mu    sync.Mutex
+	off   bool
+	conns map[net.Conn]bool
+}
+
+func newWire(t *testing.T, to string) *wire {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	w := &wire{ln: ln, to: to, conns: map[net.Conn]bool{}}
+	t.Cleanup(func() { ln.Close(); w.cut(true) })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go w.carry(c)
+		}
+	}()
+	return w
+}
+
+func (w *wire) addr() string { return w.ln.Addr().String() }
+
+func (w *wire) cut(off bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.off = off; off {
+		for c := range w.conns {
+			c.Close()
+		}
+	}
+}
+
+func (w *wire) carry(c net.Conn) {
+	defer c.Close()
+	to, err := net.Dial("tcp", w.to)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	w.mu.Lock()
+	off := w.off
+	w.conns[c], w.conns[to] = true, true
+	w.mu.Unlock()
+	if off {
+		return
+	}
+	go func() { io.Copy(to, c); to.Close() }()
+	io.Copy(c, to)
+}
+
+type probe struct{ k *Controller }
+
+func (p probe) String() string { return fmt.Sprintf("%+v", p.k.Status()) }
--- a/internal/controller/wishes.go
+++ b/internal/controller/wishes.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand"
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,6 +20,7 @@
 	"k8s.io/client-go/dynamic"
 	"k8s.io/client-go/tools/cache"
 
+	"robincart/internal/fanout"
 	"robincart/internal/record"
 	"robincart/internal/store"
 	"robincart/internal/wishes"
@@ -30,6 +32,7 @@
 const (
 	wishEvery = time.Second     // between looks at the record
 	wishCall  = 5 * time.Second // for one call to it, or to the API
+	nodesAge  = 5 * time.Second // that the count of nodes in a status may be old: it changes with every deploy
 	factsMost = 100_000
 )
 
@@ -48,6 +51,8 @@
 	boot  string
 	stir  chan struct{}
 
+	counted time.Time // the nodes in statuses; run's alone
+
 	// Guarded by the controller's mutex:
 	all   map[string]wish
 	fault string
@@ -158,8 +163,18 @@
 			_, told = wishes.Decide(objects, true, facts, meta.Epoch, mark)
 		}
 	}
+	count := time.Since(b.counted) >= nodesAge
+	if count {
+		b.counted = time.Now()
+	}
 	for key, s := range told {
 		w := has[key]
+		if l := b.k.listOf(w.Spec); l != nil && count {
+			st := l.Status()
+			s.Nodes, s.ListRevision = st.Watchers, st.Revision
+		} else if l != nil {
+			s.Nodes, s.ListRevision = w.has.Nodes, w.has.ListRevision
+		}
 		if s == w.has {
 			continue
 		}
@@ -178,7 +193,10 @@
 
 // fields are a status with what is empty taken out of the object, too: a patch leaves what it does not name.
 func fields(s wishes.Status) map[string]any {
-	out := map[string]any{"accepted": s.Accepted, "observedGeneration": s.Generation, "reason": nil, "recordRevision": nil, "recordEpoch": nil}
+	out := map[string]any{"accepted": s.Accepted, "observedGeneration": s.Generation, "reason": nil, "recordRevision": nil, "recordEpoch": nil, "nodes": nil, "listRevision": nil}
+	if s.ListRevision > 0 {
+		out["nodes"], out["listRevision"] = s.Nodes, s.ListRevision
+	}
 	if s.Reason != "" {
 		out["reason"] = s.Reason
 	}
@@ -188,6 +206,15 @@
 	return out
 }
 
+// listOf is the list that a service's wish is about, if this controller tells it.
+func (k *Controller) listOf(s wishes.Spec) *fanout.List {
+	i := slices.IndexFunc(k.c.Services, func(x Service) bool { return s.Kind == string(record.Service) && x.Name == s.Name })
+	if i < 0 {
+		return nil
+	}
+	return k.lists[k.c.Services[i].Service]
+}
+
 // read is the whole record, at one epoch.
 func (b *book) read(ctx context.Context) (facts []record.Fact, meta record.Meta, err error) {
 	call, cancel := context.WithTimeout(ctx, wishCall)
--- a/internal/controller/wishes_test.go
+++ b/internal/controller/wishes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -35,10 +36,11 @@
 	set("front", "service", "front", "[[service]]\nname = \"front\"\nservers = [\"127.0.0.1:1\"]\n")
 	set("wrong", "service", "other", "[[service]]\nname = \"front\"\n")
 	api.Set("settings", apiserver.Object{"metadata": map[string]any{"name": "odd", "namespace": "default"}, "spec": "no object"})
+	list := free(t)
 	s, err := sqlstore.OpenThere(at)
 	require.NoError(t, err)
 	k, err := New(Config{API: &rest.Config{Host: "http://" + api.Addr()}, Namespace: "default", Identity: "one", Lease: "l", Hold: 2 * time.Second, Store: s,
-		Membership: membership.Defaults(), Fanout: fanout.Defaults(), Services: []Service{{Name: "s", Service: "s", Listen: free(t)}}}, zap.NewNop())
+		Membership: membership.Defaults(), Fanout: fanout.Defaults(), Services: []Service{{Name: "front", Service: "s", Listen: list}}}, zap.NewNop())
 	require.NoError(t, err)
 	ctx, end := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -70,6 +72,12 @@
 	becomes("odd", "spec: ")
 	assert.Len(t, recorded(), 1)
 	assert.Contains(t, recorded()["service front"], "127.0.0.1:1")
+	node, err := net.Dial("tcp", list)
+	require.NoError(t, err)
+	defer node.Close()
+	fmt.Fprintf(node, "GET /registry/instances?follow=1&since=0 HTTP/1.1\r\nHost: a\r\n\r\n")
+	becomes("front", "nodes:1")
+	becomes("front", "listRevision:")
 	assert.Empty(t, k.Status().Record)
 	// Changed, mended, in somebody's way, and gone.
 	meta, err := people.Meta(t.Context())
--- a/internal/wishes/wishes.go
+++ b/internal/wishes/wishes.go
@@ -41,6 +41,9 @@
 	Generation int64  `json:"observedGeneration"`
 	Revision   int64  `json:"recordRevision,omitempty"` // of the fact that it made
 	Epoch      string `json:"recordEpoch,omitempty"`
+	// Of a service that the controller tells a list of: how many nodes follow that here, and its revision.
+	Nodes        int64 `json:"nodes,omitempty"`
+	ListRevision int64 `json:"listRevision,omitempty"`
 }
 
 // Decide tells what is to be written, and each object's status by its key. Marks come from the function, a new one each time.
