--- a/cmd/robinlab/record.go
+++ b/cmd/robinlab/record.go
@@ -100,6 +100,7 @@
 				fmt.Fprintln(out, "BROKEN", b)
 			}
 			if len(r.Broken) > 0 {
+				fmt.Fprintf(out, "began at %.3f; the programs' logs are in %s\n", float64(r.Begin().UnixNano())/1e9, r.Kept)
 				return errFailed
 			}
 			fmt.Fprintln(out, "none was called later than 400 ms after the word")
--- a/internal/lab/apiserver/cluster.go
+++ b/internal/lab/apiserver/cluster.go
@@ -24,7 +24,8 @@
 	n     int
 	live  []string // the oldest first
 	pods  map[string]*pod
-	ended []string // the latest last
+	ended []string     // the latest last
+	shut  map[int]bool // machines that take no pods
 }
 
 type pod struct {
@@ -83,13 +84,30 @@
 	return true
 }
 
-// Cordon marks a machine, by its number, as one that takes no new pods; with evicts its pods have to leave as well.
+// Cordon marks a machine, by its number, as one that takes no new pods; with evicts its pods have to leave as well, and others
+// start elsewhere.
 func (c *Cluster) Cordon(n int, on, evicts bool) {
+	if c.shut == nil {
+		c.shut = map[int]bool{}
+	}
+	c.shut[n] = on
+	var leave []string
+	for _, name := range c.live {
+		if on && evicts && c.pods[name].node == machine(n) {
+			leave = append(leave, name)
+			if c.Word != nil {
+				c.Word(c.pods[name].ip) // the taint is the first word of their end
+			}
+		}
+	}
 	spec := map[string]any{"unschedulable": on}
 	if on && evicts {
 		spec["taints"] = []map[string]any{{"key": "robincart.dev/leave", "effect": "NoExecute"}}
 	}
 	c.API.Set("nodes", Object{"metadata": map[string]any{"name": machine(n), "labels": map[string]any{"topology.kubernetes.io/zone": zone(n)}}, "spec": spec})
+	for _, name := range leave {
+		c.Evict(name)
+	}
 }
 
 // Repair puts right what a restored API lost or has again, as a cluster manager would.
@@ -118,7 +136,11 @@
 	name := fmt.Sprint("p", c.n)
 	p := &pod{ip: c.Address(c.n), slice: c.n / max(1, c.PerSlice)}
 	if c.Nodes > 0 {
-		p.node = machine(c.n % c.Nodes)
+		at := c.n % c.Nodes
+		for i := 0; i < c.Nodes && c.shut[at]; i++ {
+			at = (at + 1) % c.Nodes
+		}
+		p.node = machine(at)
 	}
 	c.n++
 	c.pods[name] = p
@@ -154,7 +176,7 @@
 
 // write puts one slice, with the pods that live and those of them that end.
 func (c *Cluster) write(k int, ending ...string) {
-	var eps []Object
+	eps := []Object{}
 	for _, name := range append(c.slices()[k], ending...) {
 		p := c.pods[name]
 		cond := map[string]any{"ready": !p.ending}
