--- a/cmd/robinlab/main.go
+++ b/cmd/robinlab/main.go
@@ -70,10 +70,9 @@
 		e.Seed = s.seed
 	}
 	if s.short {
-		if s.arms == nil {
-			s.arms = e.Short.Arms
+		if s.arms != nil { // else each file's own: one file's arms are none of the next's
+			e.Short.Arms = s.arms
 		}
-		e.Short.Arms = s.arms
 		e.Shorten()
 	} else if s.arms != nil {
 		if err := e.Only(s.arms); err != nil {
