Test: each file of a run keeps its own arms; what run alone holds is named as such

Need: the panic of a short run of two files had no test; the count of marks stood among what the controller's mutex guards, and only one goroutine uses it.

--- a/cmd/robinlab/main_test.go
+++ b/cmd/robinlab/main_test.go
@@ -289,3 +289,21 @@
 	assert.Greater(t, r.Calls, 100)
 	assert.GreaterOrEqual(t, r.Counts["drains"], 160)
 }
+
+// Several files in one run: each is read with its own short arms, not with those of the one before.
+func TestEachFileOfARunKeepsItsOwnArms(t *testing.T) {
+	node := filepath.Join(bins, "robincart")
+	s := &shape{short: true, scale: 1, node: node}
+	for _, file := range []string{"flooded-neighbour", "zone-lost", "flooded-neighbour"} {
+		path := "../../experiments/" + file + ".toml"
+		e, err := s.read(path)
+		require.NoError(t, err)
+		alone, err := (&shape{short: true, scale: 1, node: node}).read(path)
+		require.NoError(t, err)
+		assert.Equal(t, alone.Arms, e.Arms, file)
+	}
+	s.arms = []string{"robincart"}
+	e, err := s.read("../../experiments/zone-lost.toml")
+	require.NoError(t, err)
+	assert.Equal(t, s.arms, e.Arms)
+}
--- a/internal/controller/wishes.go
+++ b/internal/controller/wishes.go
@@ -51,12 +51,13 @@
 	boot  string
 	stir  chan struct{}
 
-	counted time.Time // the nodes in statuses; run's alone
+	// Run's alone:
+	counted time.Time // the nodes in statuses
+	count   int       // of marks
 
 	// Guarded by the controller's mutex:
 	all   map[string]wish
 	fault string
-	count int
 }
 
 func newBook(k *Controller, s store.Store) (*book, error) {
