A listener that another holder makes block no longer holds up a handover or an end

Cause: whether a socket blocks is a flag that all its holders share, and a program that starts another by its listener often sets it (os.File.Fd does). The next accept then blocked in the kernel: closing the listener waited for one more caller, so a replaced process hung at its handover or end, with its callers' connections. Change: each accept makes the socket one that does not block first. A successor that is hung up on asks again for half a second: the old process may not have noticed yet that an earlier successor has died. Not chosen: accept4 in the poller's own loop (SyscallConn of a listener has no Read: every request hung).

--- a/cmd/robincart/succeed.go
+++ b/cmd/robincart/succeed.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"runtime/debug"
@@ -53,16 +54,38 @@
 	if err != nil {
 		return err
 	}
-	if _, ok := ln.(*net.TCPListener); !ok {
+	t, ok := ln.(*net.TCPListener)
+	if !ok {
 		ln.Close()
 		return errors.New("no TCP listener")
 	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		ln.Close()
+		return err
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.ln = ln
+	d.ln = &shared{t, raw}
 	return nil
 }
 
+// shared is a listener that other processes hold, too. Whether it blocks is a flag of the socket itself, so any of them can make it
+// block for all, and an accept that blocks can't be ended: a process would hang at its end, with its callers' connections.
+type shared struct {
+	*net.TCPListener
+	raw syscall.RawConn
+}
+
+// Accept makes the socket one that does not block before it waits for a connection.
+func (s *shared) Accept() (net.Conn, error) {
+	var bad error
+	if err := errors.Join(s.raw.Control(func(fd uintptr) { bad = syscall.SetNonblock(int(fd), true) }), bad); err != nil {
+		return nil, err
+	}
+	return s.TCPListener.Accept()
+}
+
 func (d *door) listener() net.Listener {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -83,9 +106,10 @@
 const form = 2
 
 const (
-	reachTime = 500 * time.Millisecond
-	stateTime = time.Second
-	ownFiles  = 24 // of a process, beside those that the budget counts
+	reachTime  = 500 * time.Millisecond
+	reachAgain = 20 * time.Millisecond
+	stateTime  = time.Second
+	ownFiles   = 24 // of a process, beside those that the budget counts
 )
 
 // succession is this process's side towards the ones before and after it.
@@ -123,17 +147,12 @@
 		s.log.Error("what operators told the process before can't be read; bans have to be told again", zap.Error(err))
 		k.Said = said{}
 	}
-	if link, err := handover.Dial(s.path, reachTime); err == nil {
-		var told known
-		if err = link.First(&told, stateTime); err == nil && told.Form != form {
-			err = fmt.Errorf("it speaks form %d and this one %d", told.Form, form)
-		}
-		if err == nil {
-			k, s.before = told, link
-		} else {
-			s.log.Warn("the process before this one does not hand over", zap.Error(err))
-			link.Close()
-		}
+	told, err := s.reach()
+	switch {
+	case err != nil:
+		s.log.Warn("the process before this one does not hand over", zap.Error(err))
+	case s.before != nil:
+		k = told
 	}
 	if s.before != nil {
 		s.lent = s.budget.Lend(k.Held + ownFiles)
@@ -154,6 +173,28 @@
 	s.all.Go(func() { s.accept(ln) })
 }
 
+// reach asks the process before this one what it knows; without one there is no error either. Where it hangs up it is asked again
+// for a while: it may not have noticed yet that another successor has died.
+func (s *succession) reach() (told known, err error) {
+	for end := time.Now().Add(reachTime); ; time.Sleep(reachAgain) {
+		link, bad := handover.Dial(s.path, reachTime)
+		if bad != nil {
+			return known{}, err // of the time before, if there was one
+		}
+		if err = link.First(&told, stateTime); err == nil && told.Form != form {
+			err = fmt.Errorf("it speaks form %d and this one %d", told.Form, form)
+		}
+		if err == nil {
+			s.before = link
+			return told, nil
+		}
+		link.Close()
+		if !errors.Is(err, io.EOF) || time.Now().After(end) {
+			return known{}, err
+		}
+	}
+}
+
 // part is how many processes of this node share its memory now.
 func (s *succession) part(of int64) {
 	debug.SetMemoryLimit(s.limits.Memory / of)
