Who has only just connected is served when the node empties or ends

Cause: at the end of emptying and at SIGTERM every connection at rest was closed after a look for bytes; one whose caller had just connected has its request on the way, and the close crosses it. Change: a connection that has brought nothing is closed CallerRest (100 ms) after its connect at the earliest; its request is served and is its last. While the node ends, one that connects and says nothing rests so long, not 2.5 s.

--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -236,6 +236,36 @@
 	}
 }
 
+// Who connects right before the node has had its time to empty has its request on the way: the close must not cross it.
+func TestANodeThatEmptiesOrEndsServesWhoHasOnlyJustCome(t *testing.T) {
+	for name, ends := range map[string]func(f *Server){
+		"emptied": func(f *Server) {
+			f.Lame(true)
+			f.empty(f.lamed)()
+		},
+		"ended": func(f *Server) { go f.Drain(t.Context()) },
+	} {
+		l := bounds()
+		l.CallerRest, l.StopTaking = 20*time.Second, time.Hour
+		f, core, addr := beginWith(t, l)
+		c := dial(t, addr)
+		count := func() (n int, drained bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return len(f.conns), f.drained || f.emptied
+		}
+		require.Eventually(t, func() bool { n, _ := count(); return n == 1 }, 20*time.Second, time.Millisecond)
+		ends(f)
+		require.Eventually(t, func() bool { _, on := count(); return on }, 20*time.Second, time.Millisecond)
+		c.ask()
+		rpc := await.One(t, core.came)
+		rpc.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}}
+		assert.Equal(t, 200, c.hears(t).StatusCode, name)
+		_, err := c.r.ReadByte()
+		assert.ErrorIs(t, err, io.EOF, "%s: and is its last", name)
+	}
+}
+
 // Callers hear of new settings later than the node, which takes what either may send until then.
 func TestAClassThatChangesItsEffectIsTakenInEitherFormForAWhile(t *testing.T) {
 	service := func(r decide.Repeat) *Service {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -197,6 +197,9 @@
 	if f.emptied {
 		most = f.limits.StopTaking
 	}
+	if f.drained {
+		most = f.limits.CallerRest
+	}
 	f.rest(c, most)
 	f.mu.Unlock()
 	// What is told before the place is known finds the connection resting, and served it is removed only at its end.
@@ -366,7 +369,7 @@
 		var idle []*conn
 		if f.lamed == lamed {
 			f.emptied = true
-			idle = f.resting()
+			idle = f.leaving()
 		}
 		f.mu.Unlock()
 		f.endRest(idle)
@@ -387,6 +390,21 @@
 	return idle
 }
 
+// leaving lists the connections that rest and are to end now. One that has only just come has its first request on the way, which
+// the close would cross: it is looked at again a little later. The mutex is held.
+func (f *Server) leaving() []*conn {
+	var now []*conn
+	for _, c := range f.resting() {
+		if until := c.born + f.limits.CallerRest; !c.asked && until > f.clock() {
+			f.ends.Add(&c.ring, until)
+		} else {
+			now = append(now, c)
+		}
+	}
+	f.arm()
+	return now
+}
+
 // Drain closes idle connections, and those in use as they fall idle, and waits for the last. When the context
 // ends what is still out is aborted: the end by force would leave it with no answer at all.
 func (f *Server) Drain(ctx context.Context) error {
@@ -398,7 +416,7 @@
 	}
 	f.mu.Lock()
 	f.drained = true
-	idle := f.resting()
+	idle := f.leaving()
 	f.mu.Unlock()
 	f.endRest(idle)
 	empty := make(chan struct{})
