Controller: a node that changes replicas is told the whole list, never another's changes

Cause: each replica numbers its lists by itself within an epoch, all from one. A node that came from another replica asked by that one's revision, which looked like one of this one's, and was sent what followed it here; drains between the two were never told. Change: a process begins its numbers at a random place of the epoch's lower bits. Measured: go test -race ./internal/controller: the new test fails without the change (since is answered by a change), passes with it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -45,7 +45,7 @@
 // only once the controller has let it in.
 const Gate = "robincart.dev/may-serve"
 
-// epochs are the upper bits of a revision: a leader's lists stand above all of earlier leaders'.
+// Epochs are the upper bits of a revision: a leader's lists stand above all of earlier leaders'.
 const epochBits = 40
 
 // Service is one list.
@@ -80,6 +80,10 @@
 	begin time.Time
 	whole chan struct{} // closed once nodes may be told
 
+	// Where this process begins to number its lists within an epoch. A node asks by its revision alone: counted from one at each
+	// replica, another's revision would look like one of this replica's, and what changed between the two would never be told.
+	base int64
+
 	mu     sync.Mutex
 	state  *membership.State
 	synced map[string]bool
@@ -100,7 +104,7 @@
 		return nil, fmt.Errorf("membership: %w", err)
 	}
 	c.Fanout.Epoch = func(revision int64) int64 { return revision >> epochBits }
-	k := &Controller{c: c, log: log, begin: time.Now(), whole: make(chan struct{}), state: membership.New(c.Membership, 0), synced: map[string]bool{}, lists: map[string]*fanout.List{},
+	k := &Controller{c: c, log: log, begin: time.Now(), whole: make(chan struct{}), base: rand.Int63n(1 << (epochBits - 1)), state: membership.New(c.Membership, 0), synced: map[string]bool{}, lists: map[string]*fanout.List{},
 		names: map[string]string{}, conds: map[string][]core.PodCondition{}, bad: map[string]string{}, cut: map[string]*cut{}}
 	for _, s := range c.Services {
 		if k.lists[s.Service] != nil {
@@ -444,7 +448,7 @@
 		for _, m := range k.state.List(of) {
 			all = append(all, k.member(m))
 		}
-		l.Replace(k.epoch<<epochBits+k.state.Revision()+1, all)
+		l.Replace(k.epoch<<epochBits+k.base+k.state.Revision()+1, all)
 	}
 }
 
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -171,6 +171,32 @@
 	assert.Equal(t, 503, resp.StatusCode)
 }
 
+// A node goes from one replica to another and asks by the revision it had there. The two have counted differently, so nothing but a
+// whole list tells it what it lacks.
+func TestANodeThatComesFromAnotherReplicaIsToldTheWholeList(t *testing.T) {
+	s := begin(t, func(api *apiserver.Server) { api.Set("endpointslices", slice("a", "b")) })
+	s.becomes(map[string]string{"a": "ready", "b": "ready"})
+	other := free(t)
+	s.replica("two", other)
+	require.Eventually(t, func() bool { _, at := s.list(other); return at > 0 }, 20*time.Second, 5*time.Millisecond)
+	s.pod("a", true)
+	for _, at := range []string{s.at, other} {
+		require.Eventually(t, func() bool { l, _ := s.list(at); return l["a"] == "draining" }, 20*time.Second, 5*time.Millisecond)
+	}
+	_, here := s.list(s.at)
+	whole := func(since int64) bool {
+		resp, err := (&http.Client{Timeout: 20 * time.Second}).Get(fmt.Sprintf("http://%s/registry/instances?follow=1&since=%d", other, since))
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		var m struct{ Complete bool }
+		return resp.StatusCode == 503 || json.NewDecoder(resp.Body).Decode(&m) == nil && m.Complete // or nothing, where a leader's word has come to one only
+	}
+	for d := int64(-3); d <= 3; d++ {
+		assert.True(t, whole(here+d), "since %d", here+d)
+	}
+	assert.Eventually(t, func() bool { _, there := s.list(other); return !whole(there) }, 20*time.Second, 5*time.Millisecond, "its own revisions it knows")
+}
+
 func TestABadObjectCostsNoOther(t *testing.T) {
 	s := begin(t, nil)
 	good := slice("a", "b")
