--- /dev/null
+++ b/cmd/robincart/fastcgi_test.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"robincart/internal/fcgi"
+	"robincart/internal/lab/standin"
+)
+
+const fastcgiService = `
+[[service]]
+name = "desk"
+speaks = "fastcgi"
+servers = [%s]
+params = { SCRIPT_FILENAME = "/srv/desk.php" }
+  [[service.method]]
+  name = "find"
+  repeat = "idempotent"
+  deadline = "3s"
+  [[service.method]]
+  name = "book"
+  repeat = "deduplicated"
+  window = "10s"
+  deadline = "3s"
+  [[service.method]]
+  name = "charge"
+  deadline = "3s"
+`
+
+func applications(t *testing.T, n int, serve func(c net.Conn, q *standin.Asked) bool) *program {
+	var addrs []string
+	for range n {
+		s := &standin.Application{Serve: serve}
+		require.NoError(t, s.Start("127.0.0.1:0"))
+		t.Cleanup(s.Stop)
+		addrs = append(addrs, fmt.Sprintf("%q", s.Addr()))
+	}
+	return withServices(t, fmt.Sprintf(fastcgiService, strings.Join(addrs, ", ")))
+}
+
+// deaths are the ends of a request that its application has done.
+var deaths = map[string]func(c net.Conn, q *standin.Asked) bool{
+	"before the answer":  func(net.Conn, *standin.Asked) bool { return false },
+	"in a record's head": func(c net.Conn, q *standin.Asked) bool { return partly(c, q.Answered("Status: 200", "x"), 5) },
+	"in the CGI head":    func(c net.Conn, q *standin.Asked) bool { return partly(c, q.Answered("Status: 200", "x"), 14) },
+	"in the body":        func(c net.Conn, q *standin.Asked) bool { return partly(c, q.Answered("Status: 200", "xxxxxxxxx"), 30) },
+	"in the END": func(c net.Conn, q *standin.Asked) bool {
+		a := q.Answered("Status: 200", "x")
+		return partly(c, a, len(a)-3)
+	},
+	"END without STDOUT": func(c net.Conn, q *standin.Asked) bool {
+		return partly(c, fcgi.AppendEnd(nil, q.ID, 0, fcgi.Complete), 0)
+	},
+	"STDOUT after END": func(c net.Conn, q *standin.Asked) bool {
+		return partly(c, append(fcgi.AppendEnd(nil, q.ID, 0, fcgi.Complete), q.Answered("Status: 200", "another's")...), 0)
+	},
+	"another's id": func(c net.Conn, q *standin.Asked) bool {
+		other := *q
+		other.ID++
+		return partly(c, other.Answered("Status: 200", "another's"), 0)
+	},
+	"a number": func(c net.Conn, q *standin.Asked) bool {
+		return partly(c, append(fcgi.AppendStream(nil, fcgi.Stdout, q.ID, []byte("Status: 200\n\nx")), fcgi.AppendEnd(nil, q.ID, 9, fcgi.Complete)...), 0)
+	},
+	"words only": func(c net.Conn, q *standin.Asked) bool {
+		return partly(c, fcgi.AppendStream(nil, fcgi.Stderr, q.ID, make([]byte, 100_000)), 0) && false
+	},
+}
+
+func partly(c net.Conn, b []byte, n int) bool {
+	if n > 0 {
+		c.Write(b[:n])
+		return false
+	}
+	_, err := c.Write(b)
+	return err == nil
+}
+
+// Applications die at any moment after they have done what they were asked. Callers get one answer each, nothing is done twice, and what
+// may have been done is never called harmless to ask again.
+func TestApplicationsThatDieInTheirAnswersLeaveOneEachAndNothingTwice(t *testing.T) {
+	var mu sync.Mutex
+	picks := 0
+	done, names, hit := map[string]int{}, []string{}, map[string]int{}
+	for name := range deaths {
+		names = append(names, name)
+	}
+	p := applications(t, 4, func(c net.Conn, q *standin.Asked) bool {
+		body := "for " + q.Params["HTTP_X_TRACE_ID"]
+		mu.Lock()
+		what := ""
+		switch picks++; { // each of them in turn, however few picks there are
+		case picks%10 == 0:
+			what = "refused"
+		case picks%10 == 3 || picks%10 == 6:
+			what = names[picks/5%len(names)]
+		}
+		hit[what]++
+		if what != "refused" {
+			key := q.Params["HTTP_X_QOS"] + " " + q.Params["HTTP_X_TRACE_ID"]
+			if mark := q.Params["HTTP_IDEMPOTENCY_KEY"]; mark == "" || done[key] == 0 { // repeats of a mark are dropped, by all servers together
+				done[key]++
+			}
+		}
+		mu.Unlock()
+		switch {
+		case what == "refused":
+			return partly(c, fcgi.AppendEnd(nil, q.ID, 0, fcgi.Overloaded), 0)
+		case what != "":
+			return deaths[what](c, q)
+		}
+		return partly(c, q.Answered("Content-Type: text/plain", body), 0)
+	})
+	var all sync.WaitGroup
+	var ok, back, aborted atomic.Int64
+	for caller := range 16 {
+		all.Go(func() {
+			for i := range 120 {
+				method := []string{"find", "book", "charge"}[(i+caller)%3]
+				id := fmt.Sprintf("%08x%08x", caller+1, i)
+				header := map[string]string{"X-Trace-Id": id}
+				if method == "book" {
+					header["Idempotency-Key"] = "mark " + id
+				}
+				r := p.askWith(method, map[bool]string{true: "seats"}[method != "find"], header)
+				mu.Lock()
+				did := done["charge "+id]
+				mu.Unlock()
+				switch {
+				case assert.NoError(t, r.err) && r.status == 200:
+					ok.Add(1)
+					assert.Equal(t, "for "+id, r.body)
+				case r.status == 503:
+					back.Add(1)
+					assert.Zero(t, did, "%s was done, and called harmless", id)
+				default:
+					aborted.Add(1)
+					assert.Equal(t, 504, r.status)
+				}
+			}
+		})
+	}
+	all.Wait()
+	mu.Lock() // picks that nobody waits for any more may still be at work
+	defer mu.Unlock()
+	t.Log(ok.Load(), back.Load(), aborted.Load(), hit)
+	assert.Greater(t, ok.Load(), int64(50))
+	for _, name := range append(names, "refused") {
+		assert.Positive(t, hit[name], name)
+	}
+	for id, n := range done {
+		if !strings.HasPrefix(id, "find ") {
+			assert.Equal(t, 1, n, id)
+		}
+	}
+}
+
+// Non-idempotent requests alone: each runs once at most, whatever its server does.
+func TestAChargeIsNeverSentToAnotherApplicationOnceItMayHaveRun(t *testing.T) {
+	var mu sync.Mutex
+	ran := map[string]int{}
+	names := []string{}
+	for name := range deaths {
+		names = append(names, name)
+	}
+	var n atomic.Int64
+	p := applications(t, 3, func(c net.Conn, q *standin.Asked) bool {
+		mu.Lock()
+		ran[q.Params["HTTP_X_TRACE_ID"]]++
+		mu.Unlock()
+		return deaths[names[int(n.Add(1))%len(names)]](c, q)
+	})
+	for range 60 {
+		r := p.ask("charge", "x")
+		require.NoError(t, r.err)
+		assert.Contains(t, []int{503, 504}, r.status)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	assert.NotEmpty(t, ran)
+	for id, k := range ran {
+		assert.Equal(t, 1, k, id)
+	}
+}
+
+// 4 MB each way, in as many records as that takes; what breaks off looks broken.
+func TestLargeBodiesAndAnswersPassThroughFastCGI(t *testing.T) {
+	large := bytes.Repeat([]byte("0123456789abcdef"), 1<<18)
+	p := applications(t, 1, func(c net.Conn, q *standin.Asked) bool {
+		c.SetWriteDeadline(time.Now().Add(20 * time.Second))
+		if len(q.Body) != len(large) {
+			return partly(c, q.Answered("Status: 500", ""), 0)
+		}
+		answer := q.Answered("Content-Type: a/b", string(q.Body))
+		if q.Params["HTTP_X_QOS"] == "book" {
+			return partly(c, answer, len(answer)/2)
+		}
+		return partly(c, answer, 0)
+	})
+	for range 2 {
+		r := p.ask("charge", string(large))
+		require.NoError(t, r.err)
+		assert.Equal(t, 200, r.status)
+		assert.True(t, r.body == string(large), "%d bytes", len(r.body))
+		assert.Equal(t, "a/b", r.header.Get("Content-Type"))
+	}
+	q, err := http.NewRequest("POST", "http://"+p.addr+"/book/x", bytes.NewReader(large))
+	require.NoError(t, err)
+	for k, v := range map[string]string{"X-Trace-Id": "broken", "X-Qos": "book", "X-Expires-In-Ms": "3000", "Idempotency-Key": "k"} {
+		q.Header.Set(k, v)
+	}
+	resp, err := client.Do(q)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	_, err = new(bytes.Buffer).ReadFrom(resp.Body)
+	assert.Error(t, err, "one that breaks off does not look whole")
+}
--- a/cmd/robincart/services_test.go
+++ b/cmd/robincart/services_test.go
@@ -357,6 +357,8 @@
 name = "a"
 servers = ["nowhere"]
 guarantee = 0.7
+speaks = "ftp"
+params = { HTTP_PROXY = "x" }
 [[route]]
 host = "A.org"
 to = "b"
@@ -371,8 +373,8 @@
 		out, code := run(bad, args...)
 		assert.Equal(t, 1, code, out)
 		for _, says := range []string{"line 9: service[1].method[1].target", "line 11: service[2].name: \"a\" stands twice", "line 12: service[2].servers",
-			"service[2].method: there is none", "add up to 1.400", `line 16: route[1].to: there is no service "b"`, `is to be written "a.org"`,
-			"line 20: route[3]: route 3: can't be told apart from route 2"} {
+			"service[2].method: there is none", "add up to 1.400", `line 14: service[2].speaks: "ftp"`, `line 15: service[2].params: "HTTP_PROXY"`, `line 18: route[1].to: there is no service "b"`, `is to be written "a.org"`,
+			"line 22: route[3]: route 3: can't be told apart from route 2"} {
 			assert.Contains(t, out, says)
 		}
 	}
--- a/internal/fcgi/pairs.go
+++ b/internal/fcgi/pairs.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"strings"
 )
 
 // longLength marks a length of four bytes.
@@ -50,3 +51,18 @@
 	}
 	return err
 }
+
+// FreeParam tells whether an operator may give a param: its name is one, and no request says it by itself. HTTP_ ones would pass for what a
+// caller has sent.
+func FreeParam(name string) bool {
+	switch name {
+	case "", "GATEWAY_INTERFACE", "SERVER_PROTOCOL", "REQUEST_METHOD", "REQUEST_URI", "QUERY_STRING", "CONTENT_TYPE", "CONTENT_LENGTH", "SCRIPT_NAME":
+		return false
+	}
+	for _, c := range []byte(name) {
+		if c != '_' && (c < 'A' || c > 'Z') && (c < '0' || c > '9') {
+			return false
+		}
+	}
+	return len(name) <= 128 && !strings.HasPrefix(name, "HTTP_")
+}
--- a/internal/fcgi/record.go
+++ b/internal/fcgi/record.go
@@ -90,8 +90,26 @@
 // Init begins with a source. The buffer, of LeastBuffer or more, is all the memory that is used.
 func (r *Reader) Init(src io.Reader, buf []byte) { *r = Reader{src: src, buf: buf} }
 
-// Buffered is how much has come and is not read yet.
-func (r *Reader) Buffered() int { return r.to - r.from }
+// Beyond tells whether something has come behind the last record, or is to come of its padding.
+func (r *Reader) Beyond() bool {
+	n := min(r.pad, r.to-r.from)
+	r.from, r.pad = r.from+n, r.pad-n
+	return r.pad > 0 || r.left > 0 || r.from < r.to
+}
+
+// Buffered tells whether Next has something to give without reading.
+func (r *Reader) Buffered() bool {
+	here := r.to - r.from
+	if r.left > 0 {
+		return here > 0
+	}
+	if here -= r.pad; here < headSize {
+		return false
+	}
+	h := r.buf[r.from+r.pad:]
+	n := int(binary.BigEndian.Uint16(h[4:]))
+	return here >= headSize+n || here > headSize && Type(h[1]).stream()
+}
 
 // Next gives the next piece. io.EOF is an end between two records, io.ErrUnexpectedEOF one within.
 func (r *Reader) Next() (Piece, error) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,14 +6,17 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"robincart/decide"
 	"robincart/internal/admin"
+	"robincart/internal/fcgi"
 	"robincart/internal/keys"
 	"robincart/internal/limits"
 	"robincart/internal/node"
@@ -85,7 +88,9 @@
 type Service struct {
 	Name      string
 	Discovery string
-	Servers   []string // addresses, where there is no discovery
+	Servers   []string          // addresses, where there is no discovery
+	Speaks    string            // http, or fastcgi
+	Params    map[string]string // of FastCGI, that its servers want beside those of each request
 	Weight    float64
 	Guarantee float64
 
@@ -309,6 +314,7 @@
 	for i := range c.Service {
 		s := &c.Service[i]
 		tomlfile.Default(&s.Weight, 1)
+		tomlfile.Default(&s.Speaks, "http")
 		tomlfile.Default(&s.Nodes, 1)
 		tomlfile.Default(&s.MaxPicks, 3)
 		tomlfile.Default(&s.MaxRetryAfter, Duration(2*time.Second))
@@ -478,6 +484,12 @@
 		bad(slices.Contains(s.Servers[:i], a), ".servers: %s stands twice", a)
 		p.Static = append(p.Static, node.Entry{ID: a, Addr: a, State: decide.Ready, Weight: 1})
 	}
+	bad(s.Speaks != "http" && s.Speaks != "fastcgi", ".speaks: %q is neither http nor fastcgi", s.Speaks)
+	bad(s.Speaks == "http" && len(s.Params) > 0, ".params: they are for servers that speak fastcgi")
+	for _, name := range slices.Sorted(maps.Keys(s.Params)) {
+		bad(!fcgi.FreeParam(name) || strings.ContainsFunc(s.Params[name], unicode.IsControl), ".params: %q = %q can't be sent, or each request says it by itself", name, s.Params[name])
+	}
+	bad(len(s.Params) > 64, ".params: %d are more than 64", len(s.Params))
 	bad(len(s.Method) == 0, ".method: there is none")
 	var classes, tenants []map[string]any
 	for i, m := range s.Method {
@@ -524,7 +536,7 @@
 	if p.Node, err = settings.Parse(text); err != nil {
 		return p, []error{fmt.Errorf("%s: %w", at, err)}
 	}
-	p.Same = string(text)
+	p.Same = fmt.Sprintf("%s %s %q", text, s.Speaks, s.Params) // maps are printed in the order of their keys
 	return p, nil
 }
 
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -197,6 +197,9 @@
 		to.Listed(x.Static, true)
 	}
 	p.conns = upstream.NewPool(p.core, x.Timeout, count, s.lot)
+	if x.Speaks == "fastcgi" {
+		p.conns.FastCGI(x.Params)
+	}
 	var part frontend.Share
 	if p.share != nil {
 		part = p.share
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"robincart/decide"
+	"robincart/internal/fcgi"
 	"robincart/internal/httpwire"
 	"robincart/internal/node"
 )
@@ -68,7 +69,7 @@
 		return
 	}
 	rest := answer.Rest.(*rest)
-	if served && <-rest.read && rest.Ended() && rest.again && !x.conn.reader.Beyond() {
+	if served && <-rest.read && rest.Ended() && rest.again && !x.conn.beyond() {
 		x.conn.streams = false
 		x.conn.onTime()
 		x.pool.keep(x.pick.Server, x.conn)
@@ -160,7 +161,12 @@
 	if x.q.Rest == nil {
 		left = x.pool.core.Remains(x.pick)
 	}
-	msg := x.q.AppendHead((*head)[:0], c.addr, left)
+	var msg []byte
+	if c.app == nil {
+		msg = x.q.AppendHead((*head)[:0], c.addr, left)
+	} else {
+		msg = c.app.begin((*head)[:0], x.q, c.addr, left)
+	}
 	var err error
 	if x.q.Rest != nil {
 		*head = msg
@@ -170,7 +176,13 @@
 		}
 		return x.answer(c)
 	}
-	if cap(msg)-len(msg) >= len(x.q.Body) {
+	if c.app != nil && cap(msg)-len(msg) >= len(x.q.Body)+32 {
+		msg = c.app.end(fcgi.AppendStream(msg, fcgi.Stdin, c.app.id, x.q.Body))
+		_, err = c.Write(msg)
+	} else if c.app != nil {
+		parts := append(append(net.Buffers{msg}, c.app.frame(x.q.Body)...), c.app.end(nil))
+		_, err = parts.WriteTo(c.Conn)
+	} else if cap(msg)-len(msg) >= len(x.q.Body) {
 		msg = append(msg, x.q.Body...)
 		_, err = c.Write(msg)
 	} else {
@@ -197,7 +209,7 @@
 		return decide.Reset, nil, false // the core tells one that it broke itself
 	}
 	c.onTime()
-	whole = !r.Close && r.Rest == nil && !c.reader.Beyond()
+	whole = !r.Close && r.Rest == nil && !c.beyond()
 	if r.Status == 200 {
 		answer = &node.Answer{Type: r.Type, Body: r.Body, Held: r.Held}
 		if r.Rest != nil {
@@ -221,7 +233,12 @@
 	chunked := body.Length() < 0
 	piece, frame := httpwire.Piece(), make([]byte, 0, 16)
 	defer httpwire.Done(piece)
+	last := httpwire.LastChunk
 	write := func(p []byte) bool { return x.write(c, httpwire.Frame(p, chunked, frame)) }
+	if c.app != nil {
+		chunked, last = true, c.app.end(nil)
+		write = func(p []byte) bool { return x.write(c, c.app.frame(p)) }
+	}
 	if !x.write(c, net.Buffers{head}) || len(x.q.Body) > 0 && !write(x.q.Body) {
 		return decide.ConnectFailed, false
 	}
@@ -234,7 +251,7 @@
 			return decide.ConnectFailed, false
 		}
 	}
-	if chunked && !x.write(c, net.Buffers{httpwire.LastChunk}) {
+	if chunked && !x.write(c, net.Buffers{last}) {
 		return decide.ConnectFailed, false
 	}
 	c.SetWriteDeadline(time.Time{})
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -55,7 +55,8 @@
 	bytes             limits.Room // for answers
 	lot               *lot.Lot    // tells of servers that close; nil: they are found closed when they are to be used
 	dialer            net.Dialer
-	crew              crew.Crew // of exchanges
+	crew              crew.Crew          // of exchanges
+	fastcgi           *map[string]string // params, where the servers speak FastCGI
 
 	mu     sync.Mutex
 	idle   map[*node.Server]*conn // the one used last
@@ -69,6 +70,7 @@
 	pool   *Pool
 	raw    syscall.RawConn
 	reader httpwire.Reader
+	app    *application // nil: its server speaks HTTP
 	addr   string
 	place  lot.Place
 	by     *exchange // in talk
@@ -103,7 +105,12 @@
 
 func (p *Pool) newConn(raw net.Conn, addr string) *conn {
 	c := &conn{Conn: raw, pool: p, addr: addr}
-	c.reader.Init(raw, &p.limits.Wire)
+	if p.fastcgi != nil {
+		c.app = &application{raw: raw, params: p.fastcgi}
+		c.reader.Init(c.app, &p.limits.Wire)
+	} else {
+		c.reader.Init(raw, &p.limits.Wire)
+	}
 	c.reader.Pace, c.reader.Room = c, p.bytes
 	if sc, ok := raw.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
@@ -192,6 +199,9 @@
 	if p.lot != nil {
 		p.lot.Remove(&c.place)
 	}
+	if c.app != nil {
+		c.app.abort()
+	}
 	c.Close()
 	p.budget.Give()
 }
@@ -246,6 +256,9 @@
 
 func (p *Pool) keep(s *node.Server, c *conn) {
 	c.reader.Release()
+	if c.app != nil {
+		c.app.rest()
+	}
 	p.mu.Lock()
 	ok := !p.closed && p.core.Ready(s)
 	if ok {
@@ -263,8 +276,11 @@
 	}
 }
 
+// beyond tells whether something has come that no answer has taken.
+func (c *conn) beyond() bool { return c.reader.Beyond() || c.app != nil && c.app.Beyond() }
+
 // stale looks, without waiting, whether the server has closed an idle connection or written to it unasked. A
 // request written to a closed one would end as a reset, which may have run.
 func (c *conn) stale() bool {
-	return c.reader.Beyond() || c.raw != nil && socket.Peek(c.raw) != socket.Quiet
+	return c.beyond() || c.raw != nil && socket.Peek(c.raw) != socket.Quiet
 }
