Test: the standard library's FastCGI application is served

Need: the codec and its stand-in are of one hand, and would share a misreading. Measured: go test -race -run StandardLibrary ./cmd/robincart: net/http/fcgi's application gets method, target, host, params and body as sent, on one kept connection, and its 500 is none of an ok.

--- a/cmd/robincart/fastcgi_test.go
+++ b/cmd/robincart/fastcgi_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	stock "net/http/fcgi"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -194,6 +196,31 @@
 	}
 }
 
+// The standard library's application is nobody's of ours: what it understands, and writes, is the protocol.
+func TestTheStandardLibrarysApplicationIsServed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	go stock.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		text, _ := io.ReadAll(q.Body)
+		w.Header().Set("Content-Type", "text/x")
+		if q.URL.Path == "/book/table" {
+			w.WriteHeader(500)
+		}
+		fmt.Fprintf(w, "%s %s %s %s %s %s", q.Method, q.URL.RequestURI(), q.Host, q.Header.Get("X-Customer"), stock.ProcessEnv(q)["SCRIPT_FILENAME"], text)
+	}))
+	p := withServices(t, fmt.Sprintf(fastcgiService, fmt.Sprintf("%q", ln.Addr())))
+	for range 3 {
+		r := p.ask("charge", "seats")
+		require.NoError(t, r.err)
+		assert.Equal(t, 200, r.status)
+		assert.Equal(t, "POST /charge/table?k=7 "+p.addr+" acme /srv/desk.php seats", r.body)
+		assert.Equal(t, "text/x", r.header.Get("Content-Type"))
+		assert.Equal(t, 200, p.ask("find", "").status)
+	}
+	assert.Contains(t, []int{503, 504}, p.ask("book", "seats").status)
+}
+
 // 4 MB each way, in as many records as that takes; what breaks off looks broken.
 func TestLargeBodiesAndAnswersPassThroughFastCGI(t *testing.T) {
 	large := bytes.Repeat([]byte("0123456789abcdef"), 1<<18)
