Gateways may speak FastCGI: read as HTTP by the one life of a request

Need: members' front-desk systems reach the node through gateways that speak only FastCGI. Change: [[gateway]] in the operator's file (TCP or a Unix socket, params for what a gateway can't send); desk turns records into the HTTP request that conn reads, and its answer back; ABORT_REQUEST ends the servers' work and the connection serves on. The platform's form is untouched.

--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -104,8 +105,15 @@
 		}
 		listeners = append(listeners, ln)
 	}
+	desks, err := openGateways(c)
+	if err != nil {
+		for _, open := range listeners {
+			open.Close()
+		}
+		return err
+	}
 	clk := clock{time.Now()}
-	budget := limits.NewBudget(l.Descriptors-len(listeners), l.Refused, limits.NewBytes(l.Bytes))
+	budget := limits.NewBudget(l.Descriptors-len(listeners)-len(desks), l.Refused, limits.NewBytes(l.Bytes))
 	watch, err := lot.New()
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -150,7 +158,21 @@
 	}
 	log.Info("serving", zap.Strings("listen", c.Listen), zap.Int("services", len(c.Pools)), zap.Int("descriptors", l.Descriptors),
 		zap.Int64("memory", l.Memory))
-	s := &served{front: front, listeners: listeners, limits: l, log: log, open: set.Open, serving: func() { ops.taking.Store(true) },
+	s := &served{front: front, listeners: listeners, limits: l, log: log, open: set.Open,
+		serving: func() {
+			for _, d := range desks {
+				front.ServeGateways(d.ln, d.way)
+			}
+			ops.taking.Store(true)
+		},
+		shut: func() {
+			for _, ln := range listeners {
+				ln.Close()
+			}
+			for _, d := range desks {
+				d.ln.Close()
+			}
+		},
 		close: func() {
 			closeAdmin()
 			set.Close()
@@ -178,6 +200,44 @@
 	return nil
 }
 
+// gateways is one listener for them.
+type gateways struct {
+	ln  net.Listener
+	way *frontend.Gateway
+}
+
+// openGateways listens where gateways that speak FastCGI are to be served.
+func openGateways(c *operator.Config) (all []gateways, err error) {
+	for _, g := range c.Gateway {
+		network, addr := "tcp", g.Listen
+		if path, unix := strings.CutPrefix(g.Listen, "unix:"); unix {
+			network, addr = "unix", path
+			// What a killed process has left is in the way; what is no socket, or serves, is somebody's.
+			if c, err := net.Dial(network, addr); err == nil {
+				c.Close()
+				err = fmt.Errorf("listen %s: another process serves there", g.Listen)
+				return nil, errors.Join(err, closeGateways(all))
+			} else if info, err := os.Lstat(addr); err == nil && info.Mode()&os.ModeSocket != 0 {
+				os.Remove(addr)
+			}
+		}
+		ln, err := net.Listen(network, addr)
+		if err != nil {
+			return nil, errors.Join(fmt.Errorf("listen: %w", err), closeGateways(all))
+		}
+		all = append(all, gateways{ln, &frontend.Gateway{Trace: g.Params.Trace, Class: g.Params.Class, Tenant: g.Params.Tenant, Key: g.Params.Key, Left: g.Params.Left,
+			OfTenant: g.Tenant, OfLeft: time.Duration(g.Left), Overloaded: g.Overloaded, Total: c.Limits.Callers}})
+	}
+	return all, nil
+}
+
+func closeGateways(all []gateways) (err error) {
+	for _, g := range all {
+		err = errors.Join(err, g.ln.Close())
+	}
+	return err
+}
+
 // check prints what a file would put in force.
 func check(c *cobra.Command, file string) error {
 	f, err := operator.Read(file)
@@ -187,6 +247,9 @@
 	w := c.OutOrStdout()
 	fmt.Fprintf(w, "%s listens on %s; %d connections of callers, %d requests at once, %d connections to servers, %d MB for bodies\n", f.Name, strings.Join(f.Listen, ", "), f.Limits.Connections,
 		f.Shares.Total[shares.Held], f.Shares.Total[shares.Conns], f.Shares.Total[shares.Bytes]>>20)
+	for _, g := range f.Gateway {
+		fmt.Fprintf(w, "gateways that speak FastCGI at %s\n", g.Listen)
+	}
 	for _, p := range f.Pools {
 		from := "discovery at " + p.Discovery
 		if p.Discovery == "" {
--- a/cmd/robincart/services_test.go
+++ b/cmd/robincart/services_test.go
@@ -368,12 +368,16 @@
 [[route]]
 host = "x.org"
 to = "a"
+[[gateway]]
+listen = "nowhere"
+left = "-1s"
+params = { trace = "A B" }
 `
 	for _, args := range [][]string{{"check"}, {"serve", "--config"}, {"--config"}} {
 		out, code := run(bad, args...)
 		assert.Equal(t, 1, code, out)
 		for _, says := range []string{"line 9: service[1].method[1].target", "line 11: service[2].name: \"a\" stands twice", "line 12: service[2].servers",
-			"service[2].method: there is none", "add up to 1.400", `line 14: service[2].speaks: "ftp"`, `line 15: service[2].params: "HTTP_PROXY"`, `line 18: route[1].to: there is no service "b"`, `is to be written "a.org"`,
+			"service[2].method: there is none", "add up to 1.400", `line 14: service[2].speaks: "ftp"`, `line 15: service[2].params: "HTTP_PROXY"`, `gateway[1].listen: "nowhere" is neither`, "gateway[1].left: it is negative", `gateway[1].params: "A B"`, `line 18: route[1].to: there is no service "b"`, `is to be written "a.org"`,
 			"line 22: route[3]: route 3: can't be told apart from route 2"} {
 			assert.Contains(t, out, says)
 		}
--- a/internal/fcgi/application.go
+++ b/internal/fcgi/application.go
@@ -39,6 +39,7 @@
 type Limits struct {
 	Requests int // open at once
 	Params   int // bytes of one's params
+	Total    int // open on all connections, as who asks is told; 0: nothing
 }
 
 // Application is the application's side of one connection: requests come in, interleaved as their gateway likes. It is not safe for
@@ -58,6 +59,9 @@
 	params []byte
 }
 
+// mostKept is the largest buffer that a connection keeps between requests.
+const mostKept = 4096
+
 // Open is how many requests are open.
 func (a *Application) Open() int { return len(a.open) }
 
@@ -67,7 +71,7 @@
 	if q := a.open[id]; q != nil {
 		delete(a.open, id)
 		*q = request{params: q.params[:0]}
-		if len(a.free) < 4 {
+		if len(a.free) < 4 && cap(q.params) <= mostKept {
 			a.free = append(a.free, q)
 		}
 	}
@@ -169,8 +173,10 @@
 			}
 			list = rest
 			switch string(name) {
-			case MaxReqs:
-				pairs = AppendPair(pairs, MaxReqs, fmt.Sprint(a.Requests))
+			case MaxReqs, MaxConns:
+				if a.Total > 0 {
+					pairs = AppendPair(pairs, string(name), fmt.Sprint(a.Total))
+				}
 			case MpxConns:
 				pairs = AppendPair(pairs, MpxConns, map[bool]string{true: "1", false: "0"}[a.Requests > 1])
 			}
--- a/internal/fcgi/record.go
+++ b/internal/fcgi/record.go
@@ -97,6 +97,9 @@
 	return r.pad > 0 || r.left > 0 || r.from < r.to
 }
 
+// Amid tells whether a record has begun that is not read to its end, its padding aside.
+func (r *Reader) Amid() bool { return r.left > 0 || r.from < r.to }
+
 // Buffered tells whether Next has something to give without reading.
 func (r *Reader) Buffered() bool {
 	here := r.to - r.from
@@ -134,16 +137,19 @@
 	}
 	h := r.buf[r.from:]
 	n := int(binary.BigEndian.Uint16(h[4:]))
-	r.now = Piece{Type: Type(h[1]), ID: binary.BigEndian.Uint16(h[2:])}
+	now := Piece{Type: Type(h[1]), ID: binary.BigEndian.Uint16(h[2:])}
 	if h[0] != version {
 		return Piece{}, fmt.Errorf("%w: version %d", ErrFraming, h[0])
 	}
-	r.left, r.pad = n, int(h[6])
-	r.from += headSize
-	switch t := r.now.Type; {
-	case t.stream() && r.now.ID != 0:
-		if n == 0 {
-			return Piece{Type: t, ID: r.now.ID, Ends: true}, nil
+	pad := int(h[6])
+	begin := func() {
+		r.now, r.left, r.pad = now, n, pad
+		r.from += headSize
+	}
+	switch t := now.Type; {
+	case t.stream() && now.ID != 0:
+		if begin(); n == 0 {
+			return Piece{Type: t, ID: now.ID, Ends: true}, nil
 		}
 		return r.piece()
 	case t == Begin || t == End || t == Unknown:
@@ -153,9 +159,11 @@
 	case n > MostManagement:
 		return Piece{}, fmt.Errorf("%w: %d bytes in a record of type %d", ErrFraming, n, t)
 	}
-	if err := r.need(n); err != nil {
+	// Its head is taken with the rest: who can't wait now asks again later.
+	if err := r.need(headSize + n); err != nil {
 		return Piece{}, within(err)
 	}
+	begin()
 	return r.give(n), nil
 }
 
@@ -213,6 +221,17 @@
 	return [headSize]byte{version, byte(t), byte(id >> 8), byte(id), byte(n >> 8), byte(n)}
 }
 
+// Records are a part of a stream as it is written, without a copy of it.
+func Records(t Type, id uint16, content []byte) (out [][]byte) {
+	for len(content) > 0 {
+		n := min(len(content), MostContent)
+		h := Head(t, id, n)
+		out = append(out, h[:], content[:n])
+		content = content[n:]
+	}
+	return out
+}
+
 func appendRecord(to []byte, t Type, id uint16, content []byte) []byte {
 	h := Head(t, id, len(content))
 	return append(append(to, h[:]...), content...)
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"robincart/decide"
+	"robincart/internal/fcgi"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
 	"robincart/internal/lot"
@@ -29,6 +30,7 @@
 	place  lot.Place
 	born   time.Duration
 	reader *httpwire.Reader         // while it is served
+	desk   *desk                    // nil: its caller speaks HTTP
 	rpc    atomic.Pointer[node.RPC] // while one is out
 	ended  atomic.Bool              // the caller has closed its side
 	cut    atomic.Bool              // what is being read is given up: its deadline must not be put off
@@ -63,8 +65,16 @@
 // errNothing is a read that found nothing: the event it went by was of bytes that had been read already.
 var errNothing = errors.New("nothing has come")
 
-// Read is what requests are read by. Their first bytes are here already, or else nothing is waited for.
-func (c *conn) Read(to []byte) (n int, err error) {
+// Read is what requests are read by.
+func (c *conn) Read(to []byte) (int, error) {
+	if c.desk != nil {
+		return c.desk.Read(to)
+	}
+	return c.readRaw(to)
+}
+
+// readRaw reads what the caller sends. A request's first bytes are here already, or else nothing is waited for.
+func (c *conn) readRaw(to []byte) (n int, err error) {
 	if !c.try {
 		return c.Conn.Read(to)
 	}
@@ -211,13 +221,13 @@
 			case node.Abort:
 				a = &httpwire.Answer{Status: 504}
 			case node.Left:
-				if socket.Peek(c.raw) == socket.Bytes {
-					continue // what it asks next may be in there, and its end is found behind that
+				if c.stays(q, rpc) {
+					continue
 				}
 				c.rpc.Store(nil)
 				service.giveUp(rpc, f.answers)
 				f.end()
-				return false
+				return c.abandoned()
 			}
 		case <-recalled: // what it holds was borrowed, and its owner needs it
 			service.giveUp(rpc, f.answers)
@@ -262,10 +272,34 @@
 	}
 }
 
+// stays tells, when a caller seems to have left, whether it has only sent something.
+func (c *conn) stays(q *httpwire.Request, rpc *node.RPC) bool {
+	if c.desk == nil {
+		return socket.Peek(c.raw) == socket.Bytes // what it asks next may be in there, and its end is found behind that
+	}
+	if !c.desk.stays(q) {
+		return false
+	}
+	c.watch(rpc) // it is told of each thing that comes
+	return true
+}
+
+// abandoned ends a request whose caller has given it up, and tells whether its connection can be used again: a gateway has said so and
+// goes on.
+func (c *conn) abandoned() bool {
+	if c.desk == nil || !c.desk.gone.Load() || !c.desk.here {
+		return false
+	}
+	keep := c.desk.keep && !c.last && !c.server.closing()
+	c.SetWriteDeadline(time.Now().Add(c.server.limits.CallerWrite))
+	_, err := c.Conn.Write(c.desk.end(nil, 1, fcgi.Complete))
+	return err == nil && keep
+}
+
 // watch lets the lot tell an RPC that its caller has left. It may have left already.
 func (c *conn) watch(rpc *node.RPC) {
 	c.rpc.Store(rpc)
-	if c.ended.Load() {
+	if c.ended.Load() || c.desk != nil && c.server.unstir(c) {
 		c.tell()
 	}
 }
@@ -354,7 +388,7 @@
 
 // answer writes a request's one answer.
 func (c *conn) answer(q *httpwire.Request, a *httpwire.Answer) bool {
-	a.Close = a.Close || q.Close || c.last || c.server.closing() || q.Rest != nil && !q.Rest.Ended()
+	a.Close = a.Close || q.Close || c.last || c.server.closing() || q.Rest != nil && !q.Rest.Ended() || c.desk != nil && !c.desk.keep
 	if a.Rest != nil {
 		return c.stream(a) && !a.Close
 	}
@@ -379,7 +413,12 @@
 		return err == nil
 	}
 	body := func(p []byte) bool { return write(httpwire.Frame(p, chunked, frame)) }
-	ok := write(net.Buffers{a.AppendHead(nil)}) && (len(a.Body) == 0 || body(a.Body))
+	head := a.AppendHead
+	if c.desk != nil {
+		chunked = false
+		head, body = func(to []byte) []byte { return c.desk.begin(to, a) }, func(p []byte) bool { return write(c.desk.frame(p)) }
+	}
+	ok := write(net.Buffers{head(nil)}) && (len(a.Body) == 0 || body(a.Body))
 	for ok {
 		n, err := a.Rest.Read(*piece)
 		if n > 0 {
@@ -393,6 +432,9 @@
 	if ok && chunked {
 		ok = write(net.Buffers{httpwire.LastChunk})
 	}
+	if ok && c.desk != nil { // else it looks broken: its request has no end
+		ok = write(net.Buffers{c.desk.end(nil, 0, fcgi.Complete)})
+	}
 	a.Rest.Close(ok)
 	if t, is := c.Conn.(*net.TCPConn); is && !ok && a.Old && a.Rest.Length() < 0 {
 		t.SetLinger(0)
@@ -400,6 +442,9 @@
 	return ok
 }
 
+// mostHead is the largest buffer that is kept: a gateway's answer has its body in it.
+const mostHead = 4 << 10
+
 // heads are buffers that answers are written from.
 var heads = sync.Pool{New: func() any { b := make([]byte, 0, 1024); return &b }}
 
@@ -407,9 +452,15 @@
 func (c *conn) write(a *httpwire.Answer, headOnly bool) bool {
 	head := heads.Get().(*[]byte)
 	defer heads.Put(head)
-	msg := a.AppendHead((*head)[:0])
-	*head = msg
-	body := a.Body
+	var msg, body []byte
+	if c.desk != nil {
+		msg = c.desk.answer((*head)[:0], a, headOnly)
+	} else {
+		msg, body = a.AppendHead((*head)[:0]), a.Body
+	}
+	if cap(msg) <= mostHead {
+		*head = msg
+	}
 	if headOnly {
 		body = nil
 	}
--- /dev/null
+++ b/internal/frontend/desk.go
@@ -0,0 +1,416 @@
+package frontend
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"robincart/internal/fcgi"
+	"robincart/internal/httpwire"
+)
+
+// Gateway says how gateways that speak FastCGI are listened to. What a gateway can't send has a param of its own choice, or is
+// given here.
+type Gateway struct {
+	Trace, Class, Tenant, Key, Left string // params; empty: as CGI makes them of the protocol's headers
+	OfTenant                        string // who sends none is this one
+	OfLeft                          time.Duration
+	Overloaded                      bool // a pushback is END_REQUEST with OVERLOADED, for gateways that ask another node then
+	Total                           int  // requests that are told to who asks
+}
+
+// desk is what a connection has beside it where a gateway speaks FastCGI on it. What comes is read through it as HTTP/1.1 would have
+// it, so that a request's life, its times, sizes and places are those of any other. One request is on a connection at a time: a second is
+// told so.
+type desk struct {
+	c       *conn
+	way     *Gateway
+	app     fcgi.Application
+	records fcgi.Reader
+	buf     *[]byte
+	looking bool // nothing is waited for
+
+	id    uint16 // of the request that is read or out; 0: none
+	keep  bool
+	here  bool        // it has come whole
+	gone  atomic.Bool // its gateway has given it up
+	told  int64       // of its body; -1: not
+	took  int64
+	pairs []pair // while a head is made
+	spare []byte
+	pend  []byte // not read yet
+	at    int
+}
+
+var deskBuffers = sync.Pool{New: func() any { b := make([]byte, 4096); return &b }}
+
+func newDesk(c *conn, way *Gateway) *desk {
+	d := &desk{c: c, way: way, told: -1}
+	d.app.Limits = fcgi.Limits{Requests: 1, Total: way.Total, Params: c.server.limits.Wire.Head}
+	return d
+}
+
+// source reads what the records are read from.
+type source desk
+
+// Read waits for a byte only where a request has begun, and not for ever: who sends half a record would else hold a place for good.
+func (s *source) Read(to []byte) (int, error) {
+	d := (*desk)(s)
+	begun := d.app.Open() > 0 || d.records.Amid()
+	switch {
+	case d.looking:
+		d.c.try = true
+	case begun:
+		d.c.try = false
+		d.c.Progress(true)
+	case !d.c.try:
+		return 0, errNothing
+	}
+	return d.c.readRaw(to)
+}
+
+func (d *desk) awake() {
+	if d.buf == nil {
+		d.buf = deskBuffers.Get().(*[]byte)
+		d.records.Init((*source)(d), *d.buf)
+	}
+}
+
+// rest gives the buffers up between two requests; it is false if a part of the next one is in them.
+func (d *desk) rest() bool {
+	if d.buf == nil {
+		return true
+	}
+	padded := d.records.Beyond()
+	if d.records.Amid() {
+		return false
+	}
+	if !padded { // else the reader has to know what is still to come of it
+		deskBuffers.Put(d.buf)
+		d.buf = nil
+	}
+	d.at = 0
+	if d.pend = d.pend[:0]; cap(d.pend) > 4096 {
+		d.pend = nil
+	}
+	if cap(d.pairs) > few {
+		d.pairs = nil
+	}
+	return true
+}
+
+// Read gives the next request as HTTP/1.1, as much as has come.
+func (d *desk) Read(to []byte) (int, error) {
+	d.awake()
+	if d.at == len(d.pend) {
+		d.pend, d.at = d.pend[:0], 0
+		for len(d.pend) == 0 || !d.here && len(d.pend) < len(to) && d.records.Buffered() {
+			if err := d.next(); err != nil {
+				return 0, err
+			}
+		}
+	}
+	n := copy(to, d.pend[d.at:])
+	d.at += n
+	return n, nil
+}
+
+// next takes one piece.
+func (d *desk) next() error {
+	p, err := d.records.Next()
+	if err == nil {
+		var e fcgi.Event
+		if e, err = d.app.Take(p); err == nil {
+			err = d.take(e)
+		}
+	}
+	if errors.Is(err, fcgi.ErrFraming) {
+		return fmt.Errorf("%w: %w", httpwire.ErrMalformed, err)
+	}
+	return err
+}
+
+func (d *desk) take(e fcgi.Event) error {
+	switch e.Kind {
+	case fcgi.Reply:
+		d.c.SetWriteDeadline(time.Now().Add(d.c.server.limits.CallerWrite))
+		_, err := d.c.Conn.Write(e.Data)
+		return err
+	case fcgi.Headed:
+		d.id, d.keep, d.here, d.took = e.ID, e.Keep, false, 0
+		d.gone.Store(false)
+		return d.head(e.Params)
+	case fcgi.Body:
+		if d.took += int64(len(e.Data)); d.told >= 0 && d.took > d.told {
+			return fmt.Errorf("%w: a longer body than CONTENT_LENGTH tells", httpwire.ErrMalformed)
+		}
+		d.pend = append(strconv.AppendInt(d.pend, int64(len(e.Data)), 16), "\r\n"...)
+		d.pend = append(append(d.pend, e.Data...), "\r\n"...)
+	case fcgi.Whole:
+		if d.told >= 0 && d.took < d.told {
+			return fmt.Errorf("%w: a shorter body than CONTENT_LENGTH tells", httpwire.ErrMalformed)
+		}
+		d.pend = append(d.pend, "0\r\n\r\n"...)
+		d.here = true
+	case fcgi.Aborted:
+		if d.gone.Store(true); !d.here { // who reads it has nothing to wait for
+			d.c.tell()
+			return errClosed
+		}
+	case fcgi.Bad:
+		d.id, d.keep = e.ID, false
+		return fmt.Errorf("%w: %s", httpwire.ErrMalformed, e.Why)
+	}
+	return nil
+}
+
+// look takes in what has come while a request is out, without waiting, and tells whether its gateway still waits for it.
+func (d *desk) look() bool {
+	d.looking = true
+	defer func() { d.looking, d.c.try = false, false }()
+	for !d.gone.Load() {
+		if err := d.next(); err != nil {
+			return err == errNothing
+		}
+	}
+	return false
+}
+
+// hop are params that would frame the message anew or are the connection's; what comes by FastCGI has its frame already.
+var hop = map[string]bool{"HTTP_CONTENT_LENGTH": true, "HTTP_TRANSFER_ENCODING": true, "HTTP_CONNECTION": true, "HTTP_EXPECT": true, "HTTP_UPGRADE": true, "HTTP_TE": true,
+	"HTTP_TRAILER": true, "HTTP_KEEP_ALIVE": true, "HTTP_PROXY": true, "HTTP_CONTENT_TYPE": true}
+
+// field is a header that the protocol knows, and the param that CGI makes of it.
+type field struct{ header, param string }
+
+var fields = [...]field{{httpwire.HeaderTrace, "HTTP_X_TRACE_ID"}, {httpwire.HeaderMethod, "HTTP_X_QOS"}, {httpwire.HeaderTenant, "HTTP_X_CUSTOMER"},
+	{httpwire.HeaderKey, "HTTP_IDEMPOTENCY_KEY"}, {httpwire.HeaderLeft, "HTTP_X_EXPIRES_IN_MS"}, {"Host", "HTTP_HOST"}, {"Content-Type", "CONTENT_TYPE"}}
+
+// own is the param that a gateway uses in a field's place; empty: none.
+func (w *Gateway) own(i int) string {
+	return [len(fields)]string{w.Trace, w.Class, w.Tenant, w.Key, w.Left}[i]
+}
+
+// pair is a param. It lies in the request's params.
+type pair struct{ name, value []byte }
+
+// few are so many params that each is compared with each.
+const few = 64
+
+// collect takes the params apart. What could end a line, or says two things at once, is refused.
+func (d *desk) collect(params []byte) error {
+	bad := func(what string, name []byte) error {
+		return fmt.Errorf("%w: %s %.60q", httpwire.ErrMalformed, what, name)
+	}
+	d.pairs = d.pairs[:0]
+	var seen map[string][]byte
+	for len(params) > 0 {
+		name, value, rest, err := fcgi.Pair(params)
+		if err != nil {
+			return err
+		}
+		params = rest
+		for _, c := range value {
+			if c < ' ' && c != '\t' || c == 0x7f {
+				return bad("a control byte in", name)
+			}
+		}
+		value = bytes.Trim(value, " \t")
+		was, twice := seen[string(name)]
+		if seen == nil {
+			if was, twice = d.find(string(name)); len(d.pairs) == few {
+				seen = make(map[string][]byte, 4*few)
+				for _, p := range d.pairs {
+					seen[string(p.name)] = p.value
+				}
+			}
+		} else if !twice {
+			seen[string(name)] = value
+		}
+		switch {
+		case !twice:
+			d.pairs = append(d.pairs, pair{name, value})
+		case !bytes.Equal(was, value):
+			return bad("two values of", name)
+		}
+	}
+	return nil
+}
+
+func (d *desk) find(name string) ([]byte, bool) {
+	for _, p := range d.pairs {
+		if string(p.name) == name {
+			return p.value, true
+		}
+	}
+	return nil, false
+}
+
+func (d *desk) get(name string) []byte {
+	value, _ := d.find(name)
+	return value
+}
+
+// head makes a request's head of its params.
+func (d *desk) head(params []byte) error {
+	defer func() { clear(d.pairs) }()
+	if err := d.collect(params); err != nil {
+		return err
+	}
+	verb, from := d.get("REQUEST_METHOD"), len(d.pend)
+	d.pend = append(append(d.pend, verb...), ' ')
+	at := len(d.pend)
+	if uri := d.get("REQUEST_URI"); len(uri) > 0 {
+		d.pend = append(d.pend, uri...)
+	} else {
+		d.pend = append(append(d.pend, d.get("SCRIPT_NAME")...), d.get("PATH_INFO")...)
+		if query := d.get("QUERY_STRING"); len(query) > 0 {
+			d.pend = append(append(d.pend, '?'), query...)
+		}
+	}
+	target := d.pend[at:]
+	if len(verb) == 0 || bytes.ContainsAny(verb, " \t") || bytes.ContainsAny(target, " \t") {
+		return fmt.Errorf("%w: no request line: %.60q", httpwire.ErrMalformed, d.pend[from:])
+	}
+	class, _, _ := bytes.Cut(target, []byte("?"))
+	class, _, _ = bytes.Cut(bytes.TrimPrefix(class, []byte("/")), []byte("/"))
+	class = append(d.spare[:0], class...) // what it lies in grows
+	d.spare = class
+	d.told = -1
+	if text := d.get("CONTENT_LENGTH"); len(text) > 0 {
+		n, err := strconv.ParseUint(string(text), 10, 62)
+		if err != nil {
+			return fmt.Errorf("%w: CONTENT_LENGTH is %.60q", httpwire.ErrMalformed, text)
+		}
+		d.told = int64(n)
+	}
+	d.pend = append(d.pend, " HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"...)
+	for i, f := range fields {
+		v := d.get(f.param)
+		if own := d.way.own(i); own != "" {
+			if given := d.get(own); len(given) > 0 {
+				v = given
+			}
+		}
+		if len(v) == 0 {
+			v = d.instead(f.header, class)
+		}
+		if len(v) > 0 {
+			d.pend = append(append(append(append(d.pend, f.header...), ": "...), v...), "\r\n"...)
+		}
+	}
+	for _, p := range d.pairs { // for routes: servers are sent none of them
+		if bytes.HasPrefix(p.name, []byte("HTTP_")) && len(p.value) > 0 && plain(p.name) && !hop[string(p.name)] && !usual(p.name) {
+			d.pend = append(append(append(appendHeader(d.pend, p.name), ": "...), p.value...), "\r\n"...)
+		}
+	}
+	d.pend = append(d.pend, "\r\n"...)
+	return nil
+}
+
+// instead is what stands for a field that a gateway does not send.
+func (d *desk) instead(header string, class []byte) []byte {
+	switch header {
+	case httpwire.HeaderTrace: // a gateway that has none can't ask for the same again, either
+		return fmt.Appendf(nil, "%016x%016x", rand.Uint64(), rand.Uint64())
+	case httpwire.HeaderMethod:
+		return class
+	case httpwire.HeaderTenant:
+		return []byte(d.way.OfTenant)
+	case httpwire.HeaderLeft:
+		if d.way.OfLeft > 0 {
+			return strconv.AppendInt(nil, d.way.OfLeft.Milliseconds(), 10)
+		}
+	}
+	return nil
+}
+
+// usual tells a param that is one of the fields'.
+func usual(name []byte) bool {
+	for _, f := range fields {
+		if string(name) == f.param {
+			return true
+		}
+	}
+	return false
+}
+
+// plain tells a param's name that CGI makes of a header's: any other could end its line.
+func plain(name []byte) bool {
+	for _, c := range name {
+		if c != '_' && (c < 'A' || c > 'Z') && (c < '0' || c > '9') {
+			return false
+		}
+	}
+	return len(name) > len("HTTP_")
+}
+
+// appendHeader writes the name that CGI made a param of, as far as that can be told.
+func appendHeader(to, param []byte) []byte {
+	first := true
+	for _, c := range param[len("HTTP_"):] {
+		switch {
+		case c == '_':
+			c = '-'
+		case !first && c >= 'A' && c <= 'Z':
+			c += 'a' - 'A'
+		}
+		to = append(to, c)
+		first = c == '-'
+	}
+	return to
+}
+
+// stays tells, when something has come while a request is out, whether its gateway still waits for it.
+func (d *desk) stays(q *httpwire.Request) bool {
+	if q.Rest != nil && !q.Rest.Ended() { // who passes its body on reads, and sees it first
+		return !d.gone.Load() && !d.c.ended.Load()
+	}
+	return d.look()
+}
+
+// answer writes a whole answer to the request that is out, and its end.
+func (d *desk) answer(to []byte, a *httpwire.Answer, headOnly bool) []byte {
+	if d.id == 0 {
+		return to // nobody has asked anything yet
+	}
+	status := fcgi.Complete
+	if a.Status == 503 && d.way.Overloaded {
+		status = fcgi.Overloaded
+	} else {
+		to = d.begin(to, a)
+		if !headOnly {
+			to = fcgi.AppendStream(to, fcgi.Stdout, d.id, a.Body)
+		}
+	}
+	return d.end(to, 0, status)
+}
+
+// begin writes an answer's head.
+func (d *desk) begin(to []byte, a *httpwire.Answer) []byte {
+	var head [256]byte
+	again := ""
+	if a.RetryAfter > 0 {
+		again = strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)
+	}
+	return fcgi.AppendStream(to, fcgi.Stdout, d.id, fcgi.AppendCGI(head[:0], a.Status, httpwire.Reason(a.Status), a.Type, again))
+}
+
+func (d *desk) frame(p []byte) net.Buffers { return fcgi.Records(fcgi.Stdout, d.id, p) }
+
+// end ends the request; its id may be used again.
+func (d *desk) end(to []byte, app uint32, s fcgi.Status) []byte {
+	if s == fcgi.Complete {
+		to = fcgi.AppendStreamEnd(to, fcgi.Stdout, d.id)
+	}
+	to = fcgi.AppendEnd(to, d.id, app, s)
+	d.app.Done(d.id)
+	d.id = 0
+	return to
+}
--- a/internal/frontend/rest.go
+++ b/internal/frontend/rest.go
@@ -53,11 +53,23 @@
 		c.stirred = true
 	}
 	f.mu.Unlock()
+	if c.desk != nil { // a gateway may give up what is out
+		c.tell()
+	}
 	if lingers && !f.discard(c) {
 		f.close(c)
 	}
 }
 
+// unstir tells whether something has come while a connection was served, and forgets that.
+func (f *Server) unstir(c *conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	was := c.stirred
+	c.stirred = false
+	return was
+}
+
 // lingers takes in what a caller is still sending after its last answer: closed with bytes unread, the connection would be
 // reset and the answer lost with it. It holds no place and no goroutine meanwhile.
 func (f *Server) lingers(c *conn) bool {
@@ -174,10 +186,16 @@
 // again finds what comes next for a connection that has just been answered.
 func (f *Server) again(c *conn) step {
 	more := c.reader.Brim()
+	if c.desk != nil {
+		if !c.desk.rest() {
+			return goOn
+		}
+		more = true // its reader has its own ways with what comes
+	}
 	for {
 		f.mu.Lock()
 		ends := c.ending || f.drained || f.emptied
-		if pass := f.pass; pass != nil && !c.ending && !c.last {
+		if pass := f.pass; pass != nil && !c.ending && !c.last && c.desk == nil {
 			f.mu.Unlock()
 			if f.passes(c, pass) {
 				return stood
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -119,12 +119,15 @@
 
 // Serve begins to take connections, until the listener is closed. Several listeners may be served at once; Drain
 // waits for them all.
-func (f *Server) Serve(ln net.Listener) {
+func (f *Server) Serve(ln net.Listener) { f.ServeGateways(ln, nil) }
+
+// ServeGateways does the same where callers are gateways that speak FastCGI.
+func (f *Server) ServeGateways(ln net.Listener, way *Gateway) {
 	f.done.Add(1)
-	go f.serve(ln)
+	go f.serve(ln, way)
 }
 
-func (f *Server) serve(ln net.Listener) {
+func (f *Server) serve(ln net.Listener, way *Gateway) {
 	defer f.done.Done()
 	for {
 		raw, err := ln.Accept()
@@ -137,32 +140,37 @@
 			time.Sleep(f.limits.TakeAgain)
 			continue
 		}
-		f.take(raw)
+		f.take(raw, way)
 	}
 }
 
 // take finds a place for a new connection. Where there is none, one that is idle has to give way; if all are
 // in use the new one waits for the first to end, since closing it could lose a request that is already
 // written to it.
-func (f *Server) take(raw net.Conn) {
+func (f *Server) take(raw net.Conn, way *Gateway) {
 	f.mu.Lock()
 	pass := f.pass
 	f.mu.Unlock()
-	if pass != nil && pass(raw, false) == nil { // it was taken while the listener changed hands
+	if pass != nil && way == nil && pass(raw, false) == nil { // it was taken while the listener changed hands
 		raw.Close()
 		return
 	}
-	f.Adopt(raw, false)
+	f.adopt(raw, false, way)
 }
 
 // Adopt finds a place for a connection, also one that another process had; asked tells whether it has brought an RPC there.
-func (f *Server) Adopt(raw net.Conn, asked bool) {
+func (f *Server) Adopt(raw net.Conn, asked bool) { f.adopt(raw, asked, nil) }
+
+func (f *Server) adopt(raw net.Conn, asked bool, way *Gateway) {
 	for !f.room() || !f.budget.TakeLast() {
 		f.closeIdle()
 		time.Sleep(f.limits.LastLook)
 	}
 	if c := f.newConn(raw); c != nil {
 		c.first, c.asked = !asked, asked
+		if way != nil {
+			c.desk = newDesk(c, way)
+		}
 		f.add(c)
 	}
 }
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -300,6 +300,9 @@
 	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
 	500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout"}
 
+// Reason is a status's phrase.
+func Reason(status int) string { return reasons[status] }
+
 // Answer is what a node says to a caller.
 type Answer struct {
 	Status     int
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -41,10 +41,25 @@
 	Record  Record
 	Keys    keys.Files // towards discovery; none: plain TCP
 	Sharing Sharing
+	Gateway []Gateway
 	Service []Service
 	Route   []Route
 }
 
+// Gateway is an address where gateways that speak FastCGI are listened to.
+type Gateway struct {
+	Listen     string   // address, or unix:PATH
+	Overloaded bool     // a pushback is END_REQUEST with OVERLOADED
+	Tenant     string   // of who sends none
+	Left       Duration // of who sends no time
+	Params     GatewayParams
+}
+
+// GatewayParams names the params that a gateway uses for what it can't send in the protocol's own headers.
+type GatewayParams struct {
+	Trace, Class, Tenant, Key, Left string
+}
+
 // Log says how the log is written.
 type Log struct {
 	Level string // debug, info, warn, error
@@ -358,6 +373,18 @@
 		bad(err != nil, "listen: %q is no address with a port", a)
 		bad(slices.Contains(c.Listen[:i], a), "listen: %s stands twice", a)
 	}
+	for i, g := range c.Gateway {
+		at := fmt.Sprintf("gateway[%d]", i+1)
+		path, unix := strings.CutPrefix(g.Listen, "unix:")
+		_, _, err := net.SplitHostPort(g.Listen)
+		bad(unix && !strings.HasPrefix(path, "/") || !unix && err != nil, "%s.listen: %q is neither an address with a port nor unix: with a whole path", at, g.Listen)
+		bad(slices.Contains(c.Listen, g.Listen) || slices.ContainsFunc(c.Gateway[:i], func(o Gateway) bool { return o.Listen == g.Listen }), "%s.listen: %s stands twice", at, g.Listen)
+		bad(g.Left < 0, "%s.left: it is negative", at)
+		bad(strings.ContainsFunc(g.Tenant, unicode.IsControl), "%s.tenant: %q", at, g.Tenant)
+		for _, name := range []string{g.Params.Trace, g.Params.Class, g.Params.Tenant, g.Params.Key, g.Params.Left} {
+			bad(name != "" && (strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r > '~' }) || len(name) > 128), "%s.params: %q is no name of a param", at, name)
+		}
+	}
 	if c.Admin.Listen != "" {
 		_, _, err := net.SplitHostPort(c.Admin.Listen)
 		bad(err != nil, "admin.listen: %q is no address with a port", c.Admin.Listen)
@@ -550,12 +577,13 @@
 // KeepProcess puts what a running process can't change back to what it runs with, and names it.
 func (c *Config) KeepProcess(running *Config) (waits []string) {
 	for name, same := range map[string]bool{"name": c.Name == running.Name, "listen": slices.Equal(c.Listen, running.Listen),
-		"log": c.Log == running.Log, "machine": c.Machine == running.Machine, "callers": c.Callers == running.Callers, "admin": c.Admin == running.Admin, "record": c.Record.same(&running.Record), "keys": c.Keys == running.Keys, "deadlines longer than any before": c.Limits.IDLife <= running.Limits.IDLife} {
+		"log": c.Log == running.Log, "machine": c.Machine == running.Machine, "callers": c.Callers == running.Callers, "admin": c.Admin == running.Admin, "gateway": slices.Equal(c.Gateway, running.Gateway), "record": c.Record.same(&running.Record), "keys": c.Keys == running.Keys, "deadlines longer than any before": c.Limits.IDLife <= running.Limits.IDLife} {
 		if !same {
 			waits = append(waits, name)
 		}
 	}
 	slices.Sort(waits)
+	c.Gateway = running.Gateway
 	c.Name, c.Listen, c.Log, c.Machine, c.Callers, c.Admin, c.Record, c.Keys, c.Limits = running.Name, running.Listen, running.Log, running.Machine, running.Callers, running.Admin, running.Record, running.Keys, running.Limits
 	c.Shares.Total = running.Shares.Total
 	return waits
--- a/internal/upstream/fastcgi.go
+++ b/internal/upstream/fastcgi.go
@@ -110,16 +110,7 @@
 )
 
 // frame makes records of a part of the body.
-func (a *application) frame(p []byte) net.Buffers {
-	var out net.Buffers
-	for len(p) > 0 {
-		n := min(len(p), fcgi.MostContent)
-		h := fcgi.Head(fcgi.Stdin, a.id, n)
-		out = append(out, h[:], p[:n])
-		p = p[n:]
-	}
-	return out
-}
+func (a *application) frame(p []byte) net.Buffers { return fcgi.Records(fcgi.Stdin, a.id, p) }
 
 func (a *application) end(to []byte) []byte { return fcgi.AppendStreamEnd(to, fcgi.Stdin, a.id) }
 
