Lab: robinlab pairs, HTTP and FastCGI on either side with servers that die

A gateway's connection is looked at after an answer only where the kernel may hold something no event tells of.

--- a/cmd/robinlab/main_test.go
+++ b/cmd/robinlab/main_test.go
@@ -307,3 +307,23 @@
 	require.NoError(t, err)
 	assert.Equal(t, s.arms, e.Arms)
 }
+
+// HTTP and FastCGI on either side, with servers that die in their answers.
+func TestEveryPairOfProtocolsGivesOneAnswerAndNoEffectTwice(t *testing.T) {
+	t.Parallel()
+	r := &chaos.Pairs{Program: filepath.Join(bins, "robincart"), Requests: 1500, Calm: 300, Callers: 8, Seed: time.Now().UnixNano() % 1_000_000}
+	require.NoError(t, r.Play(t.Context()))
+	assert.Empty(t, r.Broken, "seed %d", r.Seed)
+	require.Len(t, r.All, 4)
+	for _, p := range r.All {
+		answers, faults := 0, 0
+		for _, n := range p.Answers {
+			answers += n
+		}
+		for _, n := range p.Faults {
+			faults += n
+		}
+		assert.Equal(t, 1500, answers, "%s in, %s out", p.In, p.Out)
+		assert.Positive(t, faults)
+	}
+}
--- a/internal/frontend/desk.go
+++ b/internal/frontend/desk.go
@@ -35,6 +35,7 @@
 	records fcgi.Reader
 	buf     *[]byte
 	looking bool // nothing is waited for
+	brim    bool // the last read filled its buffer
 
 	id    uint16 // of the request that is read or out; 0: none
 	keep  bool
@@ -72,9 +73,14 @@
 	case !d.c.try:
 		return 0, errNothing
 	}
-	return d.c.readRaw(to)
+	n, err := d.c.readRaw(to)
+	d.brim = n == len(to)
+	return n, err
 }
 
+// more tells whether the kernel may hold something that no event will tell of.
+func (d *desk) more() bool { return d.brim || d.gone.Load() }
+
 func (d *desk) awake() {
 	if d.buf == nil {
 		d.buf = deskBuffers.Get().(*[]byte)
--- a/internal/frontend/rest.go
+++ b/internal/frontend/rest.go
@@ -190,7 +190,7 @@
 		if !c.desk.rest() {
 			return goOn
 		}
-		more = true // its reader has its own ways with what comes
+		more = c.desk.more()
 	}
 	for {
 		f.mu.Lock()
