A gateway's request is given up while it still comes without a wait or a race

Cause: read again: an ABORT ahead of the params' end went by what the request before had been, so its gateway waited for 2.5 s and the connection closed; and where a request was answered while its body was still passed on, the answer and the reader of the body used the same records. Change: the first is ended at once and its id is free; the second stops the reader before the answer. One verdict for the lab's commands instead of two copies. Measured: go test -race -run 'Aborts|FastCGIOnBoth' ./cmd/robincart: both tests fail with the text before, pass now.

--- a/cmd/robincart/gateway_test.go
+++ b/cmd/robincart/gateway_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -233,12 +234,21 @@
 	})
 	_, addr, _ := withGateways(t, s, "")
 	g := reach(t, "tcp", addr)
+	// One that is given up while its params are still coming is ended, too, and its id is free.
+	g.Write(fcgi.AppendAbort(fcgi.AppendBegin(nil, 1, true), 1))
+	_, kind, _ := g.hears(1)
+	assert.Equal(t, fcgi.End, kind)
 	for i := range 20 {
 		id := uint16(i%3 + 1)
 		if i%2 == 0 {
 			status, body := g.ask(id, asking(id, true, usual("find", "GET"), "", 1))
 			assert.Equal(t, 200, status)
 			assert.Equal(t, "x", body)
+			if i == 4 { // the same after a request that was whole
+				g.Write(fcgi.AppendAbort(fcgi.AppendBegin(nil, 1, true), 1))
+				_, kind, _ := g.hears(1)
+				assert.Equal(t, fcgi.End, kind)
+			}
 			continue
 		}
 		had := s.count()
@@ -276,7 +286,7 @@
 	}}
 	require.NoError(t, app.Start("127.0.0.1:0"))
 	t.Cleanup(app.Stop)
-	withServices(t, fmt.Sprintf(fastcgiService, fmt.Sprintf("%q", app.Addr()))+fmt.Sprintf("\n[[gateway]]\nlisten = %q\n", addr))
+	p := withServices(t, fmt.Sprintf(fastcgiService, fmt.Sprintf("%q", app.Addr()))+fmt.Sprintf("\n[[gateway]]\nlisten = %q\n", addr))
 	g := reach(t, "tcp", addr)
 	for _, body := range []string{"", "seats", large, "seats"} {
 		status, text := g.ask(3, asking(3, true, usual("charge", "POST"), body, 30_000))
@@ -286,4 +296,12 @@
 	g.Write(asking(4, true, usual("book", "POST", "HTTP_IDEMPOTENCY_KEY", "k"), large, 30_000))
 	_, kind, _ := g.hears(4)
 	assert.Zero(t, kind, "no END, and the connection closes")
+	// A node that ends by force while a body is still coming tells its gateway.
+	g = reach(t, "tcp", addr)
+	g.Write(asking(5, true, usual("charge", "POST"), large, 30_000)[:len(large)/2])
+	time.Sleep(100 * time.Millisecond)
+	require.NoError(t, p.Signal(syscall.SIGTERM))
+	text, kind, _ := g.hears(5)
+	assert.Equal(t, fcgi.End, kind)
+	assert.Regexp(t, "^Status: (408|50[34])", text)
 }
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -213,8 +213,8 @@
 		if path, unix := strings.CutPrefix(g.Listen, "unix:"); unix {
 			network, addr = "unix", path
 			// What a killed process has left is in the way; what is no socket, or serves, is somebody's.
-			if c, err := net.Dial(network, addr); err == nil {
-				c.Close()
+			if other, err := net.Dial(network, addr); err == nil {
+				other.Close()
 				err = fmt.Errorf("listen %s: another process serves there", g.Listen)
 				return nil, errors.Join(err, closeGateways(all))
 			} else if info, err := os.Lstat(addr); err == nil && info.Mode()&os.ModeSocket != 0 {
--- a/cmd/robinlab/pairs.go
+++ b/cmd/robinlab/pairs.go
@@ -30,14 +30,7 @@
 				fmt.Fprintf(out, "%-8s %-8s  %12v %5d µs %5d µs   %8d %8d %8d  %8d %8d  %v\n", p.In, p.Out, p.CPU, p.Latency.ValueAtQuantile(50), p.Latency.ValueAtQuantile(99), p.Answers[200], p.Answers[503],
 					p.Answers[504], p.Effects, p.Repeats(), p.Faults)
 			}
-			for _, b := range r.Broken {
-				fmt.Fprintln(out, "BROKEN", b)
-			}
-			if len(r.Broken) > 0 {
-				return errFailed
-			}
-			fmt.Fprintln(out, "one answer each, and no effect twice")
-			return nil
+			return verdict(out, r.Broken, "one answer each, and no effect twice")
 		}}
 	c.Flags().StringVar(&program, "node", "", "the node's program")
 	c.Flags().IntVar(&r.Requests, "requests", 25_000, "of each pair, to servers that die")
--- a/cmd/robinlab/record.go
+++ b/cmd/robinlab/record.go
@@ -51,14 +51,7 @@
 				return err
 			}
 			counts(out, r.Counts)
-			for _, b := range r.Broken {
-				fmt.Fprintln(out, "BROKEN", b)
-			}
-			if len(r.Broken) > 0 {
-				return errFailed
-			}
-			fmt.Fprintln(out, "nothing was lost")
-			return nil
+			return verdict(out, r.Broken, "nothing was lost")
 		}}
 	c.Flags().StringVar(&program, "node", "", "the node's program")
 	c.Flags().DurationVar(&length, "for", 20*time.Minute, "how long")
@@ -162,3 +155,15 @@
 		fmt.Fprintf(w, "%7d %s\n", all[n], n)
 	}
 }
+
+// verdict says what was broken, or that all is well.
+func verdict(out io.Writer, broken []string, well string) error {
+	for _, b := range broken {
+		fmt.Fprintln(out, "BROKEN", b)
+	}
+	if len(broken) > 0 {
+		return errFailed
+	}
+	fmt.Fprintln(out, well)
+	return nil
+}
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -227,7 +227,7 @@
 				c.rpc.Store(nil)
 				service.giveUp(rpc, f.answers)
 				f.end()
-				return c.abandoned()
+				return c.abandoned(q)
 			}
 		case <-recalled: // what it holds was borrowed, and its owner needs it
 			service.giveUp(rpc, f.answers)
@@ -286,8 +286,8 @@
 
 // abandoned ends a request whose caller has given it up, and tells whether its connection can be used again: a gateway has said so and
 // goes on.
-func (c *conn) abandoned() bool {
-	if c.desk == nil || !c.desk.gone.Load() || !c.desk.here {
+func (c *conn) abandoned(q *httpwire.Request) bool {
+	if c.desk == nil || !c.desk.gone.Load() || q.Rest != nil && !q.Rest.Ended() {
 		return false
 	}
 	keep := c.desk.keep && !c.last && !c.server.closing()
@@ -389,6 +389,9 @@
 // answer writes a request's one answer.
 func (c *conn) answer(q *httpwire.Request, a *httpwire.Answer) bool {
 	a.Close = a.Close || q.Close || c.last || c.server.closing() || q.Rest != nil && !q.Rest.Ended() || c.desk != nil && !c.desk.keep
+	if c.desk != nil && q.Rest != nil { // an exchange may still read the body, and the records are its own until then
+		q.Rest.Stop(c.giveIn)
+	}
 	if a.Rest != nil {
 		return c.stream(a) && !a.Close
 	}
--- a/internal/frontend/desk.go
+++ b/internal/frontend/desk.go
@@ -165,6 +165,12 @@
 		d.pend = append(d.pend, "0\r\n\r\n"...)
 		d.here = true
 	case fcgi.Aborted:
+		if d.id == 0 { // its params were still coming: nobody has heard of it
+			d.id = e.ID
+			d.c.SetWriteDeadline(time.Now().Add(d.c.server.limits.CallerWrite))
+			_, err := d.c.Conn.Write(d.end(nil, 1, fcgi.Complete))
+			return err
+		}
 		if d.gone.Store(true); !d.here { // who reads it has nothing to wait for
 			d.c.tell()
 			return errClosed
