--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,10 +1,9 @@
 package decide
 
 // All decisions of a node, and nothing else. Whoever carries RPCs (in the bench internal/simwire, on sockets
-// internal/node) makes one Balancer an instance with New and calls one method for each thing that happens:
-// Listed and ListFailed for the server list, Arrived, Done, Started and Vanished for RPCs and their picks,
-// and Wake for timers. The Balancer acts at once through the Host that New was handed;
-// host.go defines that interface and the plain types. Nothing here knows a clock, a socket or an id.
+// internal/node) makes one Balancer an instance with New and calls one method for each thing that happens.
+// The Balancer acts at once through the Host that New was handed; host.go defines that interface and the
+// plain types. Nothing here knows a clock, a socket or an id.
 //
 // The ordinary path is the Q-router of DESIGN-robincart.md: choose sends to the server with the lowest
 // estimated time-to-go, learn moves the entry that was used. The rest guards it; docs/design.md says when.
@@ -245,10 +244,8 @@
 			b.methods[i].rules = k
 		}
 	}
+	b.tenants = append(b.tenants, make([]tenant, max(0, len(s.Tenants)-len(b.tenants)))...)
 	for i, t := range s.Tenants {
-		if i == len(b.tenants) {
-			b.tenants = append(b.tenants, tenant{})
-		}
 		b.tenants[i].quota = t.Quota * b.part
 	}
 	for i := range b.blocks {
@@ -294,8 +291,7 @@
 			b.ready++
 			b.weight += s.weight
 		}
-		// What has left and has nothing out is forgotten: a day of deploys would else fill the memory and
-		// lengthen each pick's walk over the servers.
+		// What has left and has nothing out is forgotten, else a day of deploys would fill the memory.
 		left := s.state == Gone && len(s.pending) == 0
 		if left {
 			b.restart(s, now)
@@ -320,8 +316,7 @@
 		b.forget(s, i)
 	}
 	s.cost, s.due, s.strikes, s.ejected, s.backoff, s.queue = decaying{}, decaying{}, 0, 0, 0, 0
-	// Every node hears of the start at about the same time: a random first part of a token keeps their
-	// first picks from arriving together.
+	// All nodes hear of the start at once: a random part of a token keeps their first picks apart.
 	s.tokens, s.tokensAt = b.rng.Float64(), now
 }
 
@@ -335,14 +330,9 @@
 func (b *Balancer) Arrived(r *RPC) {
 	now := b.host.Now()
 	m := &b.methods[r.Method]
-	r.open, r.came, r.rules = true, now, m.rules
+	r.open, r.rules, r.value = true, m.rules, m.value
 	b.open++
-	r.useful = now + m.LatencyTarget
-	if m.LateUtility > 0 {
-		r.useful = r.Deadline
-	}
-	r.useful = min(r.useful, r.Deadline-margin)
-	r.value = m.value
+	b.begin(r, now)
 	if r.Tenant < len(b.tenants) && !b.inner {
 		t := &b.tenants[r.Tenant]
 		t.asked.add(1, now, shareHalf)
@@ -356,10 +346,35 @@
 		b.giveUp(r)
 		return
 	}
-	b.host.After(r.useful-now, r)
+	if !r.Coming {
+		b.host.After(r.useful-now, r)
+	}
 	b.pickOr(r, now)
 }
 
+// begin starts an RPC's time.
+func (b *Balancer) begin(r *RPC, now float64) {
+	r.came, r.useful = now, now+r.rules.LatencyTarget
+	if r.rules.LateUtility > 0 {
+		r.useful = r.Deadline
+	}
+	r.useful = min(r.useful, r.Deadline-margin)
+}
+
+// Came is the end of a body that came while its pick was out: only now can its server begin.
+func (b *Balancer) Came(r *RPC) {
+	now := b.host.Now()
+	r.Coming = false
+	b.begin(r, now)
+	b.host.After(r.useful-now, r)
+	for _, p := range r.picks {
+		if p.out {
+			p.sent = now
+			b.host.After(b.lateAfter(p, now), p)
+		}
+	}
+}
+
 // admit takes an RPC only if there is room and it is predicted in time. The prediction is what the last ones
 // waited, those given up on included; the less an RPC is worth, the earlier it gives way. It guards against a
 // crowd in which all are late. Inner nodes take all that can still be in time: a pushback there wastes the
@@ -461,14 +476,13 @@
 	return reset && now < at+ableHalf
 }
 
-// leastRoom is room that no crowd takes away: enough to keep this node's part of the servers at work, so that
-// a slowdown of all servers is not answered by idling them.
+// leastRoom keeps this node's part of the servers at work: a slowdown of all is not answered by idling them.
 func (b *Balancer) leastRoom() float64 { return 2 * max(1, float64(b.ready)) * b.part }
 
 // ended notes how long an RPC was held that found a server, and moves the room: RPCs are held only as many as
 // keep the waits near the goal. A crowd above that would be late to the last one, and tip servers over.
 func (b *Balancer) ended(r *RPC, now float64) {
-	if len(r.picks) == 0 {
+	if len(r.picks) == 0 || r.Coming {
 		return
 	}
 	wait := (now - r.came) / r.rules.LatencyTarget
@@ -505,7 +519,7 @@
 
 // pickOr sends the RPC's next pick or, if there is nowhere to send it, ends it.
 func (b *Balancer) pickOr(r *RPC, now float64) {
-	if len(r.picks) < r.rules.picks && now < r.useful && b.mayRepeat(r, now) {
+	if len(r.picks) < r.rules.picks && (r.Coming || now < r.useful) && b.mayRepeat(r, now) {
 		if s := b.choose(r, now); s != nil {
 			b.send(r, s, now)
 			return
@@ -563,9 +577,8 @@
 		b.cands, b.ests = append(b.cands, s), append(b.ests, e)
 	}
 	b.cands, b.ests = b.cands[:0], b.ests[:0]
-	// Among hundreds the lowest of some is as good: near-ties are many there, and a node's own picks at each are
-	// rare. Where most are sick a few more looks find the sound ones.
-	// Those that were lowest lately are looked at again: chance alone would lose the best from sight.
+	// Among hundreds the lowest of some is as good: near-ties are many there. Where most are sick a few more looks
+	// find the sound ones. Those lowest lately are looked at again: chance alone would lose the best from sight.
 	if len(b.servers) > sight {
 		for i, s := range b.lately {
 			if s != nil && !slices.Contains(b.lately[:i], s) {
@@ -625,7 +638,7 @@
 	q += 2 * typical * float64(len(s.pending)) * b.weight / s.weight / (1 + crowd)
 	// A hung server looks sound until its time-outs land: a late pick counts before it ends.
 	if len(s.pending) > 0 {
-		if p := s.pending[0]; now-p.sent > p.late {
+		if p := s.pending[0]; now-p.sent > p.late && !p.RPC.Coming {
 			q += now - p.sent
 		}
 	}
@@ -673,12 +686,7 @@
 	if b.cold(s, now) < 1 {
 		unknown = 1 // it cannot have jammed yet, and a deploy leaves no others
 	}
-	// Both sums move together, so one power serves both.
-	if at := s.cost.at; now > at {
-		f := math.Exp2((at - now) / b.keepPace)
-		s.cost, s.due = decaying{s.cost.sum * f, now}, decaying{s.due.sum * f, now}
-	}
-	return (s.cost.sum + doubt*unknown) / (s.due.sum + doubt)
+	return (s.cost.read(now, b.keepPace) + doubt*unknown) / (s.due.read(now, b.keepPace) + doubt)
 }
 
 // cold is the part of its capacity that a server is sure to have.
@@ -731,7 +739,7 @@
 	b.sent.add(1, now, extraHalf)
 	s.pending = append(s.pending, p)
 	b.host.Send(p, 0)
-	if wait := b.lateAfter(p, now); now+wait < r.useful {
+	if wait := b.lateAfter(p, now); now+wait < r.useful && !r.Coming {
 		b.host.After(wait, p)
 	}
 }
@@ -791,10 +799,9 @@
 	}
 }
 
-// overtake counts a late pick before it ends, with its age so far, or as a failure if the server has answered
-// nothing since it was sent.
+// overtake counts a late pick before its end, by its age, or as a failure if its server has been silent since.
 func (b *Balancer) overtake(p *Pick, now float64) {
-	if p.charged || now-p.sent < p.late*0.99 {
+	if p.charged || p.RPC.Coming || now-p.sent < p.late*0.99 {
 		return
 	}
 	p.charged = true
--- a/decide/host.go
+++ b/decide/host.go
@@ -133,6 +133,7 @@
 	Tenant   int
 	Deadline float64
 	Retry    bool // the client says that it has asked before
+	Coming   bool // its body is still on its way, through its pick: its time begins with Balancer.Came
 	Of       any  // the host's own
 	rpc
 }
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +31,7 @@
 	reader *httpwire.Reader         // while it is served
 	rpc    atomic.Pointer[node.RPC] // while one is out
 	ended  atomic.Bool              // the caller has closed its side
+	cut    atomic.Bool              // what is being read is given up: its deadline must not be put off
 
 	// Its own goroutine's:
 	begun  time.Duration // of the request that is being read
@@ -36,6 +39,7 @@
 	last   bool          // its next answer is its last
 	try    bool          // the next read must not wait
 	timed  bool          // a read deadline is set
+	counts int           // the bytes that it goes by
 	tired  bool          // it has waited for its place too long: it is told that the node is full
 	full   bool          // its request came too slowly for the places there are
 	linger bool          // what its caller still sends is to be taken in before the close
@@ -94,7 +98,7 @@
 	f := c.server
 	r := readers.Get().(*httpwire.Reader)
 	r.Init(c, &f.limits.Wire)
-	r.Absolute, r.Pace = f.table.Load().Find != nil, c
+	r.Headers, r.Pace, r.Expected = f.table.Load().Find != nil, c, c.goAhead
 	c.reader = r
 	for next := goOn; next == goOn; {
 		c.try = !r.Beyond()
@@ -117,7 +121,6 @@
 // gets the one answer. It returns whether the connection can be used again.
 func (c *conn) request() bool {
 	f := c.server
-	came := f.now() // the caller's time runs since it sent the request, so not from the last byte on
 	c.begun = f.clock()
 	if c.first {
 		c.begun = c.born // one who says nothing, then half a request, has no more time than others
@@ -126,8 +129,12 @@
 	if err != nil {
 		return c.unread(err)
 	}
-	c.whole()
-	c.first = false
+	came := f.now() // the caller's time runs from its last byte on: it may take seconds to send
+	if c.first = false; q.Rest == nil {
+		c.whole()
+	} else {
+		defer c.rest(q)
+	}
 	if q.Path == httpwire.PathReady {
 		return c.answer(q, f.ready(q))
 	}
@@ -160,7 +167,7 @@
 		recalled = lease.Recalled()
 	}
 
-	rpc := service.core.Arrived(method, tenant, came+q.Left, q.SecondTry)
+	rpc := service.core.Arrived(method, tenant, came+q.Left, q.SecondTry, q.Rest != nil)
 	c.watch(rpc)
 	var a *httpwire.Answer
 	for a == nil {
@@ -170,7 +177,10 @@
 			case node.Send:
 				service.picks.Start(o.Pick, q)
 			case node.Served:
-				a = &httpwire.Answer{Status: 200, Type: o.Answer.Type, Body: o.Answer.Body}
+				a = &httpwire.Answer{Status: 200, Type: o.Answer.Type, Body: o.Answer.Body, Old: q.Old}
+				if o.Answer.Rest != nil {
+					a.Rest = o.Answer.Rest
+				}
 			case node.PushBack:
 				f.turns(c, service.share != nil)
 				a = &httpwire.Answer{Status: 503, RetryAfter: o.Wait}
@@ -194,6 +204,10 @@
 		}
 	}
 	c.rpc.Store(nil)
+	if a.Rest != nil { // its server's connection is in use until it has passed
+		defer f.end()
+		return c.answer(q, a)
+	}
 	// Before the answer: its reader may ask again elsewhere at once, and would be turned away where places are few.
 	f.end()
 	return c.answer(q, a)
@@ -209,6 +223,9 @@
 			if o.Kind == node.Send {
 				v.core.Done(o.Pick, decide.Ignored, nil)
 			}
+			if o.Kind == node.Served && o.Answer.Rest != nil {
+				o.Answer.Rest.Close(false)
+			}
 		default:
 			return
 		}
@@ -230,14 +247,48 @@
 	}
 }
 
-// Progress is told that a request does not come whole. Its rest has a time, and places for such requests are few.
+// slowStep is how many bytes of a request put its deadline off.
+const slowStep = 8 << 10
+
+// Progress is told that a request does not come whole. Its rest has a time, more for what is large, and places for such
+// requests are few.
 func (c *conn) Progress(bool) {
-	if c.timed {
+	f := c.server
+	if c.timed && c.reader.Got() < c.counts+slowStep {
 		return
 	}
-	c.timed = true
-	c.SetReadDeadline(c.server.started.Add(c.begun + c.server.limits.CallerRead))
-	c.server.slows(c)
+	first := !c.timed
+	c.timed, c.counts = true, c.reader.Got()
+	c.SetReadDeadline(f.started.Add(c.begun + f.limits.CallerRead + f.limits.Slowest(c.counts)))
+	if c.cut.Load() { // given up just now
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
+	if first {
+		f.slows(c)
+	}
+}
+
+// goAhead tells a caller that waits for it to send its body.
+func (c *conn) goAhead() {
+	c.SetWriteDeadline(time.Now().Add(c.server.limits.CallerWrite))
+	c.Conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+}
+
+// rest ends a request whose body came while it was passed on: nobody reads from the connection any more.
+func (c *conn) rest(q *httpwire.Request) {
+	q.Rest.Stop(c.giveIn)
+	c.cut.Store(false)
+	c.whole()
+	if c.timed = false; !q.Rest.Ended() {
+		c.linger = true
+		c.SetReadDeadline(time.Time{})
+	}
+}
+
+// giveIn interrupts who reads from the connection.
+func (c *conn) giveIn() {
+	c.cut.Store(true)
+	c.SetReadDeadline(time.Unix(1, 0))
 }
 
 // whole ends what Progress began.
@@ -245,6 +296,7 @@
 	if c.timed {
 		c.timed = false
 		c.server.isWhole(c)
+		c.cut.Store(false)
 		c.SetReadDeadline(time.Time{})
 	}
 }
@@ -272,10 +324,56 @@
 
 // answer writes a request's one answer.
 func (c *conn) answer(q *httpwire.Request, a *httpwire.Answer) bool {
-	a.Close = a.Close || q.Close || c.last || c.server.closing()
+	a.Close = a.Close || q.Close || c.last || c.server.closing() || q.Rest != nil && !q.Rest.Ended()
+	if a.Rest != nil {
+		return c.stream(a) && !a.Close
+	}
 	return c.write(a, q.Verb == "HEAD") && !a.Close
 }
 
+// pieces are what large answers pass through.
+var pieces = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+
+// stream passes an answer on while it comes, at its reader's pace. One that breaks off looks broken: the connection ends
+// short of the length, without the last chunk or, where neither can be told, by a reset.
+func (c *conn) stream(a *httpwire.Answer) bool {
+	piece := pieces.Get().(*[]byte)
+	defer pieces.Put(piece)
+	chunked, frame := a.Chunked(), make([]byte, 0, 16)
+	write := func(parts ...[]byte) bool {
+		c.SetWriteDeadline(time.Now().Add(c.server.limits.CallerTakes))
+		b := net.Buffers(parts)
+		_, err := b.WriteTo(c.Conn)
+		return err == nil
+	}
+	body := func(p []byte) bool {
+		if !chunked {
+			return write(p)
+		}
+		frame = append(strconv.AppendInt(frame[:0], int64(len(p)), 16), "\r\n"...)
+		return write(frame, p, []byte("\r\n"))
+	}
+	ok := write(a.AppendHead(nil)) && (len(a.Body) == 0 || body(a.Body))
+	for ok {
+		n, err := a.Rest.Read(*piece)
+		if n > 0 {
+			ok = body((*piece)[:n])
+		}
+		if err == io.EOF {
+			break
+		}
+		ok = ok && err == nil
+	}
+	if ok && chunked {
+		ok = write([]byte("0\r\n\r\n"))
+	}
+	a.Rest.Close(ok)
+	if t, is := c.Conn.(*net.TCPConn); is && !ok && a.Old && a.Rest.Length() < 0 {
+		t.SetLinger(0)
+	}
+	return ok
+}
+
 // heads are buffers that answers are written from.
 var heads = sync.Pool{New: func() any { b := make([]byte, 0, 1024); return &b }}
 
--- a/internal/frontend/rest.go
+++ b/internal/frontend/rest.go
@@ -309,6 +309,7 @@
 	if out := f.gate.Slow(&c.Member, f.clock()); out != nil {
 		o := out.Owner.(*conn)
 		o.full = true
+		o.cut.Store(true)
 		o.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -27,9 +27,9 @@
 
 // Core is what a request's life asks and tells the node's core.
 type Core interface {
-	Arrived(method, tenant int, deadline time.Duration, retry bool) *node.RPC
+	Arrived(method, tenant int, deadline time.Duration, retry, coming bool) *node.RPC
 	Vanished(*node.RPC)
-	Done(*node.Pick, decide.Result, *node.Answer)
+	Done(*node.Pick, decide.Result, *node.Answer) (served bool)
 }
 
 // Picks carries out picks, without keeping anyone waiting, and reports their results to the core.
@@ -252,6 +252,7 @@
 			return
 		}
 		c.ending = true
+		c.cut.Store(true)
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
 	for c := f.fresh.first(); c != nil && now-c.born >= f.limits.CallerRest; c = f.fresh.first() {
--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -22,11 +22,12 @@
 	hEncoding
 	hLength
 	hConnection
+	hExpect
 	hCount
 )
 
 var names = [hCount]string{HeaderTrace, HeaderKey, HeaderMethod, HeaderTenant, headerType, "Host", HeaderLeft, HeaderSecondTry,
-	HeaderNeverRan, headerEncoding, headerLength, headerConnection}
+	HeaderNeverRan, headerEncoding, headerLength, headerConnection, "Expect"}
 
 // Head is a message's start line and what its headers say.
 type Head struct {
@@ -37,6 +38,8 @@
 	count [hCount]int
 	other [hCount]bool // a later one is different
 	close bool         // one of Connection's words
+
+	expects bool // its sender waits for a word before the body
 }
 
 func (h *Head) add(k known, v string) {
@@ -45,6 +48,9 @@
 	} else if v != h.value[k] {
 		h.other[k] = true
 	}
+	if k == hExpect {
+		h.expects = h.expects || strings.EqualFold(v, "100-continue")
+	}
 	if k == hConnection {
 		h.close = h.close || asksClose(v)
 	}
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/textproto"
 	"strconv"
 	"strings"
@@ -25,35 +26,40 @@
 	Close     bool // the caller wants the connection closed
 	Type      string
 	Body      []byte
+	Rest      *Rest // of the body; nil: it is here
+	Old       bool  // HTTP/1.0
 
-	// Where the reader takes absolute targets, since requests are routed there:
+	// Where the reader keeps them, since requests are routed by them:
 	Header    textproto.MIMEHeader // all of them, as they came
 	Authority string               // of a target in absolute form
 }
 
 // ReadRequest reads one request.
 func (r *Reader) ReadRequest() (*Request, error) {
+	r.got = r.n
+	if err := r.blank(); err != nil {
+		return nil, err
+	}
 	head, err := r.readHead()
 	if err != nil {
 		return nil, err
 	}
 	verb, rest, ok1 := strings.Cut(head.Line, " ")
 	target, version, ok2 := strings.Cut(rest, " ")
-	authority := ""
-	if r.Absolute {
-		authority, target = splitAbsolute(target)
-	}
+	authority, target := splitAbsolute(target)
 	if !ok1 || !ok2 || !token(verb) || !origin(target) || version != "HTTP/1.1" && version != "HTTP/1.0" {
 		return nil, fmt.Errorf("%w: request line %.80q", ErrMalformed, head.Line)
 	}
-	q := &Request{Verb: verb, Target: target, Close: version == "HTTP/1.0" || head.close, Authority: authority, Header: head.Header}
+	q := &Request{Verb: verb, Target: target, Close: version == "HTTP/1.0" || head.close, Authority: authority, Header: head.Header, Old: version == "HTTP/1.0"}
 	q.Path, _, _ = strings.Cut(target, "?")
-	if q.Body, _, err = r.readBody(&head); err != nil {
+	if q.Body, q.Rest, _, err = r.readBody(&head); err != nil {
 		return nil, err
 	}
-	r.rest()
+	if q.Rest == nil {
+		r.rest()
+	}
 	for k, other := range head.other {
-		if other && known(k) != hConnection && known(k) != hNeverRan {
+		if other && known(k) != hConnection && known(k) != hNeverRan && known(k) != hExpect {
 			_, err := head.one(known(k))
 			return nil, err
 		}
@@ -70,6 +76,27 @@
 	return q, nil
 }
 
+// blank reads over empty lines ahead of a request: some callers end a body with one that does not count.
+func (r *Reader) blank() error {
+	for range 4 {
+		for r.n < 2 && (r.n == 0 || r.buf[0] == '\r') {
+			if err := r.fill(0); err != nil {
+				if r.n > 0 && errors.Is(err, io.EOF) {
+					err = io.ErrUnexpectedEOF
+				}
+				return err
+			}
+		}
+		if r.buf[0] != '\r' || r.buf[1] != '\n' {
+			return nil
+		}
+		if r.skip(2); r.n == 0 {
+			r.rest()
+		}
+	}
+	return nil
+}
+
 func asksClose(value string) bool {
 	for part := range strings.SplitSeq(value, ",") {
 		if strings.EqualFold(strings.TrimSpace(part), "close") {
@@ -133,7 +160,12 @@
 	to = append(to, HeaderLeft+": "...)
 	to = strconv.AppendInt(to, max(1, left.Milliseconds()), 10)
 	to = append(to, "\r\n"...)
-	if q.Verb != "GET" || len(q.Body) > 0 {
+	switch {
+	case q.Rest != nil && q.Rest.Length() < 0:
+		to = header(to, headerEncoding, "chunked")
+	case q.Rest != nil:
+		to = length(to, len(q.Body)+int(q.Rest.Length()))
+	case q.Verb != "GET" || len(q.Body) > 0:
 		to = length(to, len(q.Body))
 	}
 	return append(to, "\r\n"...)
@@ -162,12 +194,14 @@
 	Close    bool // the connection can't be used again
 	Type     string
 	Body     []byte
+	Rest     *Rest // of the body; nil: it is here
 }
 
-// ReadResponse reads one answer. One whose end only the end of its connection tells is refused: a server that
-// died in it would look like one that had finished.
+// ReadResponse reads one answer. One whose end only the end of its connection tells is refused unless it says so: a server
+// that died in it would look like one that had finished.
 func (r *Reader) ReadResponse() (*Response, error) {
 	for {
+		r.got = r.n
 		if err := r.First(); err != nil {
 			return nil, err
 		}
@@ -184,14 +218,30 @@
 		p := &Response{Status: status, Close: strings.HasPrefix(head.Line, "HTTP/1.0") || head.close}
 		bounded := status == 204 || status == 304
 		if !bounded {
-			if p.Body, bounded, err = r.readBody(&head); err != nil {
+			if p.Body, p.Rest, bounded, err = r.readBody(&head); err != nil {
 				return nil, err
 			}
 		}
 		if !bounded {
-			return nil, fmt.Errorf("%w: an answer without a length", ErrMalformed)
+			if !p.Close {
+				return nil, fmt.Errorf("%w: an answer without a length", ErrMalformed)
+			}
+			if p.Body, p.Rest, err = r.toEnd(); err != nil {
+				return nil, err
+			}
+		}
+		if p.Rest != nil {
+			// One that is cut short and said to be large would else be begun, and nobody could be asked again.
+			if p.Body, err = r.begin(p.Body, p.Rest); err != nil {
+				return nil, err
+			}
+			if p.Rest.Ended() {
+				p.Rest = nil
+			}
+		}
+		if p.Rest == nil {
+			r.rest()
 		}
-		r.rest()
 		if p.Type, err = head.one(hType); err != nil {
 			return nil, err
 		}
@@ -240,8 +290,22 @@
 	Type       string
 	Close      bool
 	Body       []byte
+	Rest       Following // of the body; nil: that is all
+	Old        bool      // its reader knows no chunks
+}
+
+// Following is the rest of a body that is passed on while it comes.
+type Following interface {
+	io.Reader
+	// Length is how much is still to come, or -1.
+	Length() int64
+	// Close is called once, with whether all of it was read.
+	Close(whole bool)
 }
 
+// Chunked tells whether the answer goes out in chunks.
+func (a *Answer) Chunked() bool { return a.Rest != nil && a.Rest.Length() < 0 && !a.Old }
+
 // AppendHead writes the answer's head.
 func (a *Answer) AppendHead(to []byte) []byte {
 	to = append(to, "HTTP/1.1 "...)
@@ -259,7 +323,15 @@
 	if a.Close {
 		to = header(to, headerConnection, "close")
 	}
-	return append(length(to, len(a.Body)), "\r\n"...)
+	switch {
+	case a.Chunked():
+		to = header(to, headerEncoding, "chunked")
+	case a.Rest != nil && a.Rest.Length() >= 0:
+		to = length(to, len(a.Body)+int(a.Rest.Length()))
+	case a.Rest == nil:
+		to = length(to, len(a.Body))
+	}
+	return append(to, "\r\n"...)
 }
 
 // Spoilt tells what could not be read as a message from a connection that failed.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -38,6 +38,8 @@
 	CallerRead   time.Duration // from a request's first byte, or the connect, to its last
 	ComeBack     time.Duration // what a caller is told when the node is full
 	CallerWrite  time.Duration // for an answer
+	CallerTakes  time.Duration // that a caller may take nothing of a large one
+	Rate         int           // bytes a second that a message has to come at least, in the long run
 	CallerLinger time.Duration // for what follows a request that could not be read
 	LingerBytes  int           // of that
 	MostLeft     time.Duration // that a caller may say it waits
@@ -45,9 +47,12 @@
 	IDs          int           // known of those at most, twice
 
 	Connect    time.Duration // to a server
-	AnswerRest time.Duration // from an answer's first byte to its last
-	ServerIdle time.Duration // after which a server's connection is closed
-	Sweep      time.Duration // between looks at the idle ones
+	AnswerRest time.Duration // from an answer's first byte to its last, and more for what is large
+	// AnswerSilence is how long an answer that is being passed on may bring nothing, ServerTakes how long a server may take
+	// nothing of a request.
+	AnswerSilence, ServerTakes time.Duration
+	ServerIdle                 time.Duration // after which a server's connection is closed
+	Sweep                      time.Duration // between looks at the idle ones
 
 	ListConnect time.Duration
 	ListAnswer  time.Duration // for the first line of a watch, which may stand in a queue
@@ -90,31 +95,37 @@
 			Read:   512,
 			Head:   16 << 10,
 			Body:   64 << 10,
+			Stream: 32 << 20,
+			Begin:  4 << 10,
 			Chunk:  256,
 		},
-		ListBytes:    4 * mb,
-		TakeAgain:    5 * time.Millisecond,
-		CallerIdle:   90 * time.Second,
-		CallerRest:   100 * time.Millisecond,
-		CallerLong:   2 * time.Second,
-		LastLook:     5 * time.Millisecond,
-		CallerRead:   2500 * time.Millisecond,
-		ComeBack:     500 * time.Millisecond,
-		CallerWrite:  2 * time.Second,
-		CallerLinger: 300 * time.Millisecond,
-		LingerBytes:  256 << 10,
-		MostLeft:     time.Hour,
-		IDs:          16 << 10,
-		Connect:      time.Second,
-		AnswerRest:   500 * time.Millisecond,
-		ServerIdle:   20 * time.Second,
-		Sweep:        500 * time.Millisecond,
-		ListConnect:  1500 * time.Millisecond,
-		ListAnswer:   6 * time.Second,
-		ListSilence:  3 * time.Second,
-		ClassLeaves:  3 * time.Second,
-		StopTaking:   600 * time.Millisecond,
-		StopWrite:    100 * time.Millisecond,
+		ListBytes:     4 * mb,
+		TakeAgain:     5 * time.Millisecond,
+		CallerIdle:    90 * time.Second,
+		CallerRest:    100 * time.Millisecond,
+		CallerLong:    2 * time.Second,
+		LastLook:      5 * time.Millisecond,
+		CallerRead:    2500 * time.Millisecond,
+		ComeBack:      500 * time.Millisecond,
+		CallerWrite:   2 * time.Second,
+		CallerTakes:   30 * time.Second,
+		Rate:          32 << 10,
+		CallerLinger:  300 * time.Millisecond,
+		LingerBytes:   256 << 10,
+		MostLeft:      time.Hour,
+		IDs:           16 << 10,
+		Connect:       time.Second,
+		AnswerRest:    500 * time.Millisecond,
+		AnswerSilence: 10 * time.Second,
+		ServerTakes:   10 * time.Second,
+		ServerIdle:    20 * time.Second,
+		Sweep:         500 * time.Millisecond,
+		ListConnect:   1500 * time.Millisecond,
+		ListAnswer:    6 * time.Second,
+		ListSilence:   3 * time.Second,
+		ClassLeaves:   3 * time.Second,
+		StopTaking:    600 * time.Millisecond,
+		StopWrite:     100 * time.Millisecond,
 	}
 	// Every RPC needs a connection on either side, a second copy one more and discovery one: callers get
 	// under a half.
@@ -137,6 +148,14 @@
 	return l, nil
 }
 
+// Slowest is how long so many bytes may take to come.
+func (l *Limits) Slowest(bytes int) time.Duration {
+	if l.Rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / float64(l.Rate) * float64(time.Second))
+}
+
 // For are the limits with one service's own times towards its servers.
 func (l Limits) For(s *settings.Node) Limits {
 	if s.ConnectTimeout > 0 {
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"time"
 
 	"robincart/decide"
@@ -32,7 +33,11 @@
 	}
 	p.Of = k
 	k.end.What = k
-	c.wheel.Add(&k.end, k.Deadline)
+	if r.obj.Coming { // its time has not begun; who reads the body bounds how long that takes
+		k.Deadline = math.MaxInt64
+	} else {
+		c.wheel.Add(&k.end, k.Deadline)
+	}
 	c.picks = append(c.picks, k)
 	r.out++
 	k.Server.out++
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,14 @@
 type Answer struct {
 	Type string
 	Body []byte
+	Rest Rest // of the body; nil: that is all
+}
+
+// Rest is what of an answer had not come yet when it was passed on. Who gets the answer has to close it.
+type Rest interface {
+	Read(to []byte) (int, error)
+	Length() int64
+	Close(whole bool)
 }
 
 // RPC is one request that the node has taken and owes an answer.
@@ -245,8 +253,10 @@
 
 // Arrived takes a request and returns its RPC, whose orders tell what to do. It came at a time of the core's
 // clock and its caller waits until the deadline.
-func (c *Core) Arrived(method, tenant int, deadline time.Duration, retry bool) *RPC {
-	r := &RPC{Deadline: deadline, obj: decide.RPC{Method: method, Tenant: tenant, Deadline: seconds(deadline) + epoch, Retry: retry}}
+//
+// Of one that is coming the body is on its way still, and goes to its server as it comes: its time begins with Came.
+func (c *Core) Arrived(method, tenant int, deadline time.Duration, retry, coming bool) *RPC {
+	r := &RPC{Deadline: deadline, obj: decide.RPC{Method: method, Tenant: tenant, Deadline: seconds(deadline) + epoch, Retry: retry, Coming: coming}}
 	r.obj.Of = r
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -260,6 +270,23 @@
 	return r
 }
 
+// Came tells that the last byte of a pick's request has been written: its RPC's time runs from now on.
+func (c *Core) Came(p *Pick, left time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := p.rpc
+	if r.ended || !r.obj.Coming {
+		return
+	}
+	now := c.clock.Now()
+	r.Deadline = now + left
+	r.obj.Deadline = seconds(r.Deadline) + epoch
+	p.Deadline, p.sent = r.Deadline, now
+	c.wheel.Add(&p.end, p.Deadline)
+	c.balancer.Came(&r.obj)
+	c.arm()
+}
+
 // Vanished tells that the RPC's caller has left.
 func (c *Core) Vanished(r *RPC) {
 	c.mu.Lock()
@@ -304,12 +331,12 @@
 func (c *Core) Ready(s *Server) bool { return s.ready.Load() }
 
 // Done takes a pick's result, and its answer if that was ok. Each pick has one; from then on nothing breaks what carried
-// it out.
-func (c *Core) Done(p *Pick, res decide.Result, answer *Answer) {
+// it out. It tells whether the answer is its RPC's.
+func (c *Core) Done(p *Pick, res decide.Result, answer *Answer) (served bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p.done {
-		return
+		return false
 	}
 	p.done = true
 	c.wheel.Remove(&p.ring)
@@ -333,10 +360,12 @@
 	if res == decide.OK && !r.ended {
 		r.Orders <- Order{Kind: Served, Answer: answer}
 		c.end(r)
+		served = true
 	}
 	c.balancer.Done(p.obj, res, r.ended, seconds(c.clock.Now()-p.sent), nil)
 	c.leaves(r)
 	c.arm()
+	return served
 }
 
 // Open tells how many RPCs are owed an answer.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,9 +61,30 @@
 // Run carries it out.
 func (x *exchange) Run() {
 	res, answer := x.run()
-	x.pool.core.Done(x.pick, res, answer)
+	served := x.pool.core.Done(x.pick, res, answer)
+	if answer == nil || answer.Rest == nil {
+		return
+	}
+	rest := answer.Rest.(*rest)
+	if served && <-rest.read && rest.Ended() && rest.again && !x.conn.reader.Beyond() {
+		x.conn.streams = false
+		x.conn.onTime()
+		x.pool.keep(x.pick.Server, x.conn)
+	} else {
+		x.pool.close(x.conn)
+	}
 }
 
+// rest is the part of a large answer that comes while it is passed on.
+type rest struct {
+	*httpwire.Rest
+	again bool      // its connection can be used again after it
+	read  chan bool // whole or not, once
+}
+
+// Close tells that no more of it is read.
+func (r *rest) Close(whole bool) { r.read <- whole }
+
 func (x *exchange) run() (decide.Result, *node.Answer) {
 	p := x.pool
 	server := x.pick.Server
@@ -69,6 +92,12 @@
 	if !ready {
 		return decide.Ignored, nil
 	}
+	if body := x.q.Rest; body != nil {
+		if !body.Claim() { // it has gone to another server, or its caller is not read any more
+			return decide.Ignored, nil
+		}
+		defer body.Release()
+	}
 	c := p.reuse(server, addr)
 	if c == nil {
 		if !p.budget.Take() {
@@ -91,9 +120,16 @@
 		return decide.Ignored, nil
 	}
 	res, answer, whole := x.talk(c)
-	if !x.stage.CompareAndSwap(running, over) || !whole {
+	switch running := x.stage.CompareAndSwap(running, over); {
+	case running && answer != nil && answer.Rest != nil:
+		c.onTime()
+		c.streams = true
+	case answer != nil && answer.Rest != nil:
 		p.close(c)
-	} else {
+		return decide.Reset, nil // given up as it began
+	case !running || !whole:
+		p.close(c)
+	default:
 		p.keep(server, c)
 	}
 	return res, answer
@@ -117,8 +153,20 @@
 func (x *exchange) talk(c *conn) (res decide.Result, answer *node.Answer, whole bool) {
 	// One write: it is known whether its last byte went out.
 	head := heads.Get().(*[]byte)
-	msg := x.q.AppendHead((*head)[:0], c.addr, x.pool.core.Remains(x.pick))
+	left := x.q.Left
+	if x.q.Rest == nil {
+		left = x.pool.core.Remains(x.pick)
+	}
+	msg := x.q.AppendHead((*head)[:0], c.addr, left)
 	var err error
+	if x.q.Rest != nil {
+		*head = msg
+		defer heads.Put(head)
+		if res, ok := x.upload(c, msg); !ok {
+			return res, nil, false
+		}
+		return x.answer(c)
+	}
 	if cap(msg)-len(msg) >= len(x.q.Body) {
 		msg = append(msg, x.q.Body...)
 		_, err = c.Write(msg)
@@ -131,6 +179,11 @@
 	if err != nil {
 		return decide.ConnectFailed, nil, false
 	}
+	return x.answer(c)
+}
+
+// answer reads it.
+func (x *exchange) answer(c *conn) (res decide.Result, answer *node.Answer, whole bool) {
 	c.by = x
 	r, err := c.reader.ReadResponse()
 	c.by = nil
@@ -141,8 +194,10 @@
 		return decide.Reset, nil, false // the core tells one that it broke itself
 	}
 	c.onTime()
-	whole = !r.Close && !c.reader.Beyond()
+	whole = !r.Close && r.Rest == nil && !c.reader.Beyond()
 	switch {
+	case r.Status == 200 && r.Rest != nil:
+		return decide.OK, &node.Answer{Type: r.Type, Body: r.Body, Rest: &rest{Rest: r.Rest, again: !r.Close, read: make(chan bool, 1)}}, false
 	case r.Status == 200:
 		return decide.OK, &node.Answer{Type: r.Type, Body: r.Body}, whole
 	case (r.Status == 503 || r.Status == 504) && r.NeverRan:
@@ -151,6 +206,59 @@
 	return decide.Failed, nil, whole
 }
 
+// upload writes a request whose body is still coming, in pieces as they come. Until its last byte is written the server
+// has begun nothing, whatever breaks; res is then how it ended.
+func (x *exchange) upload(c *conn, head []byte) (res decide.Result, ok bool) {
+	body := x.q.Rest
+	defer body.Release()
+	chunked := body.Length() < 0
+	piece := pieces.Get().(*[]byte)
+	defer pieces.Put(piece)
+	frame := make([]byte, 0, 16)
+	write := func(p []byte) bool {
+		parts := net.Buffers{p}
+		if chunked {
+			frame = append(strconv.AppendInt(frame[:0], int64(len(p)), 16), "\r\n"...)
+			parts = net.Buffers{frame, p, []byte("\r\n")}
+		}
+		return x.write(c, parts)
+	}
+	if !x.write(c, net.Buffers{head}) || len(x.q.Body) > 0 && !write(x.q.Body) {
+		return decide.ConnectFailed, false
+	}
+	for !body.Ended() {
+		n, err := body.Read(*piece)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return decide.Ignored, false // its caller's fault, not the server's
+		}
+		if n > 0 && !write((*piece)[:n]) {
+			return decide.ConnectFailed, false
+		}
+	}
+	if chunked && !x.write(c, net.Buffers{[]byte("0\r\n\r\n")}) {
+		return decide.ConnectFailed, false
+	}
+	c.SetWriteDeadline(time.Time{})
+	x.pool.core.Came(x.pick, x.q.Left)
+	if x.isBroken() {
+		c.SetDeadline(time.Unix(1, 0))
+	}
+	return 0, true
+}
+
+// pieces are what large bodies pass through.
+var pieces = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+
+// write writes to a server that may take its time, but not for ever.
+func (x *exchange) write(c *conn, parts net.Buffers) bool {
+	c.SetWriteDeadline(time.Now().Add(x.pool.limits.ServerTakes))
+	if x.isBroken() { // given up just now: that must not be put off
+		return false
+	}
+	_, err := parts.WriteTo(c.Conn)
+	return err == nil
+}
+
 // Progress bounds the rest of an answer that has begun: it is due soon. One that is cut short on a connection that stays
 // open, or whose head does not end, would else hold its RPC until there is no time for another pick. Nearly all answers
 // come whole with their first byte, and no deadline is set for them.
@@ -159,11 +267,19 @@
 		c.onTime()
 		return
 	}
-	if c.timed {
+	l := &c.pool.limits
+	switch {
+	case c.streams: // as long as it comes; who waits for it sees how far it has come
+		c.SetReadDeadline(time.Now().Add(l.AnswerSilence))
+		c.timed = true
+		return
+	case !c.timed:
+		c.first = time.Now()
+	case c.reader.Got() < c.counted+slowStep:
 		return
 	}
-	c.timed = true
-	c.SetReadDeadline(time.Now().Add(c.pool.limits.AnswerRest))
+	c.timed, c.counted = true, c.reader.Got()
+	c.SetReadDeadline(c.first.Add(l.AnswerRest + l.Slowest(c.counted)))
 	if c.by != nil && c.by.isBroken() {
 		c.SetDeadline(time.Unix(1, 0)) // given up just now: that must not be put off
 	}
@@ -171,7 +287,7 @@
 
 func (c *conn) onTime() {
 	if c.timed {
-		c.timed = false
+		c.timed, c.counted = false, 0
 		c.SetReadDeadline(time.Time{})
 		if c.by != nil && c.by.isBroken() {
 			c.SetDeadline(time.Unix(1, 0))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,7 +25,8 @@
 	Hold(*node.Pick, node.Breaker) bool
 	Begin(*node.Pick, node.Breaker) bool
 	Remains(*node.Pick) time.Duration
-	Done(*node.Pick, decide.Result, *node.Answer)
+	Came(*node.Pick, time.Duration)
+	Done(*node.Pick, decide.Result, *node.Answer) (served bool)
 	Left(func([]*node.Server))
 }
 
@@ -37,6 +38,9 @@
 	Evict(func() bool)
 }
 
+// slowStep is how many bytes of an answer put its deadline off.
+const slowStep = 8 << 10
+
 // sweepMost is how many connections one sweep closes: a second in which all grow old must not stop the active.
 const sweepMost = 256
 
@@ -67,6 +71,10 @@
 	place  lot.Place
 	by     *exchange // in talk
 	timed  bool      // a read deadline is set
+	// Of an answer: when its first byte came, the bytes that its deadline goes by, and whether it is being passed on.
+	first   time.Time
+	counted int
+	streams bool
 
 	// Guarded by the pool's mutex, while it is idle:
 	server       *node.Server // nil while in use
