A node sends to neighbours of its own and turns away by its estimates

From 15 s on jams fed each other: RPCs that could not be in time were sent all the same and ran on, since no cancel stops them. Successors of a release had 0.7 RPCs a second and were a third busy while old servers failed four in ten. Changed: neighbours (as many as the picks out need, a tenth of the picks may bring another); RPCs that a server reports of others count in the estimate while fresh; an RPC is not sent where its estimate exceeds what is left; the room counts only for blind picks and widens below the goal; a cold neighbour's part is of what the neighbours answered; idle connections found mute are closed before use; opening a connection is priced by what it lately took.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	alpha   = 0.7   // the paper's learning rate
-	explore = 0.005 // chance of a random ready server; small, since fading entries return by themselves
-	nearTie = 1.1   // entries within a tenth of the lowest are tied
-	penalty = 1.0   // failures cost this many deadlines: more would only outlast the fading
-	levels  = 5     // load levels: 0, 1-2, 3-6, 7-14, 15 and more
-	rowLife = 60.0  // an entry idle that long is dropped
+	alpha   = 0.7  // the paper's learning rate
+	explore = 0.01 // chance of a random server that is no neighbour
+	nearTie = 1.1  // entries within a tenth of the lowest are tied
+	penalty = 1.0  // failures cost this many deadlines: more would only outlast the fading
+	levels  = 5    // load levels: 0, 1-2, 3-6, 7-14, 15 and more
+	rowLife = 60.0 // an entry idle that long is dropped
 
 	fade       = 4.0  // half-life of what one sample says beyond its row's mean, in seconds
 	paceHalf   = 6.0  // half-life of a server's pace, long enough for a few samples at an inner node
@@ -37,7 +37,16 @@
 	comeBack   = 0.1  // of the latency target: when a client pushed back may ask again
 	spare      = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
 	atOnce     = 0.25 // and at once for each server, over all nodes: a quiet node would else have none
-	sight      = 128  // servers looked at for a pick: among more, as many by chance
+	sight      = 128  // neighbours at most
+	fewest     = 4    // neighbours at least
+	breadth    = 1.5  // and as many for each pick that is out on average
+	strangers  = 4    // others looked at for a pick
+	moving     = 0.1  // of the picks may bring a new neighbour in place of another
+	inTime     = 1.2
+	anyway     = 0.02
+	idleHalf   = 10.0 // seconds in which an idle time that was too long is tried twice as long
+	idleSafe   = 0.7  // of an idle time that was too long
+	freshFor   = 2.5  // mean times in which half of a load report is past
 	margin     = 0.01 // seconds before the deadline by which an answer must be on its way
 
 	// The room for RPCs held at the front. Waits are counted in latency targets.
@@ -119,11 +128,16 @@
 	backoff      float64
 	tokens       float64
 	tokensAt     float64
-	queue, qTime float64
+	others       float64 // RPCs that it held for others when it last reported
+	othersAt     float64
 	sent         decaying
 	back, before float64 // when it was listed as ready again, and its rate of picks here until it was not
 	cut          bool    // not reached last time
 	odd          bool    // among the odd
+	near         bool    // a neighbour
+	used         float64 // when its connections last carried something
+	linked       bool    // a connection to it is open
+	dead         bool    // an idle connection to it has swallowed a pick
 }
 
 type rpc struct {
@@ -143,8 +157,11 @@
 	late      float64 // the age from which it is late
 	row       int
 	out       bool
-	charged   bool // already counted as late
-	unran     bool // known not to have run
+	charged   bool    // already counted as late
+	unran     bool    // known not to have run
+	idle      float64 // how long its connection had been idle; 0: it was not, or was new
+	opens     bool    // it opens a connection
+	blind     bool    // sent without knowing what its server held
 }
 
 type watchAgain struct{}
@@ -187,7 +204,6 @@
 	weight         float64 // mean over ready servers
 	lackAt         float64 // when the next two were counted; below 0: not since they changed
 	lackWeight     float64 // of the ready servers' weight, what jammed and cold ones cannot do now
-	lackCold       float64 // of their number, what cold ones cannot
 	done           decaying
 	keep, keepPace float64  // half-lives of entries and paces
 	best, bestAt   float64  // rate of one warm server
@@ -195,8 +211,18 @@
 	others         float64  // what a server not known is taken for
 	sent           decaying
 	extra          decaying
-	lately         [16]*Server // that were lowest, of many
-	turn           int
+	near           []*Server // the neighbours
+	outs, turns    decaying  // picks out when others were sent, and how many
+	idleMost       float64   // connections idle for longer are not trusted; 0: all are
+	idleAt         float64
+	idleOK         decaying // the longest idle times after which a connection still worked
+	setup, setups  decaying // how much longer picks took that opened a connection, and how many
+	mute           *Server  // whose idle connection last swallowed a pick, and when
+	muteAt         float64
+	blinds         decaying // picks sent without knowing what their servers held
+	moved          decaying // neighbours taken for others
+	heldThere      decaying // RPCs of others that servers reported, and reports
+	reports        decaying
 	cands          []*Server
 	ests           []float64
 }
@@ -284,6 +310,10 @@
 		s.state, s.zone, s.cell, s.weight, s.cameUp = l.State, l.Zone, l.Cell, max(l.Weight, 0.01), l.CameUp
 		s.seen = b.list
 	}
+	b.near = slices.DeleteFunc(b.near, func(s *Server) bool {
+		s.near = s.state == Ready && (!full || s.seen == b.list)
+		return !s.near
+	})
 	b.ready, b.weight = 0, 0
 	b.servers = slices.DeleteFunc(b.servers, func(s *Server) bool {
 		if full && s.seen != b.list {
@@ -317,7 +347,7 @@
 	for i := range s.entries {
 		b.forget(s, i)
 	}
-	s.cost, s.due, s.strikes, s.ejected, s.backoff, s.queue = decaying{}, decaying{}, 0, 0, 0, 0
+	s.cost, s.due, s.strikes, s.ejected, s.backoff, s.othersAt = decaying{}, decaying{}, 0, 0, 0, 0
 	// All nodes hear of the start at once: a random part of a token keeps their first picks apart.
 	s.tokens, s.tokensAt = b.rng.Float64(), now
 }
@@ -394,6 +424,10 @@
 	// Where waits are short the other servers have room to spare.
 	room := b.room * math.Pow(b.able(now), min(1, waited/goal)) * (cheapest + (1-cheapest)*math.Cbrt(r.value))
 	room = max(room, b.leastRoom()/4)
+	// The room stands in for what is not known of the servers: where they report, the estimates turn RPCs away.
+	room /= max(0.05, (b.blinds.read(now, doneHalf)+1)/(b.turns.read(now, doneHalf)+1))
+	// Waits far below the goal say that it is not full: what a few RPCs held exceed their usual by is chance.
+	room *= math.Sqrt(max(1, goal/waited))
 	// A node that holds one or two by chance knows little of a crowd: the fewer, the more the mean of late
 	// counts and the more gradually RPCs are turned away, since all nodes of the tier do the same.
 	n := float64(b.open - 1)
@@ -454,13 +488,12 @@
 	if len(b.odd) > sight && b.lackAt >= 0 && now-b.lackAt < margin {
 		return
 	}
-	b.lackAt, b.lackWeight, b.lackCold = now, 0, 0
+	b.lackAt, b.lackWeight = now, 0
 	b.odd = slices.DeleteFunc(b.odd, func(s *Server) bool {
 		part := b.cold(s, now)
 		if s.odd = s.state == Ready && (now < s.ejected || part < 1); !s.odd {
 			return true
 		}
-		b.lackCold += 1 - part
 		// One that cannot be reached does not count as jammed: behind a cut the nodes there cannot reach ours
 		// either. Resets tell a lost zone from a cut one: its share falls on ours.
 		if now < s.ejected && (!s.cut || b.lost(s, now)) {
@@ -558,7 +591,7 @@
 	b.keep, b.keepPace = b.memory(fade, now), b.memory(paceHalf, now)
 	few := paceDoubt * typical
 	b.others = strange * max(1, (b.cost.read(now, othersHalf)+few)/(b.due.read(now, othersHalf)+few))
-	best, lowest := math.Inf(1), (*Server)(nil)
+	best, due := math.Inf(1), 0.0
 	look := func(s *Server, pass int) {
 		if s.state != Ready || r.ran != nil && !m.within(s, r.ran.Server) || !b.warm(s, unit, now) {
 			return
@@ -571,26 +604,24 @@
 		if pass == 1 && r.met(s, true) {
 			return
 		}
-		e := b.estimate(r, s, typical, now)
+		e, d := b.estimate(r, s, typical, now)
 		if e < best {
-			best, lowest = e, s
+			best, due = e, d
 		}
 		b.cands, b.ests = append(b.cands, s), append(b.ests, e)
 	}
 	b.cands, b.ests = b.cands[:0], b.ests[:0]
-	// Among hundreds the lowest of some is as good: many are near-ties. Where most are sick more looks find
-	// the sound ones. Those lowest lately are looked at again: chance alone would lose the best from sight.
-	if len(b.servers) > sight {
-		for i, s := range b.lately {
-			if s != nil && !slices.Contains(b.lately[:i], s) {
-				look(s, 0)
-			}
+	exploring := b.rng.Float64() < explore
+	if !exploring {
+		for _, s := range b.near {
+			look(s, 0)
 		}
-		for i := 0; i < 4*sight && (i < sight || len(b.cands) == 0); i++ {
-			look(b.servers[b.rng.Intn(len(b.servers))], 0)
+	}
+	open := exploring || len(b.near) < b.most(now) || b.moved.read(now, extraHalf)+b.rng.Float64() < moving*b.sent.read(now, extraHalf)
+	for i := 0; i < strangers && open && len(b.near) < len(b.servers); i++ {
+		if s := b.servers[b.rng.Intn(len(b.servers))]; !s.near {
+			look(s, 0)
 		}
-		b.lately[b.turn%len(b.lately)] = lowest
-		b.turn++
 	}
 	for pass := 0; pass < 2 && len(b.cands) == 0; pass++ {
 		for _, s := range b.servers {
@@ -600,12 +631,13 @@
 	if len(b.cands) == 0 {
 		return nil
 	}
-	if b.rng.Float64() < explore {
-		return b.cands[b.rng.Intn(len(b.cands))]
+	// What would be late anyway only keeps others waiting.
+	if !b.inner && due > inTime*(r.useful-now)*(cheapest+(1-cheapest)*math.Cbrt(r.value)) && b.rng.Float64() >= anyway {
+		return nil
 	}
 	n := 0
 	for i, s := range b.cands {
-		if b.ests[i] <= best*nearTie {
+		if exploring || b.ests[i] <= best*nearTie {
 			b.cands[n] = s
 			n++
 		}
@@ -613,26 +645,77 @@
 	return b.cands[b.rng.Intn(n)]
 }
 
+// most is how many neighbours the node's picks need.
+func (b *Balancer) most(now float64) int {
+	return min(fewest+int(breadth*b.outs.read(now, doneHalf)/max(b.turns.read(now, doneHalf), 1e-3)), sight)
+}
+
+// join makes a server a neighbour. The paper's router knows its neighbours only: a node that sends to all servers by
+// turns hears too seldom from each. As many are kept as the node's picks need; the worst leaves for the new one.
+func (b *Balancer) join(r *RPC, s *Server, typical, now float64) {
+	b.outs.add(float64(b.out+1), now, doneHalf)
+	b.turns.add(1, now, doneHalf)
+	if s.near || r.out+len(r.picks) > 0 {
+		return
+	}
+	s.near = true
+	b.near = append(b.near, s)
+	if len(b.near) > b.most(now) {
+		b.moved.add(1, now, extraHalf)
+	}
+	for len(b.near) > b.most(now) {
+		worst, high := 0, -1.0
+		for i, o := range b.near {
+			if o == s {
+				continue
+			}
+			e, _ := b.estimate(r, o, typical, now)
+			if now < o.ejected {
+				e = math.Inf(1)
+			}
+			if e > high {
+				worst, high = i, e
+			}
+		}
+		b.near[worst].near = false
+		for i := range b.near[worst].entries {
+			b.forget(b.near[worst], i)
+		}
+		b.near = slices.Delete(b.near, worst, worst+1)
+	}
+}
+
 // met tells whether a server has had a pick of the RPC, or has one out.
 func (r *RPC) met(s *Server, out bool) bool {
 	return slices.ContainsFunc(r.picks, func(p *Pick) bool { return p.Server == s && (p.out || !out) })
 }
 
 // estimate is the time-to-go of an RPC at a server.
-func (b *Balancer) estimate(r *RPC, s *Server, typical, now float64) float64 {
+func (b *Balancer) estimate(r *RPC, s *Server, typical, now float64) (est, due float64) {
 	i := b.row(r, s, now)
-	q := b.mean(i, typical) * b.pace(s, typical, now)
+	q, known := b.mean(i, typical), 0.0
+	q, known = q*b.pace(s, typical, now), q*b.paceAt(s, typical, now, 1)
 	// One sample counts for seven tenths of an entry, so an old one misleads: it fades towards the mean of
 	// the row at the server's own pace, which is also where a new entry starts.
 	if e := &s.entries[i]; e.at > 0 {
 		if now-e.at > rowLife {
 			b.forget(s, i)
 		} else {
-			q += (e.q - q) * math.Exp2((e.at-now)/b.keep)
+			weight := math.Exp2((e.at-now)/b.keep) * (1 - b.fresh(s, typical, now))
+			q += (e.q - q) * weight
+			if !e.failed {
+				known += (e.q - known) * weight // one failure is no reason to turn the next RPC away
+			}
 		}
 	}
+	theirs := typical * b.theirs(s, typical, now)
+	q += theirs
+	due = known + theirs
 	crowd := float64(b.out) / float64(max(1, b.ready))
 	q += 2 * typical * float64(len(s.pending)) * b.weight / s.weight / (1 + crowd)
+	if !s.linked {
+		q += b.setup.read(now, othersHalf) / (b.setups.read(now, othersHalf) + 1)
+	}
 	// A hung server looks sound until its time-outs land: a late pick counts before it ends.
 	if len(s.pending) > 0 {
 		if p := s.pending[0]; now-p.sent > p.late && !p.RPC.Coming {
@@ -642,7 +725,21 @@
 	if s.zone != b.zone {
 		q *= 1 + 4*b.cross
 	}
-	return q
+	return q, due
+}
+
+// theirs is how many RPCs a server holds for others: as it reported, which soon says no more than the mean.
+func (b *Balancer) theirs(s *Server, typical, now float64) float64 {
+	mean := b.heldThere.read(now, doneHalf) / max(b.reports.read(now, doneHalf), 1)
+	return mean + (s.others-mean)*b.fresh(s, typical, now)
+}
+
+// fresh is what a server's last report still says.
+func (b *Balancer) fresh(s *Server, typical, now float64) float64 {
+	if s.othersAt == 0 {
+		return 0
+	}
+	return math.Exp2((s.othersAt - now) / (freshFor * typical))
 }
 
 // memory is a half-life stretched to a node's round of its servers: it would else try a bad one every round.
@@ -652,11 +749,7 @@
 }
 
 func (b *Balancer) row(r *RPC, s *Server, now float64) int {
-	load := float64(len(s.pending))
-	if s.queue > 0 {
-		load += s.queue * math.Exp2(s.qTime-now) // a late report must not mislead for long
-	}
-	level := min(bits.Len(uint(load+1))-1, levels-1)
+	level := min(bits.Len(uint(len(s.pending)+1))-1, levels-1)
 	return b.blocks[r.Method][r.Tenant] + level
 }
 
@@ -678,10 +771,15 @@
 // known is taken for more than those tried lately, failures included: on a par, each node would try every
 // jammed one once, and hundreds of nodes would keep it jammed.
 func (b *Balancer) pace(s *Server, typical, now float64) float64 {
-	doubt, unknown := paceDoubt*typical, b.others
+	unknown := b.others
 	if b.cold(s, now) < 1 || s.back > 0 && now < s.back+othersHalf {
 		unknown = 1 // it cannot have jammed yet, and a deploy leaves no others
 	}
+	return b.paceAt(s, typical, now, unknown)
+}
+
+func (b *Balancer) paceAt(s *Server, typical, now, unknown float64) float64 {
+	doubt := paceDoubt * typical
 	return (s.cost.read(now, b.keepPace) + doubt*unknown) / (s.due.read(now, b.keepPace) + doubt)
 }
 
@@ -695,8 +793,10 @@
 
 // unit is the rate of one warm server here at its best: by a jam's, cold ones could not take over from it.
 func (b *Balancer) unit(now float64) float64 {
-	b.lack(now)
-	sum := float64(b.ready) - b.lackCold
+	sum := 0.0
+	for _, s := range b.near {
+		sum += b.cold(s, now)
+	}
 	rate := b.done.read(now, unitHalf) * math.Ln2 / unitHalf / max(sum, 1)
 	b.best = max(b.best*math.Exp2((b.bestAt-now)/baseHalf), rate)
 	b.bestAt = now
@@ -723,6 +823,10 @@
 func (b *Balancer) send(r *RPC, s *Server, now float64) {
 	i, typical := b.row(r, s, now), b.typical(r.Method, now)
 	p := &Pick{RPC: r, Server: s, pick: pick{sent: now, row: i, out: true, due: b.mean(i, typical)}}
+	if p.blind = b.fresh(s, typical, now) < 0.5; p.blind {
+		b.blinds.add(1, now, doneHalf)
+	}
+	b.join(r, s, typical, now)
 	// Where answers take a hair's breadth, the node's own hiccups would else pass for hung servers.
 	p.late = max(overdue*p.due, quiet*r.rules.LatencyTarget)
 	if b.cold(s, now) < 1 {
@@ -737,6 +841,14 @@
 	b.sent.add(1, now, extraHalf)
 	s.sent.add(1, now, extraHalf)
 	s.pending = append(s.pending, p)
+	if p.idle = now - s.used; s.used == 0 || len(s.pending) > 1 {
+		p.idle = 0
+	} else if s.dead || b.idleMost > 0 && p.idle > b.idleMost*math.Exp2((now-b.idleAt)/idleHalf) {
+		b.host.CloseIdle(s)
+		p.idle, s.dead, s.linked = 0, false, false
+	}
+	p.opens = !s.linked
+	s.used = now
 	b.host.Send(p, 0)
 	if wait := b.lateAfter(p, now); now+wait < r.useful && !r.Coming {
 		b.host.After(wait, p)
@@ -763,7 +875,11 @@
 				// time-out. Cancelled without a word, a jammed server would be sent the next RPC as before.
 				if p.out && !p.charged && now-p.sent > patience*p.due {
 					p.charged = true
-					b.fault(p, now)
+					if p.Server.heard < p.sent {
+						b.silence(p, now)
+					} else {
+						b.fault(p, now)
+					}
 				}
 			}
 			b.giveUp(w)
@@ -782,7 +898,7 @@
 	silent := s.heard < p.sent
 	b.overtake(p, now)
 	// A server that answers others will most likely answer this one, too.
-	if !b.copies || !silent {
+	if !silent || !b.copies {
 		return
 	}
 	// A part of a copy is sent by chance: one always allowed would be hundreds at once over hundreds of nodes.
@@ -790,7 +906,14 @@
 	if b.extra.read(now, extraHalf)+b.rng.Float64() > most {
 		return
 	}
-	if len(r.picks) < r.rules.picks && b.mayRepeat(r, now) {
+	if len(r.picks) >= r.rules.picks {
+		return
+	}
+	if !b.copies {
+		// Never two at once: the late pick is given up, and its result brings the next one.
+		b.extra.add(1, now, extraHalf)
+		b.cancel(p)
+	} else if b.mayRepeat(r, now) {
 		if other := b.choose(r, now); other != nil {
 			b.extra.add(1, now, extraHalf)
 			b.send(r, other, now)
@@ -798,6 +921,22 @@
 	}
 }
 
+// silence is a fault of a server that has said nothing since the pick was sent. Where idle connections are dropped
+// unseen it says nothing of the server: two servers mute after an idle time tell how long is too long.
+func (b *Balancer) silence(p *Pick, now float64) {
+	b.fault(p, now)
+	if p.idle <= b.idleOK.read(now, idleHalf) {
+		return
+	}
+	s := p.Server
+	s.dead, s.linked = true, false
+	if b.mute != nil && b.mute != s && now < b.muteAt+othersHalf {
+		b.idleMost = max(idleSafe*p.idle, b.idleOK.sum)
+		b.idleAt = now
+	}
+	b.mute, b.muteAt = s, now
+}
+
 // overtake counts a late pick before its end, by its age, or as a failure if its server is silent since.
 func (b *Balancer) overtake(p *Pick, now float64) {
 	if p.charged || p.RPC.Coming || now-p.sent < p.late*0.99 {
@@ -805,7 +944,7 @@
 	}
 	p.charged = true
 	if p.Server.heard < p.sent {
-		b.fault(p, now)
+		b.silence(p, now)
 		return
 	}
 	b.pay(p, min(now-p.sent, paceCap*p.due), now)
@@ -830,8 +969,12 @@
 	r.out--
 	b.out--
 	s.pending = slices.DeleteFunc(s.pending, func(o *Pick) bool { return o == p })
-	if load != nil && load.Queue >= 0 {
-		s.queue, s.qTime = load.Queue, now
+	if load != nil && load.Held >= 0 {
+		s.others, s.othersAt = max(0, load.Held-float64(len(s.pending))-1), max(now, 1e-9)
+		if p.blind {
+			b.heldThere.add(s.others, now, doneHalf)
+			b.reports.add(1, now, doneHalf)
+		}
 	}
 	if res.NeverRan() {
 		b.unrun(r, p)
@@ -839,6 +982,11 @@
 	if res == Reset {
 		b.resets[s.zone] = now
 	}
+	if p.opens && (res == OK || res == ConnectFailed) {
+		b.setup.add(max(0, took-p.due), now, othersHalf)
+		b.setups.add(1, now, othersHalf)
+	}
+	s.linked = res != ConnectFailed && (s.linked || res == OK)
 	if s.cut = res == ConnectFailed; s.cut && b.lost(s, now) {
 		s.strikes = strikeOut // its zone has told: two more tries of every server there would find the same
 	}
@@ -852,7 +1000,7 @@
 	case Ignored:
 	case TimedOut:
 		if !p.charged && s.heard < p.sent {
-			b.fault(p, now)
+			b.silence(p, now)
 		}
 	case Full:
 		s.heard = now
@@ -884,6 +1032,10 @@
 func (b *Balancer) ok(p *Pick, took, now float64) {
 	s, m := p.Server, &b.methods[p.RPC.Method]
 	s.heard, s.strikes, s.backoff = now, 0, 0
+	s.used = now
+	if p.idle > b.idleOK.read(now, idleHalf) {
+		b.idleOK.sum = p.idle
+	}
 	m.took.add(took, now, doneHalf)
 	m.oks.add(1, now, doneHalf)
 	b.done.add(1, now, unitHalf)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -166,7 +166,7 @@
 func TestGiveUpCountsAsATimeOutOfTheServer(t *testing.T) {
 	h, s := story(2, func(s *Settings) { s.SecondCopies = false })
 	h.warmUp(20, always(1.5))
-	for range 6 {
+	for range 60 {
 		h.arrive(lookup)
 		h.until(h.now + 2.6)
 	}
@@ -219,7 +219,7 @@
 		}
 		h.until(h.now + 0.02)
 		for _, p := range h.sent {
-			if p.out && h.now-p.sent >= 0.5 {
+			if p.out && h.now-p.sent >= 1.2 {
 				h.done(p, OK)
 			}
 		}
--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -11,6 +11,7 @@
 	aborted map[*RPC]bool
 	cancels []*Pick
 	watches int
+	closed  []*Server
 	timers  []timer
 }
 
@@ -22,6 +23,7 @@
 func (h *fakeHost) Now() float64                  { return h.now }
 func (h *fakeHost) Send(p *Pick, timeout float64) { h.sent = append(h.sent, p) }
 func (h *fakeHost) Cancel(p *Pick)                { h.cancels = append(h.cancels, p) }
+func (h *fakeHost) CloseIdle(s *Server)           { h.closed = append(h.closed, s) }
 func (h *fakeHost) PushBack(r *RPC, wait float64) { h.pushed[r] = wait }
 func (h *fakeHost) Abort(r *RPC)                  { h.aborted[r] = true }
 func (h *fakeHost) Watch()                        { h.watches++ }
--- a/decide/host.go
+++ b/decide/host.go
@@ -10,6 +10,8 @@
 	// client's deadline.
 	Send(p *Pick, timeout float64)
 	Cancel(p *Pick)
+	// CloseIdle closes the connections to a server that carry nothing.
+	CloseIdle(s *Server)
 	// PushBack ends an RPC with the promise that retrying is harmless; wait advises when.
 	PushBack(r *RPC, wait float64)
 	// Abort ends an RPC and promises nothing.
@@ -114,10 +116,10 @@
 // NeverRan tells the results that prove a pick had no effect.
 func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Ignored }
 
-// Load is a server's report of itself: the RPCs waiting there, negative if it did not say. Reports carry more
-// on some deployments; sending by it herded all nodes to the same servers.
+// Load is a server's report of itself: the RPCs that it held, this one and those of other nodes included; negative
+// if it did not say.
 type Load struct {
-	Queue float64
+	Held float64
 }
 
 // Server is one server of the tier below. One that has gone and has no pick out is forgotten.
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -31,6 +31,7 @@
 	if timeout != 0 {
 		k.Deadline = min(k.Deadline, now+duration(timeout))
 	}
+	k.Anew, k.Server.worn = k.Server.worn, false
 	p.Of = k
 	k.end.What = k
 	if r.obj.Coming { // its time has not begun; who reads the body bounds how long that takes
@@ -54,6 +55,9 @@
 	c.giveUp(k)
 }
 
+// CloseIdle has the idle connections to a server closed before the next pick there, which opens its own.
+func (c *Core) CloseIdle(s *decide.Server) { s.Of.(*Server).worn = true }
+
 // PushBack orders the answer that promises that retrying is harmless.
 func (c *Core) PushBack(r *decide.RPC, wait float64) {
 	c.answer(r, Order{Kind: PushBack, Wait: duration(wait)})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,7 @@
 // Pick is one attempt of an RPC at a server.
 type Pick struct {
 	Server   *Server
+	Anew     bool // idle connections to the server may have been dropped unseen: they are closed, and one is opened
 	Deadline time.Duration
 	obj      *decide.Pick
 	rpc      *RPC
@@ -93,6 +94,7 @@
 	ready atomic.Bool // state is Ready, for who does not hold the core's mutex
 	seen  int
 	out   int   // picks
+	worn  bool  // its idle connections are not to be trusted
 	last  Entry // as it was listed
 	// came back by an operator's word before the list told of its start: taken for that start until then
 	back time.Time
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -209,7 +209,7 @@
 	if s == "-" || s == "" {
 		return nil
 	}
-	l := &decide.Load{Queue: -1}
+	l := &decide.Load{Held: -1}
 	parts := strings.Split(s, ",")
 	if len(parts) != len(in.conf.ReportFields) {
 		f.fail("load report %q has %d values, not %d", s, len(parts), len(in.conf.ReportFields))
@@ -223,8 +223,8 @@
 		if err != nil {
 			f.fail("load value %q is not a number", part)
 		}
-		if in.conf.ReportFields[i] == "depth" {
-			l.Queue = x
+		if in.conf.ReportFields[i] == "concurrent" {
+			l.Held = x
 		}
 	}
 	return l
@@ -297,6 +297,16 @@
 	in.put("UNDO_SEND", in.ids[p.RPC].id, strconv.Itoa(n))
 }
 
+// CloseIdle writes a FREE_LINKS.
+func (in *instance) CloseIdle(s *decide.Server) {
+	addr := in.names[s]
+	if addr == "" {
+		in.fault("closing connections to a server never listed")
+		return
+	}
+	in.put("FREE_LINKS", addr)
+}
+
 // PushBack writes a DENY.
 func (in *instance) PushBack(r *decide.RPC, wait float64) { in.answer("DENY", r, ms(wait)) }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -101,6 +101,9 @@
 		}
 		defer body.Release()
 	}
+	if x.pick.Anew {
+		p.left([]*node.Server{server})
+	}
 	c := p.reuse(server, addr)
 	if c == nil {
 		if !p.budget.Take() {
