--- a/decide/decide.go
+++ b/decide/decide.go
@@ -396,7 +396,9 @@
 	room *= math.Sqrt(max(1, goal/waited))
 	n := float64(b.open - 1)
 	b.held.add(n, now, doneHalf)
-	return n <= room
+	// Chance moves the number held by its root. Of one held that is none or two, and over hundreds of such nodes
+	// one more at each is a crowd.
+	return n <= room+math.Sqrt(b.held.read(now, doneHalf, 0, 0))-1
 }
 
 // waited is what the last RPCs waited, as a part of their latency targets. Where few are recent, older ones
