Report.How decides whether reports are read; an ejected neighbour leaves first

Changed: reports are read where How is piggyback, by one parser that names what it can't read; join lets the ejected one go first, before the new one comes (a test that fails with the former text); eject takes its least time instead of half of it being set before; the pool closes a server's idle connections by one function, not through the one for servers that leave, and that it does is tested.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -544,18 +544,17 @@
 	if s.near || r.out+len(r.picks) > 0 {
 		return
 	}
-	s.near = true
-	b.near = append(b.near, s)
-	if len(b.near) > b.most(now) {
+	if len(b.near) >= b.most(now) {
 		b.moved.add(1, now, extraHalf)
 	}
-	for len(b.near) > b.most(now) {
+	for len(b.near) >= b.most(now) {
 		worst, high := 0, -1.0
 		for i, o := range b.near {
-			if o == s {
-				continue
+			e, _ := b.estimate(r, o, typical, now)
+			if now < o.ejected {
+				e = math.Inf(1)
 			}
-			if e, _ := b.estimate(r, o, typical, now); e > high || now < o.ejected {
+			if e > high {
 				worst, high = i, e
 			}
 		}
@@ -565,6 +564,8 @@
 		}
 		b.near = slices.Delete(b.near, worst, worst+1)
 	}
+	s.near = true
+	b.near = append(b.near, s)
 }
 
 // met tells whether a server has had a pick of the RPC, or has one out.
@@ -575,8 +576,8 @@
 // estimate is the time-to-go of an RPC at a server.
 func (b *Balancer) estimate(r *RPC, s *Server, typical, now float64) (est, due float64) {
 	i := b.row(r, s, now)
-	q, known := b.mean(i, typical), 0.0
-	q, known = q*b.pace(s, typical, now), q*b.paceAt(s, typical, now, 1)
+	mean, own := b.mean(i, typical), b.paceAt(s, typical, now, 1)
+	q, known := mean*b.pace(s, typical, now), mean*own
 	// One sample counts for seven tenths of an entry, so an old one misleads: it fades towards the mean of
 	// the row at the server's own pace, which is also where a new entry starts.
 	if e := &s.entries[i]; e.at > 0 {
@@ -590,7 +591,7 @@
 			}
 		}
 	}
-	more := typical * (b.theirs(s, typical, now) + r.size*b.paceAt(s, typical, now, 1))
+	more := typical * (b.theirs(s, typical, now) + r.size*own)
 	more = max(more, -0.8*min(q, known))
 	q += more
 	due = known + more
@@ -702,8 +703,8 @@
 	p.blind = seen < 0.5
 	b.blinds.add(1-seen, now, doneHalf)
 	b.join(r, s, typical, now)
-	// Where answers take a hair's breadth, the node's own hiccups would else pass for hung servers.
 	p.extra = typical * r.size
+	// Where answers take a hair's breadth, the node's own hiccups would else pass for hung servers.
 	p.late = max(overdue*(p.due+max(p.extra, 0)), quiet*r.rules.LatencyTarget)
 	if b.cold(s, now) < 1 {
 		s.tokens--
@@ -890,8 +891,7 @@
 	b.pay(p, min(took, paceCap*p.due), now)
 	b.learn(p, took, false, now)
 	if b.paceAt(s, b.typical(p.RPC.Method, now), now, 1) > jammed {
-		s.backoff = max(s.backoff, jamRest/2)
-		b.eject(s, now)
+		b.eject(s, jamRest, now)
 		s.cost, s.due = decaying{}, decaying{}
 	}
 }
@@ -903,13 +903,13 @@
 	b.pay(p, paceCap*p.due, now)
 	b.learn(p, p.RPC.rules.Deadline, true, now)
 	if s.strikes++; s.strikes >= strikeOut {
-		b.eject(s, now)
+		b.eject(s, ejectMin, now)
 	}
 }
 
-func (b *Balancer) eject(s *Server, now float64) {
+func (b *Balancer) eject(s *Server, least, now float64) {
 	if now >= s.ejected {
-		s.backoff = min(max(ejectMin, 2*s.backoff), ejectMax)
+		s.backoff = min(max(least, 2*s.backoff), ejectMax)
 		s.ejected = now + s.backoff
 	}
 }
--- a/decide/neighbours_test.go
+++ b/decide/neighbours_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -18,6 +19,13 @@
 	}
 	assert.Greater(t, few, 300, "most picks go to servers met often: %d met", len(got))
 	assert.LessOrEqual(t, len(h.b.near), 8)
+	// An ejected one leaves first, however low its estimate. The tidied join had looked at estimates alone.
+	ill, r := h.b.near[0], &RPC{}
+	ill.ejected, r.rules = h.now+5, h.b.methods[lookup].rules
+	for range 6 {
+		h.b.join(r, s[slices.IndexFunc(s, func(x *Server) bool { return !x.near })], 0.1, h.now)
+	}
+	assert.False(t, ill.near)
 	// What drains makes room at once.
 	first := h.b.near[0]
 	h.b.Listed([]Listing{{Server: first, State: Draining, Weight: 1}}, false)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -375,7 +375,11 @@
 		c.end(r)
 		served = true
 	}
-	c.balancer.Done(p.obj, res, r.ended, seconds(c.clock.Now()-p.sent), c.settings.Load(p.Load))
+	var load *decide.Load
+	if c.settings.Reports && p.Load != "" {
+		load, _ = c.settings.Load(p.Load) // one that can't be read is none: it is no reason to fail its answer
+	}
+	c.balancer.Done(p.obj, res, r.ended, seconds(c.clock.Now()-p.sent), load)
 	c.leaves(r)
 	c.arm()
 	return served
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -20,7 +21,8 @@
 	MethodNames    []string // as callers name them, in the order of Methods
 	TenantNames    []string
 	ZoneNames      []string
-	ReportFields   []string      // what a load report holds, in this order; none: servers report nothing with their answers
+	ReportFields   []string      // what a load report holds, in this order
+	Reports        bool          // servers report with their answers
 	ConnectTimeout time.Duration // 0: not told
 	ServerIdle     time.Duration // a server closes an idle connection by then; 0: not told
 	MaxOpen        int           // RPCs held at once; 0: not told
@@ -136,7 +138,7 @@
 			ColdFrom: o.Rules.ColdFrom, ColdFor: o.Rules.ColdMs / 1000,
 			FallMultiple: o.Rules.FallMultiple, FallFor: o.Rules.FallMs / 1000,
 		},
-		ZoneNames: o.Zones, ReportFields: o.Report.Fields, MaxOpen: o.Limits.MaxOpen,
+		ZoneNames: o.Zones, ReportFields: o.Report.Fields, Reports: o.Report.How == "piggyback", MaxOpen: o.Limits.MaxOpen,
 		ConnectTimeout: Millis(o.Limits.ConnectTimeoutMs), ServerIdle: Millis(o.Limits.ConnIdleMs),
 	}
 	for _, k := range o.Classes {
@@ -153,30 +155,26 @@
 	return n
 }
 
-// Load reads a server's report: its values, separated by commas, in the order of ReportFields. Nil is no report, and
-// so is one that can't be read: a server's word is no reason to fail its answer.
-func (n *Node) Load(report string) *decide.Load {
-	if report == "" || len(report) > 256 || len(n.ReportFields) == 0 {
-		return nil
-	}
+// Load reads a server's report: its values, separated by commas, in the order of ReportFields.
+func (n *Node) Load(report string) (*decide.Load, error) {
 	parts := strings.Split(report, ",")
-	if len(parts) != len(n.ReportFields) {
-		return nil
+	if len(report) > 256 || len(parts) != len(n.ReportFields) {
+		return nil, fmt.Errorf("load report %.60q has %d values, not %d", report, len(parts), len(n.ReportFields))
 	}
 	l := &decide.Load{Held: -1}
 	for i, part := range parts {
-		x, err := strconv.ParseFloat(strings.TrimSpace(part), 64)
-		if strings.TrimSpace(part) == "-" {
+		if part = strings.TrimSpace(part); part == "-" {
 			continue
 		}
-		if err != nil || !(x >= 0 && x <= 1e9) {
-			return nil
+		x, err := strconv.ParseFloat(part, 64)
+		if err != nil || !(math.Abs(x) <= 1e9) {
+			return nil, fmt.Errorf("load value %.60q is not a number", part)
 		}
 		if n.ReportFields[i] == "concurrent" {
-			l.Held = x
+			l.Held = max(0, x) // noise may take it below
 		}
 	}
-	return l
+	return l, nil
 }
 
 // retryAfter is the longest time that clients may be told to wait, in seconds.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -102,7 +102,7 @@
 		defer body.Release()
 	}
 	if x.pick.Anew {
-		p.left([]*node.Server{server})
+		p.closeIdle(server)
 	}
 	c := p.reuse(server, addr)
 	if c == nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -166,18 +166,22 @@
 // left closes what is idle towards servers that take nothing more, or not there.
 func (p *Pool) left(servers []*node.Server) {
 	for _, s := range servers {
-		for {
-			p.mu.Lock()
-			c := p.idle[s]
-			if c != nil {
-				p.take(c)
-			}
-			p.mu.Unlock()
-			if c == nil {
-				break
-			}
-			p.close(c)
+		p.closeIdle(s)
+	}
+}
+
+func (p *Pool) closeIdle(s *node.Server) {
+	for {
+		p.mu.Lock()
+		c := p.idle[s]
+		if c != nil {
+			p.take(c)
+		}
+		p.mu.Unlock()
+		if c == nil {
+			return
 		}
+		p.close(c)
 	}
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -376,6 +376,8 @@
 	s := begin(server.Addr().String(), 5)
 	s.limits.ServerIdle = time.Hour
 	assert.Equal(t, decide.OK, s.pick())
+	s.Exchange(&node.Pick{Server: s.server, Anew: true}, s.q) // the module does not trust the idle one
+	assert.True(t, await.One(t, closed))
 	s.core.leaves([]*node.Server{s.server})
 	assert.True(t, await.One(t, closed))
 	s.pick() // under way when the word comes
