Entries fade in mean times; half-lives no longer follow a round of all servers

Without use, taken out: memory, the share of servers with own picks in the price of another, the rest for jammed servers, the quarter of the least room for cheap RPCs.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,7 +21,7 @@
 	levels  = 5    // load levels: 0, 1-2, 3-6, 7-14, 15 and more
 	rowLife = 60.0 // an entry idle that long is dropped
 
-	fade       = 4.0  // half-life of what one sample says beyond its row's mean, in seconds
+	fade       = 8.0  // mean times in which half of what one sample says beyond its row's mean is past
 	paceHalf   = 6.0  // half-life of a server's pace, long enough for a few samples at an inner node
 	othersHalf = 20.0 // half-life of the pace of all servers tried, the jammed ones included
 	strange    = 1.4  // times that for a server not known: on a par with those known, every node tries it
@@ -32,8 +32,6 @@
 	strikeOut  = 3    // failures in a row that eject a server
 	ejectMin   = 1.0  // first ejection, in seconds; doubles while trials fail
 	ejectMax   = 8.0
-	jammed     = 2.2  // times its due: who takes longer over all is jammed, and a jam lasts while it is fed
-	jamRest    = 4.0  // first ejection of a jammed one
 	comeBack   = 0.1  // of the latency target: when a client pushed back may ask again
 	spare      = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
 	atOnce     = 0.25 // and at once for each server, over all nodes: a quiet node would else have none
@@ -194,7 +192,6 @@
 	weight           float64 // mean over ready servers
 	done, sent       decaying
 	extra, moved     decaying // second copies; neighbours taken for others
-	keep, keepPace   float64  // half-lives of entries and paces
 	best, bestAt     float64  // rate of one warm server
 	cost, due        decaying // of all servers
 	others           float64  // what a server not known is taken for
@@ -212,7 +209,6 @@
 // New starts an instance.
 func New(h Host, s Settings, seed int64) *Balancer {
 	b := &Balancer{host: h, rng: rand.New(rand.NewSource(seed))}
-	b.keep, b.keepPace = fade, paceHalf
 	b.tune(s)
 	if s.MustWatch {
 		// All nodes start together and the list is one slow service: each waits a random part of the time.
@@ -389,7 +385,7 @@
 		return r.useful > now
 	}
 	waited := b.waited(now)
-	room := max(b.room*r.early, b.leastRoom()/4)
+	room := b.room * r.early
 	// The room stands in for what is not known of the servers: where they report, the estimates turn RPCs away.
 	room /= max(0.05, b.blinds.read(now, doneHalf, 1, 1))
 	// Waits far below the goal say that it is not full: what a few RPCs held exceed their usual by is chance.
@@ -478,7 +474,6 @@
 // choose is the Q-router: the lowest time-to-go at the present load, near-ties and exploration at random.
 func (b *Balancer) choose(r *RPC, now float64) *Server {
 	unit, typical := b.unit(now), b.typical(r.Method, now)
-	b.keep, b.keepPace = b.memory(fade, now), b.memory(paceHalf, now)
 	few := paceDoubt * typical
 	b.others = strange * max(1, (b.cost.read(now, othersHalf)+few)/(b.due.read(now, othersHalf)+few))
 	best, due := math.Inf(1), 0.0
@@ -584,7 +579,7 @@
 		if now-e.at > rowLife {
 			b.forget(s, i)
 		} else {
-			weight := math.Exp2((e.at-now)/b.keep) * (1 - b.fresh(s, typical, now))
+			weight := math.Exp2((e.at-now)/(fade*typical)) * (1 - b.fresh(s, typical, now))
 			q += (e.q - q) * weight
 			if !e.failed {
 				known += (e.q - known) * weight // one failure is no reason to turn the next RPC away
@@ -595,8 +590,7 @@
 	more = max(more, -0.8*min(q, known))
 	q += more
 	due = known + more
-	crowd := float64(b.out) / float64(max(1, b.ready))
-	q += 2 * typical * float64(len(s.pending)) * b.weight / s.weight / (1 + crowd)
+	q += 2 * typical * float64(len(s.pending)) * b.weight / s.weight
 	if !s.linked {
 		q += b.setup.read(now, othersHalf, 0, 1)
 	}
@@ -623,12 +617,6 @@
 	return math.Exp2((s.othersAt - now) / (freshFor * typical))
 }
 
-// memory is a half-life stretched to a node's round of its servers: it would else try a bad one every round.
-func (b *Balancer) memory(half, now float64) float64 {
-	rate := b.sent.read(now, extraHalf) * math.Ln2 / extraHalf
-	return max(half, min(float64(b.ready)/max(rate, 1e-3), rowLife))
-}
-
 func (b *Balancer) row(r *RPC, s *Server, now float64) int {
 	return b.blocks[r.Method][r.Tenant] + min(bits.Len(uint(len(s.pending)+1))-1, levels-1)
 }
@@ -659,7 +647,7 @@
 
 func (b *Balancer) paceAt(s *Server, typical, now, unknown float64) float64 {
 	doubt := paceDoubt * typical
-	return (s.cost.read(now, b.keepPace) + doubt*unknown) / (s.due.read(now, b.keepPace) + doubt)
+	return (s.cost.read(now, paceHalf) + doubt*unknown) / (s.due.read(now, paceHalf) + doubt)
 }
 
 // cold is the part of its capacity that a server is sure to have.
@@ -890,10 +878,6 @@
 	b.done.add(1, now, unitHalf)
 	b.pay(p, min(took, paceCap*p.due), now)
 	b.learn(p, took, false, now)
-	if b.paceAt(s, b.typical(p.RPC.Method, now), now, 1) > jammed {
-		b.eject(s, jamRest, now)
-		s.cost, s.due = decaying{}, decaying{}
-	}
 }
 
 // fault counts a failure against its server and ejects one that only fails. The entries alone would send
@@ -902,21 +886,15 @@
 	s := p.Server
 	b.pay(p, paceCap*p.due, now)
 	b.learn(p, p.RPC.rules.Deadline, true, now)
-	if s.strikes++; s.strikes >= strikeOut {
-		b.eject(s, ejectMin, now)
-	}
-}
-
-func (b *Balancer) eject(s *Server, least, now float64) {
-	if now >= s.ejected {
-		s.backoff = min(max(least, 2*s.backoff), ejectMax)
+	if s.strikes++; s.strikes >= strikeOut && now >= s.ejected {
+		s.backoff = min(max(ejectMin, 2*s.backoff), ejectMax)
 		s.ejected = now + s.backoff
 	}
 }
 
 func (b *Balancer) pay(p *Pick, cost, now float64) {
-	p.Server.cost.add(cost, now, b.keepPace)
-	p.Server.due.add(p.due, now, b.keepPace)
+	p.Server.cost.add(cost, now, paceHalf)
+	p.Server.due.add(p.due, now, paceHalf)
 	b.cost.add(cost, now, othersHalf)
 	b.due.add(p.due, now, othersHalf)
 }
