The real node reads callers' hints of work, X-Work-Hint, where Hints is set

Inner tiers get none: the header is not passed on. Nodes of the new shape in the test with both shapes use it. Left: gateways of FastCGI.

--- a/cmd/robincart/shapes_test.go
+++ b/cmd/robincart/shapes_test.go
@@ -18,9 +18,9 @@
 )
 
 // The settings of a deployment before and after its move to a node beside each client: second copies go, load reports
-// come with the answers, and the nodes are many.
-func shape(copies bool, nodes int, fields string) json.RawMessage {
-	s := strings.Replace(testSettings, `"Instances":1`, fmt.Sprintf(`"Instances":%d,"Report":{%s}`, nodes, fields), 1)
+// come with the answers, hints with the requests, and the nodes are many.
+func shape(copies bool, nodes int, more string) json.RawMessage {
+	s := strings.Replace(testSettings, `"Instances":1`, fmt.Sprintf(`"Instances":%d%s`, nodes, more), 1)
 	s = strings.Replace(s, `"MayCancel":true`, fmt.Sprintf(`"MayCancel":true,"SecondCopies":%t`, copies), 1)
 	return json.RawMessage(strings.Replace(s, `"Rules":{`, `"Rules":{"ColdFrom":0.2,"ColdMs":20000,"FallMultiple":3,"FallMs":3000,`, 1))
 }
@@ -100,7 +100,7 @@
 			case <-time.After(20 * time.Millisecond):
 			}
 			method, id := []string{"find", "book", "charge"}[i%3], fmt.Sprintf("%016x", 1<<40+asked.Add(1))
-			r := p.askWith(method, "", map[string]string{"X-Trace-Id": id})
+			r := p.askWith(method, "", map[string]string{"X-Trace-Id": id, "X-Work-Hint": fmt.Sprint(8 + i%5)})
 			mu.Lock()
 			m.status[id], m.kind[id], m.once[id] = r.status, kind, method == "charge"
 			mu.Unlock()
@@ -109,7 +109,7 @@
 	for i := range 7 {
 		kind, settings := "old", shape(true, 7, "")
 		if i >= 2 {
-			kind, settings = "new", shape(false, 7, `"How":"piggyback","Fields":["concurrent","depth","load_share"]`)
+			kind, settings = "new", shape(false, 7, `,"Hints":true,"Report":{"How":"piggyback","Fields":["concurrent","depth","load_share"]}`)
 		}
 		config := configuration(t, d, d.all()...)
 		config["settings"] = settings
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -192,7 +192,7 @@
 		recalled = lease.Recalled()
 	}
 
-	rpc := service.core.Arrived(class.slot, tenant, came+q.Left, q.SecondTry, q.Rest != nil)
+	rpc := service.core.Arrived(class.slot, tenant, came+q.Left, q.SecondTry, q.Rest != nil, q.Work)
 	c.watch(rpc)
 	var a *httpwire.Answer
 	held := 0 // by the answer
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -41,7 +41,7 @@
 	atVanished func(*node.RPC)
 }
 
-func (c *fakeCore) Arrived(method, tenant int, deadline time.Duration, retry, _ bool) *node.RPC {
+func (c *fakeCore) Arrived(method, tenant int, deadline time.Duration, retry, _ bool, _ float64) *node.RPC {
 	r := &node.RPC{Orders: make(chan node.Order, 9), Deadline: deadline}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -27,7 +27,7 @@
 
 // Core is what a request's life asks and tells the node's core.
 type Core interface {
-	Arrived(method, tenant int, deadline time.Duration, retry, coming bool) *node.RPC
+	Arrived(method, tenant int, deadline time.Duration, retry, coming bool, work float64) *node.RPC
 	Vanished(*node.RPC)
 	Done(*node.Pick, decide.Result, *node.Answer) (served bool)
 }
--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -20,6 +20,7 @@
 	hSecondTry
 	hNeverRan
 	hLoad
+	hWork
 	hEncoding
 	hLength
 	hConnection
@@ -28,7 +29,7 @@
 )
 
 var names = [hCount]string{HeaderTrace, HeaderKey, HeaderMethod, HeaderTenant, headerType, "Host", HeaderLeft, HeaderSecondTry,
-	HeaderNeverRan, HeaderLoad, headerEncoding, headerLength, headerConnection, "Expect"}
+	HeaderNeverRan, HeaderLoad, HeaderWork, headerEncoding, headerLength, headerConnection, "Expect"}
 
 // Head is a message's start line and what its headers say.
 type Head struct {
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -23,7 +23,8 @@
 	Left      time.Duration // how long the caller waits
 	HasLeft   bool
 	SecondTry bool
-	Close     bool // the caller wants the connection closed
+	Work      float64 // the caller's hint of its cost; 0: none that can be read
+	Close     bool    // the caller wants the connection closed
 	Type      string
 	Body      []byte
 	Rest      *Rest // of the body; nil: it is here
@@ -68,13 +69,19 @@
 		r.rest()
 	}
 	for k, other := range head.other {
-		if other && known(k) != hConnection && known(k) != hNeverRan && known(k) != hLoad && known(k) != hExpect {
+		if other && known(k) != hConnection && known(k) != hNeverRan && known(k) != hLoad && known(k) != hWork && known(k) != hExpect {
 			_, err := head.one(known(k))
 			return nil, err
 		}
 	}
 	q.Trace, q.Key, q.Method, q.Tenant = head.value[hTrace], head.value[hKey], head.value[hMethod], head.value[hTenant]
 	q.Type, q.Host, q.SecondTry = head.value[hType], head.value[hHost], head.value[hSecondTry] == "1"
+	// A hint is rough anyway: one that can't be read is none, and no reason to turn a request away.
+	if hint := head.value[hWork]; hint != "" && !head.other[hWork] {
+		if x, err := strconv.ParseFloat(hint, 64); err == nil && x > 0 && x <= 1e9 {
+			q.Work = x
+		}
+	}
 	if left := head.value[hLeft]; left != "" {
 		n, err := digits(left, 10, 1<<30)
 		if err != nil {
--- a/internal/httpwire/names.go
+++ b/internal/httpwire/names.go
@@ -10,7 +10,8 @@
 	HeaderKey        = "Idempotency-Key"
 	HeaderSecondTry  = "X-Second-Try"
 	HeaderNeverRan   = "X-Never-Ran"
-	HeaderLoad       = "X-Load" // a server's report of its load, where the settings name its values
+	HeaderLoad       = "X-Load"      // a server's report of its load, where the settings name its values
+	HeaderWork       = "X-Work-Hint" // a caller's rough hint of the request's cost, where the settings ask for it
 	HeaderRetryAfter = "Retry-After"
 
 	headerLength     = "Content-Length"
--- a/internal/httpwire/wire_test.go
+++ b/internal/httpwire/wire_test.go
@@ -43,6 +43,15 @@
 	}
 }
 
+func TestAHintOfWorkIsANumberOrNone(t *testing.T) {
+	for said, want := range map[string]float64{"": 0, "X-Work-Hint: 12.5\r\n": 12.5, "X-Work-Hint: -3\r\n": 0, "X-Work-Hint: nan\r\n": 0,
+		"X-Work-Hint: inf\r\n": 0, "X-Work-Hint: 1e99\r\n": 0, "X-Work-Hint: much\r\n": 0, "X-Work-Hint: 3\r\nX-Work-Hint: 4\r\n": 0} {
+		q, err := reader("GET /f HTTP/1.1\r\nHost: h\r\n" + said + "\r\n").ReadRequest()
+		require.NoError(t, err, said)
+		assert.Equal(t, want, q.Work, said)
+	}
+}
+
 func TestARequestGoesOnAsItCame(t *testing.T) {
 	q, err := reader(book).ReadRequest()
 	require.NoError(t, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -267,9 +267,14 @@
 // Arrived takes a request and returns its RPC, whose orders tell what to do. It came at a time of the core's
 // clock and its caller waits until the deadline.
 //
+// Work is the caller's hint of its cost, 0 for none; it counts where the settings say that hints come.
 // Of one that is coming the body is on its way still, and goes to its server as it comes: its time begins with Came.
-func (c *Core) Arrived(method, tenant int, deadline time.Duration, retry, coming bool) *RPC {
-	r := &RPC{Deadline: deadline, obj: decide.RPC{Method: method, Tenant: tenant, Deadline: seconds(deadline) + epoch, Retry: retry, Coming: coming}}
+func (c *Core) Arrived(method, tenant int, deadline time.Duration, retry, coming bool, work float64) *RPC {
+	if !c.settings.Hints {
+		work = 0
+	}
+	r := &RPC{Deadline: deadline, obj: decide.RPC{Method: method, Tenant: tenant, Deadline: seconds(deadline) + epoch,
+		Retry: retry, Coming: coming, Work: work}}
 	r.obj.Of = r
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -98,7 +98,7 @@
 }
 
 func (s *story) arrive(method int) *RPC {
-	return s.Arrived(method, 0, s.clock.now+4*time.Second, false, false)
+	return s.Arrived(method, 0, s.clock.now+4*time.Second, false, false, 0)
 }
 
 // next is the order that waits for an RPC's frontend.
@@ -113,6 +113,14 @@
 	}
 }
 
+func TestHintsOfWorkCountWhereTheSettingsAskForThem(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		s := begin(t, func(n *settings.Node) { n.Hints = on })
+		s.list("a")
+		assert.Equal(t, on, s.Arrived(find, 0, s.clock.now+time.Second, false, false, 7).obj.Work == 7)
+	}
+}
+
 func TestAnOkIsPassedOnOnce(t *testing.T) {
 	s := begin(t, nil)
 	s.list("a", "b")
@@ -420,7 +428,7 @@
 func TestTheTimeOfABodyThatComesLateBeginsWithItsEnd(t *testing.T) {
 	s := begin(t, nil)
 	s.list("a", "b")
-	r := s.Arrived(charge, 0, s.clock.now+4*time.Second, false, true)
+	r := s.Arrived(charge, 0, s.clock.now+4*time.Second, false, true, 0)
 	p := next(t, r).Pick
 	assert.True(t, s.Begin(p, nil))
 	s.clock.until(s.clock.now + time.Minute) // far beyond its target and its deadline
@@ -435,7 +443,7 @@
 	assert.True(t, b.broken)
 	s.Done(p, decide.Reset, nil)
 	// Broken before its end it never ran; what was sent is gone, so no other server can have it.
-	r = s.Arrived(charge, 0, s.clock.now+4*time.Second, false, true)
+	r = s.Arrived(charge, 0, s.clock.now+4*time.Second, false, true, 0)
 	s.Done(next(t, r).Pick, decide.ConnectFailed, nil)
 	for o := next(t, r); ; o = next(t, r) {
 		if o.Kind == PushBack {
@@ -445,7 +453,7 @@
 		s.Done(o.Pick, decide.Ignored, nil)
 	}
 	// A caller that leaves meanwhile.
-	r = s.Arrived(charge, 0, s.clock.now+4*time.Second, false, true)
+	r = s.Arrived(charge, 0, s.clock.now+4*time.Second, false, true, 0)
 	p = next(t, r).Pick
 	s.Vanished(r)
 	s.Came(p, time.Second)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 	ZoneNames      []string
 	ReportFields   []string      // what a load report holds, in this order
 	Reports        bool          // servers report with their answers
+	Hints          bool          // callers give hints of what their requests cost
 	ConnectTimeout time.Duration // 0: not told
 	ServerIdle     time.Duration // a server closes an idle connection by then; 0: not told
 	MaxOpen        int           // RPCs held at once; 0: not told
@@ -53,6 +54,7 @@
 	}
 	Zones          []string
 	Instances      int
+	Hints          bool
 	MyZone, Stage  int
 	OverShareWorth float64
 }
@@ -138,7 +140,7 @@
 			ColdFrom: o.Rules.ColdFrom, ColdFor: o.Rules.ColdMs / 1000,
 			FallMultiple: o.Rules.FallMultiple, FallFor: o.Rules.FallMs / 1000,
 		},
-		ZoneNames: o.Zones, ReportFields: o.Report.Fields, Reports: o.Report.How == "piggyback", MaxOpen: o.Limits.MaxOpen,
+		ZoneNames: o.Zones, ReportFields: o.Report.Fields, Reports: o.Report.How == "piggyback", Hints: o.Hints, MaxOpen: o.Limits.MaxOpen,
 		ConnectTimeout: Millis(o.Limits.ConnectTimeoutMs), ServerIdle: Millis(o.Limits.ConnIdleMs),
 	}
 	for _, k := range o.Classes {
