Hints are read under the core's lock; what a late try does twice is the node's

Cause of the first: Core.Arrived looked at Hints ahead of its lock, which a SIGHUP holds while it changes the settings. Cause of the second: an effect was the caller's own if it came in another try than the first effect's and past its window, so a node that did the work twice inside such a try went free. Both shown first: the hints' test with settings changed beside it gives DATA RACE, the late caller's test with a second effect in the late try fails; both pass now.

--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -18,18 +18,20 @@
 	hHost
 	hLeft
 	hSecondTry
+	hEncoding
+	hLength
 	hNeverRan
 	hLoad
 	hWork
-	hEncoding
-	hLength
 	hConnection
 	hExpect
 	hCount
+
+	hOnce = hNeverRan // from there on a second, different value is no contradiction in a request
 )
 
 var names = [hCount]string{HeaderTrace, HeaderKey, HeaderMethod, HeaderTenant, headerType, "Host", HeaderLeft, HeaderSecondTry,
-	HeaderNeverRan, HeaderLoad, HeaderWork, headerEncoding, headerLength, headerConnection, "Expect"}
+	headerEncoding, headerLength, HeaderNeverRan, HeaderLoad, HeaderWork, headerConnection, "Expect"}
 
 // Head is a message's start line and what its headers say.
 type Head struct {
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -68,9 +68,8 @@
 	if q.Rest == nil {
 		r.rest()
 	}
-	for k, other := range head.other {
-		if other && known(k) != hConnection && known(k) != hNeverRan && known(k) != hLoad && known(k) != hWork && known(k) != hExpect {
-			_, err := head.one(known(k))
+	for k := range hOnce {
+		if _, err := head.one(k); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -274,13 +274,12 @@
 // effects judges one call's picks.
 func (v *Verdict) effects(rules Rules, tries []Try, picks []Pick, drains map[link][]Word) {
 	m := rules.Methods[tries[0].Method]
-	effects, own := 0, 0 // own: by the caller's doing
+	effects := 0
 	for i, p := range picks {
 		if p.Effect {
-			effects++
 			v.Effects++
-			if m.Repeat == Deduplicated && lateAgain(m, tries, picks[:i], p) {
-				own++
+			if !lateAgain(m, tries, picks[:i], p) {
+				effects++
 			}
 		}
 		v.AllWork += p.End - p.Start
@@ -310,20 +309,22 @@
 			v.breach(PastWindow, "%v at server %d, %v after its first pick", p.ID, p.Server, p.First-picks[0].First)
 		}
 	}
-	if effects-own > 1 && m.Repeat != Idempotent && tries[0].Node >= 0 {
+	if effects > 1 && m.Repeat != Idempotent && tries[0].Node >= 0 {
 		v.breach(EffectTwice, "call %d of %s: %d effects", tries[0].Call, m.Name, effects)
 	}
 }
 
-// lateAgain tells whether a caller who had been promised nothing sent a call once more when the first effect's window
-// was over: a node passes on what it is sent, and can't know that it was.
+// lateAgain tells whether an effect is a caller's own, who had been promised nothing and sent the call once more when the
+// window of the last effect was over: a node passes on what it is sent, and can't know that it was. What one try does
+// twice is the node's.
 func lateAgain(m Method, tries []Try, before []Pick, p Pick) bool {
-	i := slices.IndexFunc(before, func(o Pick) bool { return o.Effect })
-	if i < 0 || before[i].N == p.N || p.Start <= before[i].Start+m.Window {
-		return false
+	for _, o := range slices.Backward(before) {
+		if o.Effect {
+			t := find(tries, o.ID)
+			return m.Repeat == Deduplicated && o.N != p.N && p.Start > o.Start+m.Window && t != nil && t.End != PushedBack
+		}
 	}
-	t := find(tries, before[i].ID)
-	return t != nil && t.End != PushedBack
+	return false
 }
 
 func find(tries []Try, id ID) *Try {
--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -170,5 +170,7 @@
 		l.Try(try)
 		l.Pick(pick)
 		assert.Equal(t, guilty, Judge(rules, l).Broken[EffectTwice] != nil, end)
+		l.Pick(pick) // the late try's effect twice is the node's doing, whoever came late
+		assert.NotNil(t, Judge(rules, l).Broken[EffectTwice], end)
 	}
 }
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -497,15 +497,18 @@
 		return false, 0
 	}
 	now := e.now()
+	until := f.Until
 	promised := end == judge.PushedBack || end == judge.Unreached
-	harmless := promised || m.Repeat == judge.Idempotent || m.Repeat == judge.Deduplicated && now-f.Planned < m.Window
+	if m.Repeat == judge.Deduplicated && !promised {
+		until = min(until, f.Planned+m.Window) // by then the servers have forgotten its mark
+	}
 	switch {
 	case end == judge.Crossed && f.crossed == 0: // the protocol lets a caller send it once more
 		f.crossed = 1
 		return true, 0
-	case !harmless:
+	case m.Repeat == judge.NonIdempotent && !promised:
 		return false, 0
-	case int(f.N) < c.AtOnce && now < f.Until:
+	case int(f.N) < c.AtOnce && now < until:
 		return true, 0
 	}
 	r := rand.New(rand.NewSource(int64(e.Seed) ^ int64(f.Call)<<20 ^ int64(f.N)))
@@ -517,10 +520,6 @@
 	if honours && f.wait > 0 {
 		pause = f.wait
 	}
-	until := f.Until
-	if m.Repeat == judge.Deduplicated && !promised {
-		until = min(until, f.Planned+m.Window) // by then the servers have forgotten its mark
-	}
 	return now+pause < until, pause
 }
 
--- a/internal/lab/run/selfcheck.go
+++ b/internal/lab/run/selfcheck.go
@@ -6,9 +6,10 @@
 	"io"
 	"slices"
 	"sort"
-	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"robincart/internal/lab/experiment"
 	"robincart/internal/lab/judge"
 	"robincart/internal/lab/load"
@@ -93,24 +94,15 @@
 func SelfCheck(ctx context.Context) ([]Finding, error) {
 	crimes := append([]string{""}, judge.RuleNames...)
 	out := make([]Finding, len(crimes))
-	errs := make([]error, len(crimes))
-	// A few at once: eleven fleets together leave a busy machine too little for any to keep its times.
-	var all sync.WaitGroup
-	places := make(chan struct{}, 4)
+	var all errgroup.Group
+	all.SetLimit(4) // eleven fleets together leave a busy machine too little for any to keep its times
 	for i, crime := range crimes {
-		places <- struct{}{}
-		all.Go(func() {
-			out[i], errs[i] = try(ctx, crime)
-			<-places
+		all.Go(func() (err error) {
+			out[i], err = try(ctx, crime)
+			return err
 		})
 	}
-	all.Wait()
-	for _, err := range errs {
-		if err != nil {
-			return out, err
-		}
-	}
-	return out, nil
+	return out, all.Wait()
 }
 
 func try(ctx context.Context, crime string) (Finding, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -270,14 +270,14 @@
 // Work is the caller's hint of its cost, 0 for none; it counts where the settings say that hints come.
 // Of one that is coming the body is on its way still, and goes to its server as it comes: its time begins with Came.
 func (c *Core) Arrived(method, tenant int, deadline time.Duration, retry, coming bool, work float64) *RPC {
-	if !c.settings.Hints {
-		work = 0
-	}
 	r := &RPC{Deadline: deadline, obj: decide.RPC{Method: method, Tenant: tenant, Deadline: seconds(deadline) + epoch,
-		Retry: retry, Coming: coming, Work: work}}
+		Retry: retry, Coming: coming}}
 	r.obj.Of = r
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.settings.Hints {
+		r.obj.Work = work
+	}
 	r.Orders = make(chan Order, c.settings.MaxPicks+3)
 	c.open++
 	c.methods[method].held++
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -117,7 +117,15 @@
 	for _, on := range []bool{false, true} {
 		s := begin(t, func(n *settings.Node) { n.Hints = on })
 		s.list("a")
-		assert.Equal(t, on, s.Arrived(find, 0, s.clock.now+time.Second, false, false, 7).obj.Work == 7)
+		same := s.settings
+		go func() { // SIGHUP may come at any time
+			for range 50 {
+				s.Retune(same)
+			}
+		}()
+		for range 50 {
+			assert.Equal(t, on, s.Arrived(find, 0, time.Minute, false, false, 7).obj.Work == 7)
+		}
 	}
 }
 
