--- a/decide/choice_test.go
+++ b/decide/choice_test.go
@@ -46,6 +46,7 @@
 				r = h.last().RPC
 			} else {
 				r.rules = h.b.methods[r.Method].rules
+				r.early = 1
 				h.b.begin(r, h.now)
 			}
 			s = h.b.choose(r, h.now)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -4,7 +4,6 @@
 // internal/node) makes one Balancer an instance with New and calls one method for each thing that happens.
 // The Balancer acts at once through the Host that New was handed; host.go defines that interface and the
 // plain types. Nothing here knows a clock, a socket or an id.
-//
 // The ordinary path is the Q-router of DESIGN-robincart.md: choose sends to the server with the lowest
 // estimated time-to-go, learn moves the entry that was used. The rest guards it; docs/design.md says when.
 
@@ -19,7 +18,6 @@
 	alpha   = 0.7  // the paper's learning rate
 	explore = 0.01 // chance of a random server that is no neighbour
 	nearTie = 1.1  // entries within a tenth of the lowest are tied
-	penalty = 1.0  // failures cost this many deadlines: more would only outlast the fading
 	levels  = 5    // load levels: 0, 1-2, 3-6, 7-14, 15 and more
 	rowLife = 60.0 // an entry idle that long is dropped
 
@@ -34,19 +32,21 @@
 	strikeOut  = 3    // failures in a row that eject a server
 	ejectMin   = 1.0  // first ejection, in seconds; doubles while trials fail
 	ejectMax   = 8.0
+	jammed     = 2.2  // times its due: who takes longer over all is jammed, and a jam lasts while it is fed
+	jamRest    = 4.0  // first ejection of a jammed one
 	comeBack   = 0.1  // of the latency target: when a client pushed back may ask again
 	spare      = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
 	atOnce     = 0.25 // and at once for each server, over all nodes: a quiet node would else have none
 	sight      = 128  // neighbours at most
-	fewest     = 4    // neighbours at least
-	breadth    = 1.5  // and as many for each pick that is out on average
+	fewest     = 4    // neighbours at least: one may be ill, and a retry needs another
+	breadth    = 2.5  // and as many for each pick that is out on average
 	strangers  = 4    // others looked at for a pick
 	moving     = 0.1  // of the picks may bring a new neighbour in place of another
-	inTime     = 1.2
-	anyway     = 0.02
+	inTime     = 1.2  // times what is left: what is expected to take longer is turned away; times scatter
+	anyway     = 0.02 // of those are sent all the same: without picks nothing would be learnt of a recovery
+	freshFor   = 2.5  // mean times in which half of a load report is past
 	idleHalf   = 10.0 // seconds in which an idle time that was too long is tried twice as long
 	idleSafe   = 0.7  // of an idle time that was too long
-	freshFor   = 2.5  // mean times in which half of a load report is past
 	margin     = 0.01 // seconds before the deadline by which an answer must be on its way
 
 	// The room for RPCs held at the front. Waits are counted in latency targets.
@@ -68,7 +68,6 @@
 	unitHalf   = 10.0 // of a server's rate: its best must not be chance at a node with an RPC a second
 	extraHalf  = 5.0  // of the budget for second copies
 	shareHalf  = 3.0  // of a tenant's rate: short enough for a burst, long enough for chance
-	overQuota  = 1.0  // roots beyond its quota that a tenant may ask for: clients come by chance
 )
 
 // decaying is a sum that halves every half seconds, brought up to date when read.
@@ -105,7 +104,7 @@
 
 type method struct {
 	*rules
-	took average
+	took, work average
 }
 
 type tenant struct {
@@ -124,43 +123,36 @@
 }
 
 type server struct {
-	state      State
-	zone, cell int
-	weight     float64
-	cameUp     float64
-	seen       int
-	entries    []entry
-	pending    []*Pick // oldest first
-	cost, due  decaying
-	heard      float64
-	strikes    int
-	ejected    float64 // until then
-	backoff    float64
-	tokens     float64
-	tokensAt   float64
-	others     float64 // RPCs that it held for others when it last reported
-	othersAt   float64
-	back       float64 // when it was listed as ready again
-	near       bool    // a neighbour
-	used       float64 // when its connections last carried something
-	linked     bool    // a connection to it is open
-	dead       bool    // an idle connection to it has swallowed a pick
+	state            State
+	zone, cell, seen int
+	weight, cameUp   float64
+	entries          []entry
+	pending          []*Pick // oldest first
+	cost, due        decaying
+	heard            float64
+	strikes          int
+	ejected, backoff float64 // until then; for how long the last time
+	tokens, tokensAt float64
+	others, othersAt float64 // RPCs that it held for others when it last reported
+	near             bool    // a neighbour
+	used             float64 // when its connections last carried something
+	linked, dead     bool    // a connection to it is open; an idle one has swallowed a pick
 }
 
 type rpc struct {
-	rules   *rules
-	came    float64
-	useful  float64 // after that an answer earns nothing
-	picks   []*Pick
-	out     int
-	ran     *Pick // the first pick that may have run
-	open    bool
-	started bool
-	value   float64
+	rules         *rules
+	came, useful  float64 // after useful an answer earns nothing
+	picks         []*Pick
+	out           int
+	ran           *Pick // the first pick that may have run
+	open, started bool
+	early         float64 // the part of the room, or of the time left, that it may use: the cheaper, the less
+	size          float64 // its work over its method's mean, less one
 }
 
 type pick struct {
 	sent, due float64
+	extra     float64 // what it takes longer than its method's mean, by its hint
 	late      float64 // the age from which it is late
 	row       int
 	out       bool
@@ -175,53 +167,46 @@
 
 // Balancer decides for one instance.
 type Balancer struct {
-	host    Host
-	rng     *rand.Rand
-	methods []method
-	tenants []tenant
-	servers []*Server
-	rows    []row
-	blocks  [][]int // where the rows of each method and tenant begin
-	list    int     // lists seen
+	host       Host
+	rng        *rand.Rand
+	methods    []method
+	tenants    []tenant
+	servers    []*Server
+	near       []*Server // the neighbours
+	rows       []row
+	blocks     [][]int // where the rows of each method and tenant begin
+	list, zone int     // lists seen; this node's zone
 
 	inner, copies, cancels bool
 	overShare, cross       float64
-	zone                   int
-	maxWait                float64
+	maxWait, part          float64 // part: this node's of the tier's nodes
 	coldFrom, coldFor      float64
 	coldPush               float64 // times its part that a cold server may be sent
 	floorRate              float64 // picks a second to a warm server when nothing is known
 	watchBackoff           float64
 
-	open           int     // RPCs held
-	room           float64 // RPCs to hold at most
-	part           float64 // this node's of the tier's nodes
-	waits, old     average // of RPCs, given up or ok, and the same over a longer time
-	held           average // RPCs held when others came
-	base, baseAt   float64 // the lowest mean wait of late
-	usual          float64 // RPCs held at most while waits were near the base
-	out            int     // picks out
-	ready          int
-	weight         float64 // mean over ready servers
-	done           decaying
-	keep, keepPace float64  // half-lives of entries and paces
-	best, bestAt   float64  // rate of one warm server
-	cost, due      decaying // of all servers
-	others         float64  // what a server not known is taken for
-	sent           decaying
-	extra          decaying
-	near           []*Server // the neighbours
-	outs, blinds   average   // picks out when others were sent; those that did not know what their servers held
-	idleMost       float64   // connections idle for longer are not trusted; 0: all are
-	idleAt         float64
-	idleOK         decaying // the longest idle times after which a connection still worked
-	setup          average  // how much longer picks took that opened a connection
-	mute           *Server  // whose idle connection last swallowed a pick, and when
-	muteAt         float64
-	moved          decaying // neighbours taken for others
-	heldThere      average  // RPCs of others that servers reported
-	cands          []*Server
-	ests           []float64
+	open, out, ready int     // RPCs held; picks out; servers
+	room             float64 // RPCs to hold at most
+	waits, old       average // of RPCs, given up or ok, and the same over a longer time
+	held             average // RPCs held when others came
+	base, baseAt     float64 // the lowest mean wait of late
+	usual            float64 // RPCs held at most while waits were near the base
+	weight           float64 // mean over ready servers
+	done, sent       decaying
+	extra, moved     decaying // second copies; neighbours taken for others
+	keep, keepPace   float64  // half-lives of entries and paces
+	best, bestAt     float64  // rate of one warm server
+	cost, due        decaying // of all servers
+	others           float64  // what a server not known is taken for
+	outs, blinds     average  // picks out when others were sent; those that did not know what their servers held
+	heldThere        average  // RPCs of others that servers reported
+	setup            average  // how much longer picks took that opened a connection
+	idleMost, idleAt float64  // connections idle for longer are not trusted; 0: all are
+	idleOK           decaying // the longest idle times after which a connection still worked
+	mute             *Server  // whose idle connection last swallowed a pick, and when
+	muteAt           float64
+	cands            []*Server
+	ests             []float64
 }
 
 // New starts an instance.
@@ -295,9 +280,6 @@
 		} else if l.CameUp > s.cameUp {
 			b.restart(s, now)
 		}
-		if l.State == Ready && s.state != Ready {
-			s.back = now
-		}
 		s.state, s.zone, s.cell, s.weight, s.cameUp = l.State, l.Zone, l.Cell, max(l.Weight, 0.01), l.CameUp
 		s.seen = b.list
 	}
@@ -334,7 +316,7 @@
 	for i := range s.entries {
 		b.forget(s, i)
 	}
-	s.cost, s.due, s.strikes, s.ejected, s.backoff, s.othersAt = decaying{}, decaying{}, 0, 0, 0, 0
+	s.cost, s.due, s.strikes, s.ejected, s.backoff, s.othersAt = decaying{}, decaying{}, 0, 0, 0, math.Inf(-1)
 	// All nodes hear of the start at once: a random part of a token keeps their first picks apart.
 	s.tokens, s.tokensAt = b.rng.Float64(), now
 }
@@ -349,18 +331,24 @@
 func (b *Balancer) Arrived(r *RPC) {
 	now := b.host.Now()
 	m := &b.methods[r.Method]
-	r.open, r.rules, r.value = true, m.rules, m.value
 	b.open++
+	r.open, r.rules = true, m.rules
 	b.begin(r, now)
+	value := m.value
+	if r.Work > 0 {
+		m.work.add(r.Work, now, othersHalf)
+		r.size = min(max(r.Work/m.work.read(now, othersHalf, r.Work, 1), 0.2), 5) - 1
+	}
 	if r.Tenant < len(b.tenants) && !b.inner {
 		t := &b.tenants[r.Tenant]
 		t.asked.add(1, now, shareHalf)
-		// A node's part of a small quota is less than one RPC: judged by the rate alone, each would be beyond it.
+		// A node's part of a small quota is less than one RPC, and clients come by chance: one more and a root.
 		due := t.quota * shareHalf / math.Ln2
-		if t.quota > 0 && t.asked.sum > 1+due+overQuota*math.Sqrt(due) {
-			r.value *= b.overShare
+		if t.quota > 0 && t.asked.sum > 1+due+math.Sqrt(due) {
+			value *= b.overShare
 		}
 	}
+	r.early = cheapest + (1-cheapest)*math.Cbrt(value)
 	if !b.admit(r, now) {
 		b.giveUp(r)
 		return
@@ -394,17 +382,14 @@
 	}
 }
 
-// admit takes an RPC only if there is room and it is predicted in time. The prediction is what the last ones
-// waited, those given up on included; the less an RPC is worth, the earlier it gives way. It guards against a
-// crowd in which all are late. Inner nodes take all that can still be in time: a pushback there wastes the
-// work above.
+// admit takes an RPC only if there is room; the less it is worth, the earlier it gives way. That keeps crowds
+// away of which all are late. Inner nodes take what can be in time: a pushback wastes the work above.
 func (b *Balancer) admit(r *RPC, now float64) bool {
 	if b.inner || r.useful <= now {
 		return r.useful > now
 	}
 	waited := b.waited(now)
-	room := b.room * (cheapest + (1-cheapest)*math.Cbrt(r.value))
-	room = max(room, b.leastRoom()/4)
+	room := max(b.room*r.early, b.leastRoom()/4)
 	// The room stands in for what is not known of the servers: where they report, the estimates turn RPCs away.
 	room /= max(0.05, b.blinds.read(now, doneHalf, 1, 1))
 	// Waits far below the goal say that it is not full: what a few RPCs held exceed their usual by is chance.
@@ -415,12 +400,10 @@
 }
 
 // waited is what the last RPCs waited, as a part of their latency targets. Where few are recent, older ones
-// stand in, and a guess only for what is lacking then: at an RPC a second it would hide that all are late.
+// stand in, and a guess for those: at an RPC a second a guess alone would hide that all are late.
 func (b *Balancer) waited(now float64) float64 {
 	lack := max(0, fewWaits-b.waits.n.read(now, recentHalf))
-	older := min(lack, b.old.n.read(now, doneHalf))
-	guess := older*b.old.read(now, doneHalf, 0, 0) + (lack-older)*goal/2
-	return b.waits.read(now, recentHalf, guess/max(lack, 1e-9), lack)
+	return b.waits.read(now, recentHalf, b.old.read(now, doneHalf, goal/2, 1), lack)
 }
 
 // leastRoom keeps this node's part of the servers at work: a slowdown of all is not answered by idling them.
@@ -454,8 +437,7 @@
 	case float64(b.open-1) > 0.6*b.room:
 		b.room *= 1 + roomUp/max(float64(b.open), 4)
 	}
-	exact := countTrust * b.usual
-	most := roomMost*b.usual + 2*math.Sqrt(b.usual)*exact/(exact+1)
+	most := roomMost*b.usual + 2*math.Sqrt(b.usual)*b.usual/(b.usual+1/countTrust)
 	// Where waits are next to nothing, so many more may come as would still wait little.
 	b.room = min(b.room, most*max(1, quiet/long))
 	b.room = max(b.room, b.leastRoom(), roomLeast*b.usual)
@@ -463,7 +445,7 @@
 
 // pickOr sends the RPC's next pick or, if there is nowhere to send it, ends it.
 func (b *Balancer) pickOr(r *RPC, now float64) {
-	if len(r.picks) < r.rules.picks && (r.Coming || now < r.useful) && b.mayRepeat(r, now) {
+	if (r.Coming || now < r.useful) && b.mayRepeat(r, now) {
 		if s := b.choose(r, now); s != nil {
 			b.send(r, s, now)
 			return
@@ -476,14 +458,11 @@
 
 // mayRepeat guards the rule that no effect happens twice.
 func (b *Balancer) mayRepeat(r *RPC, now float64) bool {
-	if r.out > 0 && !b.copies {
+	if r.out > 0 && !b.copies || len(r.picks) >= r.rules.picks {
 		return false
 	}
-	if r.ran == nil {
-		return true
-	}
 	m := r.rules
-	return m.Repeat == Idempotent || m.Repeat == Deduplicated && now < r.ran.sent+m.Window-margin
+	return r.ran == nil || m.Repeat == Idempotent || m.Repeat == Deduplicated && now < r.ran.sent+m.Window-margin
 }
 
 // within tells whether a server drops repeats of what first may have run.
@@ -496,22 +475,19 @@
 
 // choose is the Q-router: the lowest time-to-go at the present load, near-ties and exploration at random.
 func (b *Balancer) choose(r *RPC, now float64) *Server {
-	m := r.rules
 	unit, typical := b.unit(now), b.typical(r.Method, now)
 	b.keep, b.keepPace = b.memory(fade, now), b.memory(paceHalf, now)
 	few := paceDoubt * typical
 	b.others = strange * max(1, (b.cost.read(now, othersHalf)+few)/(b.due.read(now, othersHalf)+few))
 	best, due := math.Inf(1), 0.0
 	look := func(s *Server, pass int) {
-		if s.state != Ready || r.ran != nil && !m.within(s, r.ran.Server) || !b.warm(s, unit, now) {
+		if s.state != Ready || r.ran != nil && !r.rules.within(s, r.ran.Server) || !b.warm(s, unit, now) {
 			return
 		}
 		// The second pass takes what is left when all sound servers have been tried: an ejected one is
 		// better than none, and where all fail the fault lies elsewhere.
-		if pass == 0 && (now < s.ejected || s.strikes >= strikeOut && len(s.pending) > 0 || r.met(s, false)) {
-			return
-		}
-		if pass == 1 && r.met(s, true) {
+		ill := now < s.ejected || s.strikes >= strikeOut && len(s.pending) > 0
+		if pass == 0 && (ill || r.met(s, false)) || r.met(s, true) {
 			return
 		}
 		e, d := b.estimate(r, s, typical, now)
@@ -522,12 +498,11 @@
 	}
 	b.cands, b.ests = b.cands[:0], b.ests[:0]
 	exploring := b.rng.Float64() < explore
-	if !exploring {
-		for _, s := range b.near {
-			look(s, 0)
-		}
+	for i := 0; i < len(b.near) && !exploring; i++ {
+		look(b.near[i], 0)
 	}
-	open := exploring || len(b.near) < b.most(now) || b.moved.read(now, extraHalf)+b.rng.Float64() < moving*b.sent.read(now, extraHalf)
+	spent := b.moved.read(now, extraHalf) + b.rng.Float64()
+	open := exploring || len(b.near) < b.most(now) || spent < moving*b.sent.read(now, extraHalf)
 	for i := 0; i < strangers && open && len(b.near) < len(b.servers); i++ {
 		if s := b.servers[b.rng.Intn(len(b.servers))]; !s.near {
 			look(s, 0)
@@ -542,12 +517,12 @@
 		return nil
 	}
 	// What would be late anyway only keeps others waiting.
-	if !b.inner && due > inTime*(r.useful-now)*(cheapest+(1-cheapest)*math.Cbrt(r.value)) && b.rng.Float64() >= anyway {
+	if !b.inner && due > inTime*(r.useful-now)*r.early && b.rng.Float64() >= anyway {
 		return nil
 	}
 	n := 0
 	for i, s := range b.cands {
-		if exploring || b.ests[i] <= best*nearTie {
+		if exploring || b.ests[i] <= max(best, best*nearTie) {
 			b.cands[n] = s
 			n++
 		}
@@ -560,8 +535,8 @@
 	return min(fewest+int(breadth*b.outs.read(now, doneHalf, 0, 0)), sight)
 }
 
-// join makes a server a neighbour. The paper's router knows its neighbours only: a node that sends to all servers by
-// turns hears too seldom from each. As many are kept as the node's picks need; the worst leaves for the new one.
+// join makes a server a neighbour. The paper's router knows its neighbours only: a node that sends to all
+// servers by turns hears too seldom from each. As many are kept as picks need; the worst leaves for the new.
 func (b *Balancer) join(r *RPC, s *Server, typical, now float64) {
 	b.outs.add(float64(b.out+1), now, doneHalf)
 	if s.near || r.out+len(r.picks) > 0 {
@@ -578,11 +553,7 @@
 			if o == s {
 				continue
 			}
-			e, _ := b.estimate(r, o, typical, now)
-			if now < o.ejected {
-				e = math.Inf(1)
-			}
-			if e > high {
+			if e, _ := b.estimate(r, o, typical, now); e > high || now < o.ejected {
 				worst, high = i, e
 			}
 		}
@@ -617,9 +588,10 @@
 			}
 		}
 	}
-	theirs := typical * b.theirs(s, typical, now)
-	q += theirs
-	due = known + theirs
+	more := typical * (b.theirs(s, typical, now) + r.size*b.paceAt(s, typical, now, 1))
+	more = max(more, -0.8*min(q, known))
+	q += more
+	due = known + more
 	crowd := float64(b.out) / float64(max(1, b.ready))
 	q += 2 * typical * float64(len(s.pending)) * b.weight / s.weight / (1 + crowd)
 	if !s.linked {
@@ -645,9 +617,6 @@
 
 // fresh is what a server's last report still says.
 func (b *Balancer) fresh(s *Server, typical, now float64) float64 {
-	if s.othersAt == 0 {
-		return 0
-	}
 	return math.Exp2((s.othersAt - now) / (freshFor * typical))
 }
 
@@ -658,8 +627,7 @@
 }
 
 func (b *Balancer) row(r *RPC, s *Server, now float64) int {
-	level := min(bits.Len(uint(len(s.pending)+1))-1, levels-1)
-	return b.blocks[r.Method][r.Tenant] + level
+	return b.blocks[r.Method][r.Tenant] + min(bits.Len(uint(len(s.pending)+1))-1, levels-1)
 }
 
 // mean is where a new entry starts: at the mean of the other servers' matching entries.
@@ -680,7 +648,7 @@
 // jammed one once, and hundreds of nodes would keep it jammed.
 func (b *Balancer) pace(s *Server, typical, now float64) float64 {
 	unknown := b.others
-	if b.cold(s, now) < 1 || s.back > 0 && now < s.back+othersHalf {
+	if b.cold(s, now) < 1 {
 		unknown = 1 // it cannot have jammed yet, and a deploy leaves no others
 	}
 	return b.paceAt(s, typical, now, unknown)
@@ -733,7 +701,8 @@
 	b.blinds.add(1-seen, now, doneHalf)
 	b.join(r, s, typical, now)
 	// Where answers take a hair's breadth, the node's own hiccups would else pass for hung servers.
-	p.late = max(overdue*p.due, quiet*r.rules.LatencyTarget)
+	p.extra = typical * r.size
+	p.late = max(overdue*(p.due+max(p.extra, 0)), quiet*r.rules.LatencyTarget)
 	if b.cold(s, now) < 1 {
 		s.tokens--
 	}
@@ -761,8 +730,7 @@
 
 // lateAfter is when to look at a pick again: when it is late, or when another could just still be in time.
 func (b *Balancer) lateAfter(p *Pick, now float64) float64 {
-	left := p.RPC.useful - now
-	return max(min(p.late, left-patience*p.due), patience*p.due)
+	return max(min(p.late, p.RPC.useful-now-patience*p.due), patience*p.due)
 }
 
 // Wake is a timer's ring.
@@ -803,18 +771,16 @@
 	}
 	// A part of a copy is sent by chance: one always allowed would be hundreds at once over hundreds of nodes.
 	most := spare*b.sent.read(now, extraHalf) + min(1, atOnce*float64(b.ready)*b.part)
-	if b.extra.read(now, extraHalf)+b.rng.Float64() > most {
+	if !b.mayRepeat(r, now) || b.extra.read(now, extraHalf)+b.rng.Float64() > most {
 		return
 	}
-	if len(r.picks) < r.rules.picks && b.mayRepeat(r, now) {
-		if other := b.choose(r, now); other != nil {
-			b.extra.add(1, now, extraHalf)
-			b.send(r, other, now)
-		}
+	if other := b.choose(r, now); other != nil {
+		b.extra.add(1, now, extraHalf)
+		b.send(r, other, now)
 	}
 }
 
-// silence is a fault of a pick's server. Where idle connections are dropped unseen, having heard nothing since the send
+// silence is a fault of a pick's server. Where idle connections are dropped unseen, no word since it was sent
 // says nothing of the server: two servers mute after an idle time tell how long is too long.
 func (b *Balancer) silence(p *Pick, now float64) {
 	s := p.Server
@@ -863,7 +829,7 @@
 	b.out--
 	s.pending = slices.DeleteFunc(s.pending, func(o *Pick) bool { return o == p })
 	if load != nil && load.Held >= 0 {
-		s.others, s.othersAt = max(0, load.Held-float64(len(s.pending))-1), max(now, 1e-9)
+		s.others, s.othersAt = max(0, load.Held-float64(len(s.pending))-1), now
 		if p.blind {
 			b.heldThere.add(s.others, now, doneHalf)
 		}
@@ -906,11 +872,8 @@
 // unrun finds the first pick that may have run, now that p is known not to have.
 func (b *Balancer) unrun(r *RPC, p *Pick) {
 	p.unran, r.ran = true, nil
-	for _, o := range r.picks {
-		if !o.unran {
-			r.ran = o
-			return
-		}
+	if i := slices.IndexFunc(r.picks, func(o *Pick) bool { return !o.unran }); i >= 0 {
+		r.ran = r.picks[i]
 	}
 }
 
@@ -918,13 +881,17 @@
 	s, m := p.Server, &b.methods[p.RPC.Method]
 	s.heard, s.strikes, s.backoff = now, 0, 0
 	s.used = now
-	if p.idle > b.idleOK.read(now, idleHalf) {
-		b.idleOK.sum = p.idle
-	}
+	b.idleOK.sum = max(b.idleOK.read(now, idleHalf), p.idle)
+	took = max(took-p.extra, 0.2*took)
 	m.took.add(took, now, doneHalf)
 	b.done.add(1, now, unitHalf)
 	b.pay(p, min(took, paceCap*p.due), now)
 	b.learn(p, took, false, now)
+	if b.paceAt(s, b.typical(p.RPC.Method, now), now, 1) > jammed {
+		s.backoff = max(s.backoff, jamRest/2)
+		b.eject(s, now)
+		s.cost, s.due = decaying{}, decaying{}
+	}
 }
 
 // fault counts a failure against its server and ejects one that only fails. The entries alone would send
@@ -932,9 +899,14 @@
 func (b *Balancer) fault(p *Pick, now float64) {
 	s := p.Server
 	b.pay(p, paceCap*p.due, now)
-	b.learn(p, penalty*p.RPC.rules.Deadline, true, now)
-	s.strikes++
-	if s.strikes >= strikeOut && now >= s.ejected {
+	b.learn(p, p.RPC.rules.Deadline, true, now)
+	if s.strikes++; s.strikes >= strikeOut {
+		b.eject(s, now)
+	}
+}
+
+func (b *Balancer) eject(s *Server, now float64) {
+	if now >= s.ejected {
 		s.backoff = min(max(ejectMin, 2*s.backoff), ejectMax)
 		s.ejected = now + s.backoff
 	}
@@ -966,8 +938,7 @@
 // forget takes an entry out of its row's mean.
 func (b *Balancer) forget(s *Server, i int) {
 	e := &s.entries[i]
-	if e.at > 0 && !e.failed {
-		w := &b.rows[i]
+	if w := &b.rows[i]; e.at > 0 && !e.failed {
 		w.sum -= e.q
 		if w.n--; w.n == 0 {
 			w.sum = 0
--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -104,6 +104,12 @@
 		if p.out {
 			h.done(p, OK)
 		}
+		for _, c := range h.cancels { // a copy of it
+			if c.out {
+				h.done(c, Canceled)
+			}
+		}
+		h.cancels = nil
 	}
 	return got
 }
--- a/decide/host.go
+++ b/decide/host.go
@@ -133,9 +133,10 @@
 	Method   int
 	Tenant   int
 	Deadline float64
-	Retry    bool // the client says that it has asked before
-	Coming   bool // its body is still on its way, through its pick: its time begins with Balancer.Came
-	Of       any  // the host's own
+	Work     float64 // a rough hint of its cost in any unit; 0: none
+	Retry    bool    // the client says that it has asked before
+	Coming   bool    // its body is still on its way, through its pick: its time begins with Balancer.Came
+	Of       any     // the host's own
 	rpc
 }
 
--- a/decide/neighbours_test.go
+++ b/decide/neighbours_test.go
@@ -121,3 +121,49 @@
 	assert.Greater(t, h.b.unit(h.now), 10.0/float64(2*len(h.b.near)))
 	assert.Less(t, h.b.unit(h.now), 10.0)
 }
+
+// On a day of parkvej-dk on which the fleet shrinks (h7d3734) servers jammed one after another and stayed so, since each
+// still got a part of the picks.
+func TestAJammedServerIsLeftToRest(t *testing.T) {
+	h, s := story(4, nil)
+	h.warmUp(100, always(0.1))
+	jam := h.last().Server
+	for range 30 {
+		h.arrive(lookup)
+		p := h.last()
+		h.until(h.now + 0.1)
+		if p.Server == jam {
+			h.until(h.now + 0.3)
+		}
+		h.done(p, OK)
+		h.b.ok(&Pick{RPC: p.RPC, Server: jam, pick: pick{sent: h.now - 0.5, due: 0.1, row: p.row}}, 0.5, h.now)
+	}
+	assert.Greater(t, jam.ejected, h.now+1)
+	before := len(h.sent)
+	h.warmUp(20, always(0.05))
+	for _, p := range h.sent[before:] {
+		assert.NotSame(t, jam, p.Server)
+	}
+	assert.Len(t, s, 4)
+}
+
+func TestAHeavyRPCIsNoSignOfASlowServer(t *testing.T) {
+	h, _ := story(2, nil)
+	ask := func(work, took float64) {
+		r := &RPC{Work: work, Deadline: h.now + 6}
+		h.b.Arrived(r)
+		h.until(h.now + took)
+		h.done(h.last(), OK)
+	}
+	for range 60 {
+		ask(1, 0.1)
+	}
+	calm := h.b.typical(lookup, h.now)
+	for range 5 {
+		ask(5, 0.4) // five times the work, about as much longer
+	}
+	assert.Less(t, h.b.typical(lookup, h.now), 1.5*calm)
+	r := &RPC{Work: 1e9, Deadline: h.now + 6}
+	h.b.Arrived(r)
+	assert.False(t, r.size > 5, "a hint is rough: no more than five times the mean is believed")
+}
