The watch reads messages by their braces: lists may come indented

The first line of an indented list was a malformed message, the watch ended, and so did each one after it: the node kept the list of its start. Lines at fault: the bufio.Scanner in follow. Change: feed cuts the stream into objects. Blank bytes between messages count as life, bytes of a message without its end do not, so one whose rest never comes ends the watch as silence does; one message stays bounded by ListBytes.

--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -1,8 +1,6 @@
 package registry
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -186,32 +184,29 @@
 	if status != 200 {
 		return fmt.Errorf("discovery answered %d", status)
 	}
-	lines := bufio.NewScanner(stream)
-	lines.Buffer(make([]byte, 0, w.limits.Wire.Buffer), w.limits.ListBytes)
 	news := false
-	for lines.Scan() {
+	// A discovery that was cut off says nothing; one that lives sends an empty line every other second.
+	messages := feed{from: stream, most: w.limits.ListBytes, chunk: make([]byte, w.limits.Wire.Buffer),
+		alive: func() { c.SetReadDeadline(time.Now().Add(w.limits.ListSilence)) }}
+	for {
+		text, err := messages.next()
+		if err != nil {
+			return fmt.Errorf("watching discovery: %w", err)
+		}
+		list, err := Parse(text)
+		if err != nil {
+			return err
+		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
-			list, err := Parse(line)
-			if err != nil {
-				return err
-			}
-			w.take(list)
-			if !news {
-				news, w.failing = true, false
-				w.log.Info("watching the server list", zap.String("discovery", w.at),
-					zap.Bool("whole", list.Complete), zap.Int64("revision", w.revision))
-			}
+		w.take(list)
+		if !news {
+			news, w.failing = true, false
+			w.log.Info("watching the server list", zap.String("discovery", w.at),
+				zap.Bool("whole", list.Complete), zap.Int64("revision", w.revision))
 		}
-		// A discovery that was cut off says nothing; one that lives sends an empty line every other second.
-		c.SetReadDeadline(time.Now().Add(w.limits.ListSilence))
-	}
-	if err := lines.Err(); err != nil {
-		return fmt.Errorf("watching discovery: %w", err)
 	}
-	return errors.New("discovery ended the watch")
 }
 
 // take passes news on. A change that is older than the list held would bring back what has left: of
