A call for the list that falls mute is given up after 2.5 s, and a move begins the pauses anew

Watches that had spoken before they fell silent were open again after 3.0 to 3.6 s, so silence of an open watch, the list's form and the module's pause are ruled out. Cause: the call itself was what fell mute, and ListAnswer let it wait for 6 s, the whole time after which its news bind. Now 2.5 s, twice as long with each call that brings nothing (6 s at most), so that a queue of slow calls is not fed by calls given up. ListSilence 2.5 s in place of 3. Beside it, found by reading and shown by the test: a move made while the module still waited after failures was tried once; if that call failed, the next came with the module's old pause, up to 6 s, where a move binds after 4 s. ListFailed says now whether the failure is a sign of a discovery that is overrun, else pauses begin anew; of several words the last one's timer counts, so the watcher may tell each failure. The test that held it may not is replaced by one that holds the pauses and, in decide, that six failures make one call.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -162,7 +162,7 @@
 	blind     bool    // sent without knowing what its server held
 }
 
-type watchAgain struct{}
+type watchAgain struct{ turn int }
 
 // Balancer decides for one instance.
 type Balancer struct {
@@ -183,6 +183,7 @@
 	coldPush               float64 // times its part that a cold server may be sent
 	floorRate              float64 // picks a second to a warm server when nothing is known
 	watchBackoff           float64
+	watchTurn              int // of the timers that ask again, the last one counts
 
 	open, out, ready int     // RPCs held; picks out; servers
 	room             float64 // RPCs to hold at most
@@ -318,10 +319,14 @@
 	s.tokens, s.tokensAt = b.rng.Float64(), now
 }
 
-// ListFailed asks again, later each time, since the failure says that the list is overrun.
-func (b *Balancer) ListFailed() {
+// ListFailed asks again, later each time while failures say that the list is overrun. Anew says that this one does not.
+func (b *Balancer) ListFailed(anew bool) {
+	if anew {
+		b.watchBackoff = 0
+	}
 	b.watchBackoff = min(max(0.25, b.watchBackoff*2), 4)
-	b.host.After(b.watchBackoff*(0.5+b.rng.Float64()), watchAgain{})
+	b.watchTurn++
+	b.host.After(b.watchBackoff*(0.5+b.rng.Float64()), watchAgain{b.watchTurn})
 }
 
 // Arrived takes a new RPC.
@@ -730,7 +735,9 @@
 	now := b.host.Now()
 	switch w := what.(type) {
 	case watchAgain:
-		b.host.Watch()
+		if w.turn == b.watchTurn {
+			b.host.Watch()
+		}
 	case *RPC:
 		if w.open && !w.started {
 			b.ended(w, now)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -74,9 +74,19 @@
 	h, _ := story(1, func(s *Settings) { s.MustWatch, s.MustAskIn = true, 10 })
 	h.until(103)
 	assert.Equal(t, 1, h.watches)
-	h.b.ListFailed()
+	h.b.ListFailed(false)
 	h.until(106)
 	assert.Equal(t, 2, h.watches)
+	for range 6 {
+		h.b.ListFailed(false)
+	}
+	h.until(107)
+	assert.Equal(t, 2, h.watches, "an overrun discovery is spared")
+	h.b.ListFailed(true)
+	h.until(107.5)
+	assert.Equal(t, 3, h.watches, "a silent one, or one that has had no call yet, is not waited for")
+	h.until(130)
+	assert.Equal(t, 3, h.watches, "of several failures one call comes")
 }
 
 func TestColdServerGetsNoMoreThanItsPart(t *testing.T) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -57,8 +57,9 @@
 	Sweep                      time.Duration // between looks at the idle ones
 
 	ListConnect time.Duration
-	ListAnswer  time.Duration // for the first line of a watch, which may stand in a queue
-	ListSilence time.Duration // between lines: an empty one comes every 2 s
+	ListFirst   time.Duration // for the first word of a watch, and twice as long each time that none came
+	ListAnswer  time.Duration // at most
+	ListSilence time.Duration // between messages: an empty line comes every 2 s
 
 	ClassLeaves time.Duration // after it was dropped from the settings a class is taken for as long
 
@@ -124,11 +125,14 @@
 		ServerIdle:    20 * time.Second,
 		Sweep:         500 * time.Millisecond,
 		ListConnect:   1500 * time.Millisecond,
-		ListAnswer:    6 * time.Second,
-		ListSilence:   3 * time.Second,
-		ClassLeaves:   3 * time.Second,
-		StopTaking:    600 * time.Millisecond,
-		StopWrite:     100 * time.Millisecond,
+		// News that a silent watch misses bind the node 6 s after the silence began: by then it has to be found, and another watch
+		// opened, whose call may stand in a queue first.
+		ListFirst:   2500 * time.Millisecond,
+		ListAnswer:  6 * time.Second,
+		ListSilence: 2500 * time.Millisecond,
+		ClassLeaves: 3 * time.Second,
+		StopTaking:  600 * time.Millisecond,
+		StopWrite:   100 * time.Millisecond,
 	}
 	// Every RPC needs a connection on either side, a second copy one more and discovery one: callers get
 	// under a half.
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -26,6 +26,11 @@
 		assert.Equal(t, 250*time.Millisecond, l.Connect)
 		assert.Less(t, l.StopMost+l.StopWrite, 3600*time.Millisecond, "SIGKILL may come soon after")
 		assert.Greater(t, l.StopMost, 3*time.Second)
+		// News that a mute watch misses bind 6 s after it fell mute. A call that comes then stands in discovery's queue for a while.
+		const binds, pause, queue = 6 * time.Second, 375 * time.Millisecond, 2 * time.Second
+		assert.Less(t, l.ListSilence+pause+queue, binds)
+		assert.Less(t, l.ListFirst+pause+queue, binds, "a call may be what fell mute")
+		assert.Greater(t, l.ListSilence, 2*time.Second, "an empty line comes every 2 s")
 	}
 	s.MaxOpen = 7
 	l, err := Fill(Machine{Cores: 1, MemoryMB: 192, Sockets: 1024}, s)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -256,11 +256,11 @@
 	return out
 }
 
-// ListFailed tells that a watch has ended or never began.
-func (c *Core) ListFailed() {
+// ListFailed tells that a watch has ended or never began; anew, that this is no sign of a discovery that is overrun.
+func (c *Core) ListFailed(anew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.balancer.ListFailed()
+	c.balancer.ListFailed(anew)
 	c.arm()
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -27,12 +27,13 @@
 	entries []node.Entry
 	full    bool
 	failed  bool
+	anew    bool
 }
 
 type fakeCore chan news
 
 func (c fakeCore) Listed(e []node.Entry, full bool) { c <- news{entries: e, full: full} }
-func (c fakeCore) ListFailed()                      { c <- news{failed: true} }
+func (c fakeCore) ListFailed(anew bool)             { c <- news{failed: true, anew: anew} }
 
 func (c fakeCore) next(t *testing.T) news {
 	t.Helper()
@@ -80,7 +81,7 @@
 		}
 	}()
 	l := limits.Limits{Wire: httpwire.Sizes{Buffer: 64, Read: 64, Head: 4096, Body: 4096, Chunk: 64}, ListBytes: 1 << 16,
-		ListConnect: time.Second, ListAnswer: 200 * time.Millisecond, ListSilence: 100 * time.Millisecond}
+		ListConnect: time.Second, ListFirst: 100 * time.Millisecond, ListAnswer: time.Second, ListSilence: 100 * time.Millisecond}
 	w := New(ln.Addr().String(), []string{"north", "south"}, l, limits.NewBudget(1, 0, nil), zap.NewNop())
 	core := make(fakeCore, 9)
 	list, err := Parse([]byte(known))
@@ -138,10 +139,15 @@
 		"silence":        say(head, chunk("\n")),
 		"no message":     say(head, chunk("null\n")),
 		"no end":         say(head, chunk("{\"members\":[\""), strings.Repeat(chunk(strings.Repeat("x", 4096)), 20)),
-		"half a message": say(head, chunk("\n{\"revision\":42,")),
+		"half a message": say(head, line(41, false), chunk("{\"revision\":42,")),
 	} {
 		core, w, asked := watch(t, nothing, call, say(head, line(50, true, member1("a", "ready"))))
-		assert.Equal(t, news{failed: true}, core.next(t), name)
+		n := core.next(t)
+		if name == "half a message" {
+			n = core.next(t)
+		}
+		silent := name == "no answer" || name == "silence" || name == "half a message"
+		assert.Equal(t, news{failed: true, anew: silent}, n, name)
 		w.Ask()
 		assert.Contains(t, await.One(t, asked), "since=41", name)
 		assert.Contains(t, await.One(t, asked), "since=41", name)
@@ -190,22 +196,36 @@
 	assert.Empty(t, core)
 }
 
-func TestMovesWhileDiscoveryIsDownMakeTheModuleAskNoOftener(t *testing.T) {
-	core, w, asked := watch(t, nothing, sayAndClose(head, line(42, true, member1("a", "ready"))), sayAndClose("no"))
-	core.next(t)
+// A node that has waited for long since discovery was down must not wait as long for a new one whose first call fails: what that
+// tells binds it seconds after the move. Of all that fails while the module waits it makes one call (decide's own test).
+func TestAMoveWhileDiscoveryIsDownBeginsThePausesAnew(t *testing.T) {
+	core, w, asked := watch(t, nothing, sayAndClose("no"))
 	assert.Equal(t, news{failed: true}, core.next(t))
 	await.One(t, asked)
 	here := w.addr
 	for range 3 {
 		w.Move(freeAddress(t))
-		time.Sleep(20 * time.Millisecond)
+		assert.Equal(t, news{failed: true, anew: true}, core.next(t))
 	}
 	w.Move(here)
 	assert.Contains(t, await.One(t, asked), "since=0")
-	assert.Empty(t, core, "it was told once and has still to ask")
+	assert.Equal(t, news{failed: true, anew: true}, core.next(t))
 	w.Ask()
-	assert.Equal(t, news{failed: true}, core.next(t))
-	assert.Empty(t, core)
+	assert.Equal(t, news{failed: true}, core.next(t), "this discovery has had its call")
+}
+
+// The bench's calm+brink: a call was on its way when all watches fell silent, and its node listened to nobody for 6 s.
+func TestACallThatIsNotAnsweredIsGivenUpInTimeForAnother(t *testing.T) {
+	mute := func(net.Conn) {}
+	core, w, asked := watch(t, nothing, mute, mute, say(head, line(42, false, member1("a", "draining"))))
+	first := await.One(t, asked)
+	assert.Equal(t, news{failed: true, anew: true}, core.next(t))
+	w.Ask()
+	assert.Equal(t, first, await.One(t, asked))
+	assert.Equal(t, news{failed: true, anew: true}, core.next(t))
+	assert.Equal(t, 400*time.Millisecond, w.patience, "who is slow to answer is not asked ever oftener")
+	w.Ask()
+	assert.Equal(t, decide.Draining, core.next(t).entries[0].State)
 }
 
 func TestListsMayComeIndentedAndCutAnywhere(t *testing.T) {
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -19,7 +20,8 @@
 // Core takes the news.
 type Core interface {
 	Listed(entries []node.Entry, full bool)
-	ListFailed()
+	// ListFailed tells that a watch has ended or never began. Anew says that this is no sign of a discovery that is overrun.
+	ListFailed(anew bool)
 }
 
 // Watcher keeps one watch at discovery, whenever the module asks for it and as soon as discovery has moved.
@@ -39,15 +41,17 @@
 
 	// Run's alone.
 	core     Core
-	at       string // where the last watch went
-	revision int64  // of the list held, in the numbers of that discovery
-	failing  bool   // the last watch brought nothing, and that has been told
+	at       string        // where the last watch went
+	revision int64         // of the list held, in the numbers of that discovery
+	failing  bool          // the last watch brought nothing, and that has been told
+	fresh    bool          // discovery has moved, and no watch of the new one has ended
+	patience time.Duration // for a watch's first word
 }
 
 // New makes a Watcher; Run starts it.
 func New(addr string, zones []string, l limits.Limits, budget *limits.Budget, log *zap.Logger) *Watcher {
 	return &Watcher{addr: addr, at: addr, zones: zones, limits: l, budget: budget, log: log,
-		wake: make(chan struct{}, 1), cut: func() {}}
+		patience: l.ListFirst, wake: make(chan struct{}, 1), cut: func() {}}
 }
 
 // Secure has discovery reached over TLS, by a configuration for each connection. It is told before Run.
@@ -103,7 +107,7 @@
 			continue
 		}
 		err := w.follow(watch)
-		again := w.ended()
+		moves := w.ended()
 		if ctx.Err() != nil {
 			return
 		}
@@ -112,8 +116,11 @@
 				zap.String("discovery", w.at), zap.Int64("revision", w.revision))
 		}
 		w.failing = true
-		if again {
-			w.core.ListFailed()
+		if !moves {
+			// What discovery says while nobody listens binds the node all the same, and the longer for each pause. Pauses spare a
+			// discovery that is overrun: one that fell silent, or has had no call yet, does not say so.
+			w.core.ListFailed(w.fresh || errors.Is(err, os.ErrDeadlineExceeded))
+			w.fresh = false
 		}
 	}
 }
@@ -128,25 +135,23 @@
 	w.moved = false
 	if w.at != w.addr {
 		// Another discovery may number otherwise: by the old one's numbers its news would look old.
-		w.at, w.revision, w.failing = w.addr, 0, false
+		w.at, w.revision, w.failing, w.fresh, w.patience = w.addr, 0, false, true, w.limits.ListFirst
 		w.log.Info("discovery has moved", zap.String("discovery", w.at))
 	}
 	watch, w.cut = context.WithCancel(ctx)
 	return watch, true
 }
 
-// ended tells whether the module has to hear that a watch has ended. It answers that by asking again later, so
-// it hears nothing while it is still to ask (a second word would make it ask twice a turn from then on), nor
-// while a new discovery is watched at once.
-func (w *Watcher) ended() (tell bool) {
+// ended tells whether another watch begins by itself: a new discovery is watched at once. Else the module hears of the end
+// and asks in its own time.
+func (w *Watcher) ended() (moves bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cut()
-	if w.moved {
-		return false
+	if !w.moved {
+		w.asked = false
 	}
-	tell, w.asked = w.asked, false
-	return tell
+	return w.moved
 }
 
 // follow is the life of one watch.
@@ -171,7 +176,10 @@
 		}
 		c = t
 	}
-	c.SetDeadline(time.Now().Add(w.limits.ListAnswer))
+	// A call that stands in discovery's queue for longer than that is given up, and the next one waits twice as long: in a queue
+	// of such calls each would else lose its turn. One whose connection went mute must not be waited for much longer.
+	c.SetDeadline(time.Now().Add(w.patience))
+	w.patience = min(2*w.patience, w.limits.ListAnswer)
 	if _, err := fmt.Fprintf(c, "GET %s?%s=1&%s=%d HTTP/1.1\r\nHost: %s\r\n\r\n", httpwire.PathList,
 		httpwire.QueryWatch, httpwire.QuerySince, w.revision, w.at); err != nil {
 		return fmt.Errorf("asking discovery: %w", err)
@@ -202,7 +210,7 @@
 		}
 		w.take(list)
 		if !news {
-			news, w.failing = true, false
+			news, w.failing, w.fresh, w.patience = true, false, false, w.limits.ListFirst
 			w.log.Info("watching the server list", zap.String("discovery", w.at),
 				zap.Bool("whole", list.Complete), zap.Int64("revision", w.revision))
 		}
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	if kind == "FAILED" {
-		in.balancer.ListFailed()
+		in.balancer.ListFailed(false)
 		return nil
 	}
 	if kind != "FULL" && kind != "SAVED" && kind != "INCREMENTAL" {
