A caller that left while its request waited is not sent on, whatever it had sent before

By reading, each shown by a test on sockets with the crossing forced. A request that waited in the listener's queue or for a place was begun without a look whether its caller had gone meanwhile; the module ordered its pick ahead of the word that it had left. FIN, half-close and RST alike: all five ways fail at both places without the mend. Change: who has ended its side has left; that is looked at before an RPC is taken. What such a caller had asked next is not begun either. A caller that shuts its side down and still reads can't be told from one that has gone; it had been taken for gone before, unless it had sent more.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -160,6 +160,9 @@
 	if bad != nil {
 		return c.answer(q, bad)
 	}
+	if c.ended.Load() {
+		return false // it left while it waited for its place or behind another request: nothing is sent for nobody
+	}
 	f.asks(c)
 	id, fresh := f.ids.begin(q.Trace)
 	if !fresh {
@@ -272,12 +275,10 @@
 	}
 }
 
-// stays tells, when a caller seems to have left, whether it has only sent something.
+// stays tells, when a caller seems to have left, whether it has only sent something. One that has ended its side has left,
+// whatever it sent before that: nothing is sent on for it, and what it had asked next nobody waits for.
 func (c *conn) stays(q *httpwire.Request, rpc *node.RPC) bool {
-	if c.desk == nil {
-		return socket.Peek(c.raw) == socket.Bytes // what it asks next may be in there, and its end is found behind that
-	}
-	if !c.desk.stays(q) {
+	if c.desk == nil || !c.desk.stays(q) {
 		return false
 	}
 	c.watch(rpc) // it is told of each thing that comes
--- /dev/null
+++ b/internal/frontend/endings_test.go
@@ -0,0 +1,107 @@
+package frontend
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"robincart/internal/await"
+	"robincart/internal/node"
+)
+
+// Crossings at the callers' side: what is still owed at the instant in which something ends.
+
+const find = "GET /find HTTP/1.1\r\nX-Qos: find\r\nX-Trace-Id: "
+
+func request(trace string) string { return find + trace + "\r\nX-Expires-In-Ms: 1000\r\n\r\n" }
+
+// leaving are the ways in which a caller goes away.
+var leaving = map[string]func(*caller){
+	"closed":     func(c *caller) { c.Close() },
+	"half":       func(c *caller) { c.Conn.(*net.TCPConn).CloseWrite() },
+	"reset":      func(c *caller) { c.Conn.(*net.TCPConn).SetLinger(0); c.Close() },
+	"asked more": func(c *caller) { io.WriteString(c, request("more")); c.Close() },
+	"said more":  func(c *caller) { io.WriteString(c, strings.Repeat("x", 8<<10)); c.Close() },
+}
+
+func connections(f *Server) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
+func TestACallerThatLeavesWhileItsRequestIsOutIsSeenWhateverItSentBefore(t *testing.T) {
+	for way, leave := range leaving {
+		f, core, addr := begin(t)
+		c := dial(t, addr)
+		c.askAs(way)
+		rpc := await.One(t, core.came)
+		leave(c)
+		assert.Same(t, rpc, await.One(t, core.vanished), way)
+		rpc.Orders <- node.Order{Kind: node.Send}
+		assert.Eventually(t, func() bool { return connections(f) == 0 && f.making.Load() == 0 }, 20*time.Second, time.Millisecond, way)
+		assert.Empty(t, core.started, way)
+		assert.Empty(t, core.came, "%s: and nobody waits for what it had asked next", way)
+	}
+}
+
+// The listener is not accepted from until the leaver has gone: the kernel has taken its request.
+func TestACallerThatLeftInTheListenersQueueIsSentNowhere(t *testing.T) {
+	for way, leave := range leaving {
+		f, core, _ := begin(t)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		gone := dial(t, ln.Addr().String())
+		gone.askAs("gone")
+		leave(gone)
+		stays := dial(t, ln.Addr().String())
+		stays.askAs("stays")
+		f.Serve(ln)
+		await.One(t, core.came).Orders <- node.Order{Kind: node.PushBack}
+		assert.Equal(t, 503, stays.hears(t).StatusCode, way)
+		assert.Eventually(t, func() bool { return connections(f) == 1 }, 20*time.Second, time.Millisecond, way)
+		assert.Empty(t, core.came, way)
+		ln.Close()
+	}
+}
+
+// All places are taken until the leaver, whose request waits for one, has gone.
+func TestACallerThatLeftWhileItWaitedForAPlaceIsSentNowhere(t *testing.T) {
+	for way, leave := range leaving {
+		l := bounds()
+		l.Callers, l.Refused, l.ComeBack = 1, 0, 20*time.Second
+		f, core, addr := beginWith(t, l)
+		first := dial(t, addr)
+		first.ask()
+		rpc := await.One(t, core.came)
+		gone := dial(t, addr)
+		gone.ask()
+		waits := func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.gate.Waiting() == 1
+		}
+		require.Eventually(t, waits, 20*time.Second, time.Millisecond, way)
+		leave(gone)
+		left := func() (n int) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for c := range f.conns {
+				if c.ended.Load() {
+					n++
+				}
+			}
+			return n
+		}
+		require.Eventually(t, func() bool { return left() == 1 }, 20*time.Second, time.Millisecond, way)
+		rpc.Orders <- node.Order{Kind: node.PushBack}
+		assert.Equal(t, 503, first.hears(t).StatusCode, way)
+		assert.Eventually(t, func() bool { return connections(f) == 1 }, 20*time.Second, time.Millisecond, way)
+		assert.Empty(t, core.came, way)
+	}
+}
