An answer that is there goes before a halt or a recall of its share

Change: orders come first; once given up, the core hears of it, nothing more is ordered, and what was ordered before is looked at: picks are Ignored, a final answer is passed on. Test: the RPC arrives with its answer ready and the halt closed, 20 times.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -199,45 +199,61 @@
 	c.watch(rpc)
 	var a *httpwire.Answer
 	held := 0 // by the answer
+	givenUp := false
 	for a == nil {
-		select {
-		case o := <-rpc.Orders:
-			switch o.Kind {
-			case node.Send:
-				service.picks.Start(o.Pick, q)
-			case node.Served:
-				a = &httpwire.Answer{Status: 200, Type: o.Answer.Type, Body: o.Answer.Body, Old: q.Old}
-				if o.Answer.Rest != nil {
-					a.Rest = o.Answer.Rest
-				}
-				if class.large.Load() != (a.Rest != nil) {
-					class.large.Store(a.Rest != nil)
-				}
-				if a.Rest != nil && !large { // who would have thought: it is passed on all the same
-					large = true
-					f.large.Add(1)
-				}
-				held = o.Answer.Held
-			case node.PushBack:
-				f.turns(c, service.share != nil)
-				a = &httpwire.Answer{Status: 503, RetryAfter: o.Wait}
-			case node.Abort:
+		var o node.Order
+		select { // what is ordered goes before: an answer that is there is not thrown away
+		case o = <-rpc.Orders:
+		default:
+			if givenUp {
 				a = &httpwire.Answer{Status: 504}
-			case node.Left:
-				if c.stays(q, rpc) {
-					continue
-				}
-				c.rpc.Store(nil)
-				service.giveUp(rpc, f.answers)
-				f.end()
-				return c.abandoned(q)
+				continue
 			}
-		case <-recalled: // what it holds was borrowed, and its owner needs it
-			service.giveUp(rpc, f.answers)
+			select {
+			case o = <-rpc.Orders:
+			case <-recalled: // what it holds was borrowed, and its owner needs it
+				givenUp = true
+			case <-f.halt:
+				givenUp = true
+			}
+			if givenUp {
+				service.core.Vanished(rpc) // nothing more is ordered
+				continue
+			}
+		}
+		switch o.Kind {
+		case node.Send:
+			if givenUp {
+				service.core.Done(o.Pick, decide.Ignored, nil)
+				continue
+			}
+			service.picks.Start(o.Pick, q)
+		case node.Served:
+			a = &httpwire.Answer{Status: 200, Type: o.Answer.Type, Body: o.Answer.Body, Old: q.Old}
+			if o.Answer.Rest != nil {
+				a.Rest = o.Answer.Rest
+			}
+			if class.large.Load() != (a.Rest != nil) {
+				class.large.Store(a.Rest != nil)
+			}
+			if a.Rest != nil && !large { // who would have thought: it is passed on all the same
+				large = true
+				f.large.Add(1)
+			}
+			held = o.Answer.Held
+		case node.PushBack:
+			f.turns(c, service.share != nil)
+			a = &httpwire.Answer{Status: 503, RetryAfter: o.Wait}
+		case node.Abort:
 			a = &httpwire.Answer{Status: 504}
-		case <-f.halt:
+		case node.Left:
+			if c.stays(q, rpc) {
+				continue
+			}
+			c.rpc.Store(nil)
 			service.giveUp(rpc, f.answers)
-			a = &httpwire.Answer{Status: 504}
+			f.end()
+			return c.abandoned(q)
 		}
 	}
 	c.rpc.Store(nil)
@@ -253,8 +269,7 @@
 	return c.answer(q, a)
 }
 
-// giveUp ends an RPC that gets no answer from the module, and the picks that were ordered meanwhile: nobody sends them
-// any more.
+// giveUp ends an RPC whose caller has left, and the picks that were ordered meanwhile: nobody sends them any more.
 func (v *Service) giveUp(rpc *node.RPC, answers limits.Room) {
 	v.core.Vanished(rpc)
 	for {
--- a/internal/frontend/endings_test.go
+++ b/internal/frontend/endings_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"io"
 	"net"
 	"strings"
@@ -105,3 +106,23 @@
 		assert.Empty(t, core.came, way)
 	}
 }
+
+// Go chooses at random among what is ready, so a single play would not tell.
+func TestAnAnswerThatIsThereGoesBeforeTheEnd(t *testing.T) {
+	now, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 20 {
+		l := bounds()
+		l.StopWrite = 20 * time.Second
+		f, core, addr := beginWith(t, l, node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}})
+		core.atArrived = func() {
+			go f.Drain(now)
+			<-f.halt
+		}
+		c := dial(t, addr)
+		c.ask()
+		assert.Equal(t, 200, c.hears(t).StatusCode)
+		c.Close()
+		assert.Eventually(t, func() bool { return connections(f) == 0 }, 20*time.Second, time.Millisecond)
+	}
+}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -38,6 +38,7 @@
 	done     []decide.Result
 	started  []string
 
+	atArrived  func()
 	atVanished func(*node.RPC)
 }
 
@@ -49,6 +50,9 @@
 		r.Orders <- o
 	}
 	c.came <- r
+	if c.atArrived != nil {
+		c.atArrived()
+	}
 	return r
 }
 
