The last answer on a connection is not lost to what its caller sent behind the request

By reading: a connection closed with bytes unread is reset, and the reset can overtake an answer just written. Lingering was asked for where a request could not be read; an answer with Connection: close (stopping, emptied, evicted) to a caller that had pipelined more closed at once.

--- a/internal/frontend/endings_test.go
+++ b/internal/frontend/endings_test.go
@@ -126,3 +126,19 @@
 		assert.Eventually(t, func() bool { return connections(f) == 0 }, 20*time.Second, time.Millisecond)
 	}
 }
+
+func TestALastAnswerIsNotLostToWhatItsCallerSentBehindTheRequest(t *testing.T) {
+	f, core, addr := begin(t)
+	f.Stop()
+	c := dial(t, addr)
+	io.WriteString(c, request("first")+request("second"+strings.Repeat("x", 2000)))
+	await.One(t, core.came).Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}}
+	r := c.hears(t)
+	assert.Equal(t, 200, r.StatusCode)
+	assert.True(t, r.Close)
+	_, err := c.r.ReadByte()
+	assert.Equal(t, io.EOF, err, "a reset could overtake the answer")
+	c.Close()
+	assert.Eventually(t, func() bool { return connections(f) == 0 }, 20*time.Second, time.Millisecond)
+	assert.Empty(t, core.came)
+}
