The look at bytes unread at a last answer keeps off a body that an exchange still reads

The race detector found it in TestFastCGIOnBothSides with the mend of: a request given up by the halt while its body was passed on was answered by one goroutine, which looked into the reader, while the exchange read from it. Only where nobody reads a body any more is it looked at; a body's own end lingers as before.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -405,8 +405,8 @@
 // answer writes a request's one answer.
 func (c *conn) answer(q *httpwire.Request, a *httpwire.Answer) bool {
 	a.Close = a.Close || q.Close || c.last || c.server.closing() || q.Rest != nil && !q.Rest.Ended() || c.desk != nil && !c.desk.keep
-	if a.Close && (c.reader.Beyond() || socket.Peek(c.raw) == socket.Bytes) {
-		c.linger = true // closed with bytes unread the connection would be reset, and the answer lost with it
+	if a.Close && (q.Rest == nil || q.Rest.Ended()) && (c.reader.Beyond() || socket.Peek(c.raw) == socket.Bytes) {
+		c.linger = true // closed with bytes unread the connection would be reset, and the answer lost with it; rest sees to a body's
 	}
 	if c.desk != nil && q.Rest != nil { // an exchange may still read the body, and the records are its own until then
 		q.Rest.Stop(c.giveIn)
