At the end a listener is closed once what stands in its queue has been taken

By reading, for the question of SIGTERM in the issue: until closed the listener after StopTaking while whole connections could stand in its queue, with requests that the kernel had taken for this node; the close resets them. The accept loop may just then be waiting for room, so the queue can be long (roll+mass restarts all front nodes under load). A request is taken once its last byte is written to a connection that the machine accepted, so each of these is lost. Change: Shut has each accept loop return, which takes what is in the queue without waiting, and closes then. Drain waits for that as for the connections. What comes between the last look and the close is reset still; the front deals nothing out by then, and no program can do better than that. Test: one place, one caller in it, the next in the loop's hands, three known to the kernel alone.

--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -60,9 +60,8 @@
 // served is what a running node has to do at its end, and when it is asked to read its configuration again.
 type served struct {
 	front     *frontend.Server
-	listeners []net.Listener // at the start
-	shut      func()         // closes the listeners there are; nil: those
-	given     func() bool    // another process takes callers; nil: there is none
+	listeners []net.Listener
+	given     func() bool // another process takes callers; nil: there is none
 	limits    limits.Limits
 	log       *zap.Logger
 	open      func() int
@@ -99,14 +98,7 @@
 		s.front.Stop()
 		time.Sleep(s.limits.StopTaking)
 	}
-	if s.shut == nil {
-		s.shut = func() {
-			for _, ln := range s.listeners {
-				ln.Close()
-			}
-		}
-	}
-	s.shut()
+	s.front.Shut()
 	if err := s.front.Drain(most); err != nil {
 		s.log.Warn("stopped before all was answered", zap.Error(err))
 	}
@@ -167,7 +159,7 @@
 	log.Info("serving", zap.String("listen", c.Listen), zap.Int("tier", c.node.Stage),
 		zap.Int("servers", len(c.list.Members)), zap.Int("descriptors", l.Descriptors),
 		zap.Int64("memory", l.Memory))
-	s := &served{front: front, listeners: []net.Listener{in.listener()}, shut: func() { in.listener().Close() }, given: next.given,
+	s := &served{front: front, listeners: []net.Listener{in.listener()}, given: next.given,
 		limits: l, log: log, open: core.Open,
 		serving: func() {
 			ops.taking.Store(true)
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -165,14 +165,6 @@
 			}
 			ops.taking.Store(true)
 		},
-		shut: func() {
-			for _, ln := range listeners {
-				ln.Close()
-			}
-			for _, d := range desks {
-				d.ln.Close()
-			}
-		},
 		close: func() {
 			closeAdmin()
 			set.Close()
--- a/internal/frontend/endings_test.go
+++ b/internal/frontend/endings_test.go
@@ -142,3 +142,35 @@
 	assert.Eventually(t, func() bool { return connections(f) == 0 }, 20*time.Second, time.Millisecond)
 	assert.Empty(t, core.came)
 }
+
+// One caller has the only place, the next is in the accept loop's hands, and the last ones are known to the kernel alone when the
+// listener is to close.
+func TestCallersInTheListenersQueueAreServedAtTheEnd(t *testing.T) {
+	l := bounds()
+	l.Connections, l.CallerRest = 1, 20*time.Second
+	f, core, addr := beginWith(t, l)
+	var callers []*caller
+	for i := range 5 {
+		c := dial(t, addr)
+		c.ask()
+		callers = append(callers, c)
+		if i == 0 {
+			require.Eventually(t, func() bool { return len(core.came) == 1 }, 20*time.Second, time.Millisecond)
+		}
+	}
+	f.Stop()
+	f.Shut()
+	ended := make(chan error, 1)
+	go func() { ended <- f.Drain(t.Context()) }()
+	for _, c := range callers {
+		rpc := await.One(t, core.came)
+		rpc.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}}
+		r := c.hears(t)
+		assert.Equal(t, 200, r.StatusCode)
+		assert.True(t, r.Close)
+		c.Close()
+	}
+	assert.NoError(t, await.One(t, ended))
+	_, err := net.Dial("tcp", addr)
+	assert.Error(t, err, "the listener is closed in the end")
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -74,6 +75,8 @@
 	lamed    int           // counts the times it was emptied
 	pass     Pass          // set: connections go to another process between requests
 	done     sync.WaitGroup
+	doors    map[net.Listener]struct{}
+	shut     atomic.Bool // the doors close once all that the kernel has taken is in
 }
 
 const (
@@ -86,7 +89,7 @@
 // New makes a Server that has nothing to serve yet; Swap gives it that and Serve starts it. The lot tells of what comes
 // on connections that rest.
 func New(l limits.Limits, budget *limits.Budget, now func() time.Duration, log *zap.Logger, t *lot.Lot) *Server {
-	f := &Server{limits: l, budget: budget, bodies: budget.Bytes().Bodies(), answers: budget.Bytes().Answers(), now: now, started: time.Now(), log: log, conns: map[*conn]struct{}{},
+	f := &Server{limits: l, budget: budget, bodies: budget.Bytes().Bodies(), answers: budget.Bytes().Answers(), now: now, started: time.Now(), log: log, conns: map[*conn]struct{}{}, doors: map[net.Listener]struct{}{},
 		halt: make(chan struct{}), ids: newIDs(l.IDLife, l.IDs), lot: t, ends: wheel.New(grain, 0, 4096),
 		gate: wake.New(wake.Config{Serve: l.Callers + l.Refused, Refuse: max(1, l.Refused), Slow: max(1, l.Callers/2), Rest: l.CallerRest,
 			Pace: 16 * max(1, l.Cores), Step: time.Millisecond, Patience: l.ComeBack})}
@@ -124,23 +127,63 @@
 // ServeGateways does the same where callers are gateways that speak FastCGI.
 func (f *Server) ServeGateways(ln net.Listener, way *Gateway) {
 	f.done.Add(1)
+	f.mu.Lock()
+	f.doors[ln] = struct{}{}
+	f.mu.Unlock()
 	go f.serve(ln, way)
 }
 
 func (f *Server) serve(ln net.Listener, way *Gateway) {
 	defer f.done.Done()
+	defer func() {
+		f.mu.Lock()
+		delete(f.doors, ln)
+		f.mu.Unlock()
+	}()
 	for {
+		if f.shut.Load() {
+			hurry(ln)
+		}
 		raw, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
-		}
-		if err != nil {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			// Closed with connections in its queue it would reset them, with requests that the kernel has taken for this node. An
+			// accept whose time is over does not look there.
+			for {
+				if raw = socket.Accept(ln); raw == nil {
+					ln.Close()
+					return
+				}
+				f.take(raw, way)
+			}
+		case err != nil:
 			// Out of descriptors, or a caller that left in the queue: the listener itself is sound.
 			f.log.Warn("taking a connection failed", zap.Error(err))
 			time.Sleep(f.limits.TakeAgain)
-			continue
+		default:
+			f.take(raw, way)
 		}
-		f.take(raw, way)
+	}
+}
+
+// hurry has a listener's accept return at once.
+func hurry(ln net.Listener) {
+	if d, ok := ln.(interface{ SetDeadline(time.Time) error }); ok {
+		d.SetDeadline(time.Unix(1, 0))
+	} else {
+		ln.Close()
+	}
+}
+
+// Shut closes the listeners, each once what is in its queue has been taken. Drain waits for that.
+func (f *Server) Shut() {
+	f.shut.Store(true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for ln := range f.doors {
+		hurry(ln)
 	}
 }
 
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -3,6 +3,7 @@
 
 import (
 	"net"
+	"os"
 	"syscall"
 )
 
@@ -47,3 +48,35 @@
 	}
 	return state
 }
+
+// Accept takes a connection that stands in a listener's queue, or nil: it does not wait, and no deadline counts.
+func Accept(ln net.Listener) net.Conn {
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	for {
+		n, bad := -1, error(nil)
+		err = raw.Control(func(fd uintptr) {
+			if bad = syscall.SetNonblock(int(fd), true); bad == nil { // another holder of the socket may have made it block
+				n, _, bad = syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			}
+		})
+		if err == nil && (bad == syscall.EINTR || bad == syscall.ECONNABORTED) {
+			continue
+		}
+		if err != nil || bad != nil {
+			return nil
+		}
+		f := os.NewFile(uintptr(n), "caller")
+		c, err := net.FileConn(f)
+		f.Close()
+		if err == nil {
+			return c
+		}
+	}
+}
