SIGTERM is caught from the first moment on, as SIGHUP is

By reading: SIGHUP was caught first thing, SIGTERM only once the node served. The listener is open before that, and a process that looks for the one before it may stand there for over a second: a SIGTERM then ended the process by the signal, and the kernel reset all callers it had taken. Change: a SIGTERM that comes early is kept, and the node serves who is in its queue and ends as at any other time.

--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -28,15 +28,16 @@
 func main() {
 	// A log that nobody reads any more must not end the node; on sockets a broken pipe is only an error anyway.
 	signal.Ignore(syscall.SIGPIPE)
-	// Caught from the first moment on: uncaught, a SIGHUP would end the node and lose what it holds.
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+	// Caught from the first moment on: uncaught, either would end the node and lose what it holds, or what the kernel has taken for it.
+	sig := signals{hup: make(chan os.Signal, 1), term: make(chan os.Signal, 1)}
+	signal.Notify(sig.hup, syscall.SIGHUP)
+	signal.Notify(sig.term, syscall.SIGTERM, os.Interrupt)
 	// As the platform starts it, with no argument: nothing that only people need is set up.
 	var err error
 	if len(os.Args) == 1 {
-		err = platform(hup)
+		err = platform(sig)
 	} else {
-		err = root(hup).Execute()
+		err = root(sig).Execute()
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "robincart:", err)
@@ -44,6 +45,9 @@
 	}
 }
 
+// signals are what the node is told by them.
+type signals struct{ hup, term chan os.Signal }
+
 // clock is the machine's: time.Since reads its monotonic part.
 type clock struct{ start time.Time }
 
@@ -73,22 +77,21 @@
 }
 
 // until serves until the program is told to stop, and ends without losing what it has taken.
-func (s *served) until(hup <-chan os.Signal) {
-	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
+func (s *served) until(sig signals) {
 	for _, ln := range s.listeners {
 		s.front.Serve(ln)
 	}
 	if s.serving != nil {
 		s.serving()
 	}
-	for term.Err() == nil {
+	for stops := false; !stops; {
 		select {
-		case <-hup:
+		case <-sig.hup:
 			s.reload()
 		case <-s.news:
 			s.took()
-		case <-term.Done():
+		case <-sig.term:
+			stops = true
 		}
 	}
 	s.log.Info("stopping", zap.Int("open", s.open()))
@@ -107,7 +110,7 @@
 }
 
 // platform is the node as the platform starts it, by EDGE_CONFIG: one service.
-func platform(hup <-chan os.Signal) error {
+func platform(sig signals) error {
 	c, err := readConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -190,6 +193,6 @@
 			s.limits = now.limits
 		}, log)
 	}
-	s.until(hup)
+	s.until(sig)
 	return nil
 }
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -26,15 +26,15 @@
 )
 
 // root is the command line, for people.
-func root(hup <-chan os.Signal) *cobra.Command {
+func root(sig signals) *cobra.Command {
 	var file string
 	c := &cobra.Command{Use: "robincart", Short: "A load balancer for services that call services", SilenceUsage: true, SilenceErrors: true,
-		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return serve(file, hup) }}
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return serve(file, sig) }}
 	c.PersistentFlags().StringVar(&file, "config", "", "the operator's file; without one, EDGE_CONFIG names the platform's")
 	c.CompletionOptions.DisableDefaultCmd = true
 	c.AddCommand(
 		&cobra.Command{Use: "serve", Short: "Serve (what happens without a command, too)", Args: cobra.NoArgs,
-			RunE: func(*cobra.Command, []string) error { return serve(file, hup) }},
+			RunE: func(*cobra.Command, []string) error { return serve(file, sig) }},
 		&cobra.Command{Use: "check FILE", Short: "Read an operator's file and print what would be in force, or every mistake in it", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error { return check(c, args[0]) }},
 		routesCommand(),
@@ -59,11 +59,11 @@
 	return strings.Join(out, " ")
 }
 
-func serve(file string, hup <-chan os.Signal) error {
+func serve(file string, sig signals) error {
 	if file == "" {
-		return platform(hup)
+		return platform(sig)
 	}
-	return services(file, hup)
+	return services(file, sig)
 }
 
 // logger makes a log as the file wants it.
@@ -82,7 +82,7 @@
 }
 
 // services is the node with an operator's file: several services behind one set of sockets.
-func services(file string, hup <-chan os.Signal) error {
+func services(file string, sig signals) error {
 	c, err := operator.Read(file)
 	if err != nil {
 		return err
@@ -188,7 +188,7 @@
 				front.Swap(set.Apply(c))
 			}
 		}}
-	s.until(hup)
+	s.until(sig)
 	return nil
 }
 
