A log that nobody reads holds up neither callers nor the end

By reading, for the question of the log's reader in the issue: a line was written to standard error where it arose, some under the front's mutex (the limit of connections), and at the end ahead of the clock of StopMost. A reader that stands still lets the pipe fill, and then the node stands still as well: in the test, with the pipe full from the start, the node without the mend never serves. Change: lines go through a queue of 512 to a writer of their own; beyond that they are lost and counted, which the log says as soon as it is read again. The end waits for it for 0.1 s at most, and StopMost counts from the signal on. The controller and the store's program keep their logs as they were.

--- a/cmd/robincart/endings_test.go
+++ b/cmd/robincart/endings_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"robincart/internal/await"
 	"robincart/internal/handover"
 )
 
@@ -40,3 +44,49 @@
 	}
 	p.exits(t)
 }
+
+// The log's pipe is full before the node's first line, and nobody reads it.
+func TestALogThatNobodyReadsHoldsUpNeitherCallersNorTheEnd(t *testing.T) {
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	defer r.Close()
+	require.NoError(t, w.SetWriteDeadline(time.Now().Add(200*time.Millisecond)))
+	fill := make([]byte, 1<<9)
+	for err == nil {
+		_, err = w.Write(fill)
+	}
+	s := newServer(t, says(200, "well"))
+	d := newDiscovery(t, listed("s0", s.addr(), "ready"))
+	config := configuration(t, d, d.all()...)
+	cmd, _ := command(t, config)
+	cmd.Stderr = w
+	require.NoError(t, cmd.Start())
+	// The pipe is the child's, too, and one that does not block would lose lines and not hold anybody up.
+	raw, err := w.SyscallConn()
+	require.NoError(t, err)
+	raw.Control(func(fd uintptr) { syscall.SetNonblock(int(fd), false) })
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	t.Cleanup(func() { cmd.Process.Kill() })
+	p := &program{t: t, addr: config["listen"].(string)}
+	require.Eventually(t, func() bool { return p.ask("find", "").status == 200 }, 20*time.Second, 10*time.Millisecond)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	assert.NoError(t, await.One(t, ended))
+}
+
+func TestLinesThatNobodyReadsAreCountedAndTheLogGoesOn(t *testing.T) {
+	r, w := io.Pipe()
+	l := newLines(w)
+	for i := range written + 9 {
+		l.Write(fmt.Appendf(nil, "line %d\n", i))
+	}
+	l.Sync() // not for ever
+	all := ""
+	for lines := bufio.NewScanner(r); !strings.HasSuffix(all, "next") && lines.Scan(); {
+		all += lines.Text()
+		if strings.HasSuffix(all, fmt.Sprintf("line %d", written-1)) {
+			l.Write([]byte("next\n"))
+		}
+	}
+	assert.Contains(t, all, "are lost")
+}
--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -94,9 +94,9 @@
 			stops = true
 		}
 	}
-	s.log.Info("stopping", zap.Int("open", s.open()))
-	most, cancel := context.WithTimeout(context.Background(), s.limits.StopMost)
+	most, cancel := context.WithTimeout(context.Background(), s.limits.StopMost) // from the signal on, whatever the end waits for
 	defer cancel()
+	s.log.Info("stopping", zap.Int("open", s.open()))
 	if s.given == nil || !s.given() { // else nobody comes any more, and those who are here go over
 		s.front.Stop()
 		time.Sleep(s.limits.StopTaking)
@@ -115,12 +115,7 @@
 	if err != nil {
 		return err
 	}
-	logs := zap.NewProductionConfig()
-	logs.DisableStacktrace = true
-	log, err := logs.Build(zap.Fields(zap.String("node", c.Name)))
-	if err != nil {
-		return fmt.Errorf("log: %w", err)
-	}
+	log := newLog("", zap.InfoLevel, c.Name)
 	defer log.Sync()
 	l := c.limits
 	process(l)
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -66,31 +66,17 @@
 	return services(file, sig)
 }
 
-// logger makes a log as the file wants it.
-func logger(l operator.Log, name string) (*zap.Logger, error) {
-	logs := zap.NewProductionConfig()
-	logs.DisableStacktrace = true
-	if l.Form == "console" {
-		logs.Encoding, logs.EncoderConfig = "console", zap.NewDevelopmentEncoderConfig()
-	}
-	level, err := zapcore.ParseLevel(l.Level)
-	if err != nil {
-		return nil, err
-	}
-	logs.Level = zap.NewAtomicLevelAt(level)
-	return logs.Build(zap.Fields(zap.String("node", name)))
-}
-
 // services is the node with an operator's file: several services behind one set of sockets.
 func services(file string, sig signals) error {
 	c, err := operator.Read(file)
 	if err != nil {
 		return err
 	}
-	log, err := logger(c.Log, c.Name)
+	level, err := zapcore.ParseLevel(c.Log.Level)
 	if err != nil {
 		return fmt.Errorf("log: %w", err)
 	}
+	log := newLog(c.Log.Form, level, c.Name)
 	defer log.Sync()
 	l := c.Limits
 	process(l)
