Only a call that brought nothing in time makes the next one wait longer

Played alone with logs: n1 'discovery answered 503' at 0.192 and watching again only at 7.741, n6 the same at 0.160 and 7.468; nodes whose open watch fell mute were back at 3.3 to 3.9 s. So the mute call was waited for twice as long, though the one before had been answered, if only with 503. Cause: my own mend of counted patience up at the call and not at its end. The test has a refused call first; without the mend it finds 800 ms for 400.

--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -217,8 +217,11 @@
 // The bench's calm+brink: a call was on its way when all watches fell silent, and its node listened to nobody for 6 s.
 func TestACallThatIsNotAnsweredIsGivenUpInTimeForAnother(t *testing.T) {
 	mute := func(net.Conn) {}
-	core, w, asked := watch(t, nothing, mute, mute, say(head, line(42, false, member1("a", "draining"))))
+	core, w, asked := watch(t, nothing, sayAndClose("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), mute, mute, say(head, line(42, false, member1("a", "draining"))))
 	first := await.One(t, asked)
+	assert.Equal(t, news{failed: true}, core.next(t))
+	w.Ask()
+	await.One(t, asked)
 	assert.Equal(t, news{failed: true, anew: true}, core.next(t))
 	w.Ask()
 	assert.Equal(t, first, await.One(t, asked))
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -176,16 +176,20 @@
 		}
 		c = t
 	}
-	// A call that stands in discovery's queue for longer than that is given up, and the next one waits twice as long: in a queue
-	// of such calls each would else lose its turn. One whose connection went mute must not be waited for much longer.
 	c.SetDeadline(time.Now().Add(w.patience))
-	w.patience = min(2*w.patience, w.limits.ListAnswer)
 	if _, err := fmt.Fprintf(c, "GET %s?%s=1&%s=%d HTTP/1.1\r\nHost: %s\r\n\r\n", httpwire.PathList,
 		httpwire.QueryWatch, httpwire.QuerySince, w.revision, w.at); err != nil {
 		return fmt.Errorf("asking discovery: %w", err)
 	}
 	r := httpwire.NewReader(c, w.limits.Wire)
 	status, stream, err := r.ReadStream()
+	// A call that stands in discovery's queue for longer than that is given up, and the next one waits twice as long: in a queue
+	// of such calls each would else lose its turn. One whose connection fell mute must not be waited for much longer.
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		w.patience = min(2*w.patience, w.limits.ListAnswer)
+	} else {
+		w.patience = w.limits.ListFirst
+	}
 	if err != nil {
 		return fmt.Errorf("reading discovery: %w", err)
 	}
@@ -210,7 +214,7 @@
 		}
 		w.take(list)
 		if !news {
-			news, w.failing, w.fresh, w.patience = true, false, false, w.limits.ListFirst
+			news, w.failing, w.fresh = true, false, false
 			w.log.Info("watching the server list", zap.String("discovery", w.at),
 				zap.Bool("whole", list.Complete), zap.Int64("revision", w.revision))
 		}
