Settings that change again before callers have heard of the last change bind with all of them

Follows kept only the last change: after a second SIGHUP a class's first form was refused with 400 or 405 (405 to 200 in the test), and a class that left and came back otherwise lost its old form. 2. The core was given the new settings merged with the last ones alone: a class once unsafe, then repeatable, then anything else was repeated freely for callers who still took it for unsafe. 3. The timer that ends the merge looked whether newer settings had come, and then put its own in force: between the two a newer one could be overwritten for good. 4. A tenant that left was refused at once, while its callers hear of it later. Change: tuning, under one mutex, merges with every one of the settings that some callers may still go by, each for its own time; Follows hands on former forms, and tenants as it did classes. With an operator's file a service whose settings change begins anew and does not follow the one before: as it was.

--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -11,7 +11,6 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -170,18 +169,12 @@
 			end()
 			owned.Wait()
 		}}
-	var tunes atomic.Int64
+	tune := &tuning{core: core, now: time.Now, last: c.node}
 	s.reload = func() {
 		c = c.reload(os.Getenv, watcher, func(now *config) {
-			is := core.Retune(now.node.Between(c.node))
+			is := tune.to(now.node, now.limits.ClassLeaves)
 			none := func(int) bool { return false }
 			service = frontend.NewService("", now.node.Over(is, none, none), core, pool, nil).Follows(service, clk.Now(), clk.Now()+now.limits.ClassLeaves)
-			turn := tunes.Add(1)
-			time.AfterFunc(now.limits.ClassLeaves, func() {
-				if tunes.Load() == turn { // callers have heard of it, and nothing newer has come
-					core.Retune(now.node)
-				}
-			})
 			front.Swap(&frontend.Table{Only: service})
 			front.Known(now.limits.IDLife)
 			pool.Tune(now.limits)
--- /dev/null
+++ b/cmd/robincart/tune_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"robincart/decide"
+	"robincart/internal/node"
+	"robincart/internal/settings"
+)
+
+// Settings change again before callers have heard of the last change: what any of them may still send is repeated as none of them
+// forbids, also where the class had left in between, and the last settings are in force in the end, whichever timer rings when.
+func TestSettingsThatChangeAgainAtOnceBindWithAllThatCallersMayGoBy(t *testing.T) {
+	parse := func(classes string) *settings.Node {
+		n, err := settings.Parse([]byte(`{"Classes":[{"Name":"other","AimMs":1,"DeadlineMs":1,"Repeat":"repeatable"}` + classes + `],"RegistryMode":"automatic"}`))
+		require.NoError(t, err)
+		return n
+	}
+	class := func(repeat string) *settings.Node {
+		return parse(`,{"Name":"a","AimMs":1,"DeadlineMs":1,"WindowMs":9,"Repeat":"` + repeat + `"}`)
+	}
+	effect := func(n *settings.Node) decide.Repeat {
+		for i, name := range n.MethodNames {
+			if name == "a" {
+				return n.Methods[i].Repeat
+			}
+		}
+		t.Fatal("the class is not there")
+		return 0
+	}
+	once, free := class("once"), class("repeatable")
+	for name, between := range map[string]*settings.Node{"again": free, "gone": parse("")} {
+		clk := clock{time.Now()}
+		now := time.Now()
+		core := node.New(once, 1, clk, now, func() {})
+		tune := &tuning{core: core, now: func() time.Time { return now }, last: once}
+		tune.to(between, 3*time.Hour)
+		now = now.Add(time.Hour)
+		assert.Equal(t, decide.NonIdempotent, effect(tune.to(free, 3*time.Hour)), name)
+		now = now.Add(2 * time.Hour) // what the first change began is over
+		assert.Equal(t, decide.Idempotent, effect(tune.apply()), name)
+		assert.Len(t, tune.past, 1, name)
+		now = now.Add(time.Hour)
+		tune.apply()
+		assert.Empty(t, tune.past, name)
+		core.Close()
+	}
+}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -294,11 +294,35 @@
 			assert.Equal(t, status(service(is), was, now), status(v, was, until), "%v to %v: over", was, is)
 			assert.Equal(t, 200, status(v, is, until))
 			again := service(is).Follows(v, now, until+1)
-			assert.Equal(t, status(service(is), was, now), status(again, was, until), "what is handed on is the last change alone")
+			assert.Equal(t, status(service(is), was, now), status(again, was, until), "what is over is not handed on")
+			// Settings change once more before callers have heard of the first change.
+			for next := range forms {
+				again := service(next).Follows(service(is).Follows(service(was), now, until), now+1, until+1)
+				assert.Equal(t, 200, status(again, was, until-1), "%v to %v to %v", was, is, next)
+				assert.Equal(t, 200, status(again, is, until), "%v to %v to %v", was, is, next)
+				gone := service(next).Follows((&Service{methods: map[string]class{}, tenants: map[string]tenant{}}).Follows(service(was), now, until), now+1, until+1)
+				assert.Equal(t, 200, status(gone, was, until-1), "%v gone, then %v", was, next)
+			}
 		}
 	}
 }
 
+func TestATenantThatLeavesIsServedUntilItsCallersHaveHeardOfIt(t *testing.T) {
+	service := func(names ...string) *Service {
+		n := &settings.Node{MethodNames: []string{"a"}, TenantNames: names}
+		n.Methods = []decide.Method{{}}
+		return NewService("", n, nil, nil, nil)
+	}
+	q := &httpwire.Request{Verb: "GET", Path: "/a", Method: "a", Trace: "id", HasLeft: true, Tenant: "old"}
+	v := service("new", "other").Follows(service("other", "old"), 1, 9)
+	v = service("new").Follows(v, 2, 10)
+	_, slot, bad := v.check(q, &limits.Limits{}, 9)
+	require.Nil(t, bad)
+	assert.Equal(t, 1, slot, "as it was known before")
+	_, _, bad = v.check(q, &limits.Limits{}, 10)
+	assert.Equal(t, 400, bad.Status)
+}
+
 func TestOrdersAreCarriedOutInTurn(t *testing.T) {
 	_, core, addr := begin(t, node.Order{Kind: node.Send}, node.Order{Kind: node.Send},
 		node.Order{Kind: node.PushBack, Wait: 250 * time.Millisecond})
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,7 +35,7 @@
 	picks   Picks
 	share   Share
 	methods map[string]class
-	tenants map[string]int
+	tenants map[string]tenant
 
 	mu     sync.Mutex
 	open   int
@@ -44,7 +45,7 @@
 
 // NewService makes one; the share may be nil.
 func NewService(name string, s *settings.Node, core Core, picks Picks, share Share) *Service {
-	v := &Service{Name: name, core: core, picks: picks, share: share, methods: map[string]class{}, tenants: map[string]int{},
+	v := &Service{Name: name, core: core, picks: picks, share: share, methods: map[string]class{}, tenants: map[string]tenant{},
 		empty: make(chan struct{})}
 	for i, m := range s.MethodNames {
 		if m != "" { // else a slot that another class has left
@@ -53,7 +54,7 @@
 	}
 	for i, t := range s.TenantNames {
 		if t != "" {
-			v.tenants[t] = i
+			v.tenants[t] = tenant{slot: i}
 		}
 	}
 	return v
@@ -64,10 +65,18 @@
 	slot   int
 	repeat decide.Repeat
 	until  time.Duration // 0: for good
-	// Its effect was another: a request may come in that one's form, too, for a while.
-	was      decide.Repeat
-	wasUntil time.Duration
-	large    *atomic.Bool // its last answer was: its next one counts as large from the start
+	former []form        // its effect was another: a request may come in that one's form, too, for a while
+	large  *atomic.Bool  // its last answer was: its next one counts as large from the start
+}
+
+type form struct {
+	repeat decide.Repeat
+	until  time.Duration
+}
+
+type tenant struct {
+	slot  int
+	until time.Duration // 0: for good
 }
 
 // misfit is the status of a request that does not have the form of an effect; 0: it has.
@@ -88,24 +97,42 @@
 	return "POST"
 }
 
-// Follows has the classes that another service took before taken until a time, and those whose effect has changed in either
-// form: callers hear of new settings later than the node does.
+// Follows has the classes and tenants that another service took before taken until a time, and classes whose effect has changed
+// in either form: callers hear of new settings later than the node does. What that one still took from settings before its own
+// stays as long as it was to: settings may change again before callers have heard of the last.
 func (v *Service) Follows(before *Service, now, until time.Duration) *Service {
 	for name, k := range before.methods {
-		if is, stays := v.methods[name]; stays {
-			if k.until == 0 && k.repeat != is.repeat {
-				is.was, is.wasUntil = k.repeat, until
-				v.methods[name] = is
-			}
-			continue
-		}
 		if k.until > 0 && now > k.until {
 			continue // one that is over would else be handed on from settings to settings
 		}
-		if k.until == 0 {
-			k.until = until
+		last := until
+		if k.until > 0 {
+			last = k.until
+		}
+		is, stays := v.methods[name]
+		if !stays {
+			k.until = last
+			v.methods[name] = k
+			continue
+		}
+		for _, f := range k.former {
+			if now < f.until {
+				is.former = append(is.former, f)
+			}
+		}
+		if k.repeat != is.repeat {
+			is.former = append(is.former, form{k.repeat, last})
+		}
+		v.methods[name] = is
+	}
+	for name, t := range before.tenants {
+		if _, stays := v.tenants[name]; stays || t.until > 0 && now > t.until {
+			continue
+		}
+		if t.until == 0 {
+			t.until = until
 		}
-		v.methods[name] = k
+		v.tenants[name] = t
 	}
 	return v
 }
@@ -184,9 +211,10 @@
 	if !known || k.until > 0 && now > k.until {
 		return k, 0, &httpwire.Answer{Status: 404}
 	}
-	tenant, paying := v.tenants[q.Tenant]
+	t, paying := v.tenants[q.Tenant]
+	paying = paying && (t.until == 0 || now <= t.until)
 	wrong := misfit(k.repeat, q)
-	if wrong != 0 && now < k.wasUntil && misfit(k.was, q) == 0 {
+	if slices.ContainsFunc(k.former, func(f form) bool { return now < f.until && misfit(f.repeat, q) == 0 }) {
 		wrong = 0
 	}
 	switch {
@@ -195,5 +223,5 @@
 	case wrong != 0, q.Method != first, q.Trace == "", !q.HasLeft, q.Left > l.MostLeft, len(v.tenants) > 0 && !paying:
 		return k, 0, &httpwire.Answer{Status: 400}
 	}
-	return k, tenant, nil
+	return k, t.slot, nil
 }
