A server's connection rests for 10 ms after an answer, so that a second one meets nobody

An answer carries no id, so one that comes behind the next request is read as that one's, and passed on. Change: a connection whose answer ended under 10 ms ago is passed over; the one used before it is taken, or a new one opened. FastCGI's answers carry ids and need none of that. Test: a stand-in that writes each answer again once the next request has come; without the rest the second pick gets the first one's body.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -50,6 +50,8 @@
 
 	Connect    time.Duration // to a server
 	AnswerRest time.Duration // from an answer's first byte to its last, and more for what is large
+	// AnswerBehind is how long a server's connection rests after an answer: what comes behind that is not the next one's.
+	AnswerBehind time.Duration
 	// AnswerSilence is how long an answer that is being passed on may bring nothing, ServerTakes how long a server may take
 	// nothing of a request.
 	AnswerSilence, ServerTakes time.Duration
@@ -120,6 +122,7 @@
 		IDs:           16 << 10,
 		Connect:       time.Second,
 		AnswerRest:    500 * time.Millisecond,
+		AnswerBehind:  10 * time.Millisecond,
 		AnswerSilence: 10 * time.Second,
 		ServerTakes:   10 * time.Second,
 		ServerIdle:    20 * time.Second,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -240,11 +240,16 @@
 	return true
 }
 
-// reuse takes the connection to a server that was used last: the others may then grow old and be closed.
+// reuse takes the connection to a server that was used last: the others may then grow old and be closed. One whose answer has
+// only just come is left to rest: what its server writes behind an answer by mistake may be on its way still, and would be read
+// as the next request's.
 func (p *Pool) reuse(s *node.Server, addr string) *conn {
 	for {
 		p.mu.Lock()
 		c := p.idle[s]
+		for c != nil && c.app == nil && time.Since(c.since) < p.limits.AnswerBehind {
+			c = c.next
+		}
 		if c == nil {
 			p.mu.Unlock()
 			return nil
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -178,6 +178,33 @@
 	}
 }
 
+// The stand-in writes each answer twice, the second time when the next request on the connection has come, so late that no look
+// at the connection finds it before.
+func TestASecondAnswerIsNotTakenForTheNextRequests(t *testing.T) {
+	server := serve(t, func(s *standIn, i int, c *net.TCPConn) {
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", i)
+		for s.read(c) {
+			io.WriteString(c, answer)
+			if !s.read(c) {
+				break
+			}
+			io.WriteString(c, answer)
+		}
+		c.Close()
+	})
+	s := begin(server.Addr().String(), 5)
+	s.limits.AnswerBehind = time.Hour
+	for i := range 3 {
+		assert.Equal(t, decide.OK, s.pick())
+		assert.Equal(t, fmt.Sprint(i), string(s.core.answer.Body))
+	}
+	s.limits.AnswerBehind = 0 // it has rested
+	conns, _ := server.count()
+	s.pick()
+	again, _ := server.count()
+	assert.Equal(t, conns, again)
+}
+
 func TestAnAnswerAheadOfASlowOneDoesNotHurryIt(t *testing.T) {
 	server := serve(t, func(s *standIn, _ int, c *net.TCPConn) {
 		for s.read(c) {
