Past the halt nothing more is sent, and what may be pushed back is

Change: the halt and the recall are looked at before each order; from then on picks are Ignored, a final answer that is there is passed on, a request that is read after the halt is pushed back before the module hears of it, and an RPC given up on is pushed back if nothing was sent for it or its class may be repeated freely, in every form that its callers may use; else aborted as before. New: a request pipelined behind the halt is not begun; the pick beside the halt is Ignored.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -169,7 +169,7 @@
 		return c.answer(q, &httpwire.Answer{Status: 409, Close: true})
 	}
 	defer func() { f.ids.end(id, f.now()) }()
-	if c.tired || !f.begin() {
+	if c.tired || f.halted() || !f.begin() {
 		return c.answer(q, &httpwire.Answer{Status: 503, RetryAfter: f.limits.ComeBack, Close: true})
 	}
 	large := q.Rest != nil || class.large.Load()
@@ -199,25 +199,37 @@
 	c.watch(rpc)
 	var a *httpwire.Answer
 	held := 0 // by the answer
-	givenUp := false
+	givenUp, sent := false, false
 	for a == nil {
+		// Who gives it up goes before what is ordered, so that nothing more is sent, but an answer that is there is not thrown away.
+		if !givenUp {
+			select {
+			case <-recalled: // what it holds was borrowed, and its owner needs it
+				givenUp = true
+			case <-f.halt:
+				givenUp = true
+			default:
+			}
+			if givenUp {
+				service.core.Vanished(rpc) // nothing more is ordered
+			}
+		}
 		var o node.Order
-		select { // what is ordered goes before: an answer that is there is not thrown away
+		select {
 		case o = <-rpc.Orders:
 		default:
 			if givenUp {
 				a = &httpwire.Answer{Status: 504}
+				if !sent || class.repeat == decide.Idempotent && len(class.former) == 0 {
+					a = &httpwire.Answer{Status: 503, RetryAfter: f.limits.ComeBack} // trying again is harmless
+				}
 				continue
 			}
 			select {
 			case o = <-rpc.Orders:
-			case <-recalled: // what it holds was borrowed, and its owner needs it
-				givenUp = true
+			case <-recalled:
+				continue
 			case <-f.halt:
-				givenUp = true
-			}
-			if givenUp {
-				service.core.Vanished(rpc) // nothing more is ordered
 				continue
 			}
 		}
@@ -227,6 +239,7 @@
 				service.core.Done(o.Pick, decide.Ignored, nil)
 				continue
 			}
+			sent = true
 			service.picks.Start(o.Pick, q)
 		case node.Served:
 			a = &httpwire.Answer{Status: 200, Type: o.Answer.Type, Body: o.Answer.Body, Old: q.Old}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -427,6 +427,16 @@
 	}
 }
 
+// halted tells whether what is out is being aborted: nothing more is begun.
+func (f *Server) halted() bool {
+	select {
+	case <-f.halt:
+		return true
+	default:
+		return false
+	}
+}
+
 // closing tells whether answers end their connections.
 func (f *Server) closing() bool { return f.stopping.Load() || f.lame.Load() }
 
