A server that came back elsewhere during a connect is not sent to where it was

By reading: an id may be listed at another address with a new start while a connect to the old one lasts (up to the connect's time-out). Begin asks whether the server is ready, which it is again, and not where: the request went to whoever listens at the old address now, past any grace. A reused connection is compared with the address, a new one was not. Change: the address is asked again once the connect is up; if it is another, the connection is closed and the pick Ignored. Test: the move happens between the dial and its end; without the mend the old place gets the request.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -115,6 +115,10 @@
 			return decide.ConnectFailed, nil
 		}
 		c = p.newConn(raw, addr)
+		if at, _ := p.core.Address(server); at != addr {
+			p.close(c) // it came back elsewhere under its name while the connect lasted: who is here now is another
+			return decide.Ignored, nil
+		}
 	}
 	x.conn = c
 	if !p.core.Begin(x.pick, x) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -31,6 +31,7 @@
 	leaves  func([]*node.Server)
 	results []decide.Result
 	answer  *node.Answer
+	atHold  func()
 }
 
 func (c *fakeCore) Address(*node.Server) (string, bool) {
@@ -42,7 +43,12 @@
 	_, ready := c.Address(nil)
 	return ready
 }
-func (c *fakeCore) Hold(*node.Pick, node.Breaker) bool { return true }
+func (c *fakeCore) Hold(*node.Pick, node.Breaker) bool {
+	if c.atHold != nil {
+		c.atHold()
+	}
+	return true
+}
 func (c *fakeCore) Begin(_ *node.Pick, by node.Breaker) bool {
 	time.AfterFunc(c.left, by.Break) // late ones must find nothing to break
 	return !c.refuses
@@ -205,6 +211,23 @@
 	assert.Equal(t, conns, again)
 }
 
+func TestAServerThatMovesDuringAConnectIsNotSentToWhereItWas(t *testing.T) {
+	was, is := serve(t, answers(okText)), serve(t, answers(okText))
+	s := begin(was.Addr().String(), 5)
+	s.core.atHold = func() {
+		s.core.mu.Lock()
+		defer s.core.mu.Unlock()
+		s.core.addr = is.Addr().String()
+	}
+	assert.Equal(t, decide.Ignored, s.pick())
+	_, sent := was.count()
+	assert.Zero(t, sent)
+	assert.Equal(t, 5, s.budget.Left())
+	assert.Equal(t, decide.OK, s.pick())
+	_, sent = is.count()
+	assert.Equal(t, 1, sent)
+}
+
 func TestAnAnswerAheadOfASlowOneDoesNotHurryIt(t *testing.T) {
 	server := serve(t, func(s *standIn, _ int, c *net.TCPConn) {
 		for s.read(c) {
