A node short of descriptors does not put its watch off

By reading: where no descriptor was left for discovery the module heard of a failed call and waited twice as long each time, up to 6 s, though discovery had had no call; what it says meanwhile binds the node. Now such a failure begins the pauses anew. Test: a budget with nothing left; without the mend the failure is told as that of an overrun discovery.

--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -270,6 +270,19 @@
 	assert.Equal(t, news{failed: true}, core.next(t))
 }
 
+func TestANodeShortOfDescriptorsDoesNotPutTheListOff(t *testing.T) {
+	budget := limits.NewBudget(1, 0, nil)
+	require.True(t, budget.Take())
+	w := New(freeAddress(t), nil, limits.Limits{}, budget, zap.NewNop())
+	core := make(fakeCore, 2)
+	w.core = core
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go w.Run(ctx)
+	w.Ask()
+	assert.Equal(t, news{failed: true, anew: true}, core.next(t), "discovery has had no call")
+}
+
 func TestOneBadEntryCostsNoOther(t *testing.T) {
 	l, err := Parse([]byte(`{"revision":1,"complete":true,"members":[` + strings.Join([]string{
 		member1("good", "ready"),
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -119,7 +119,7 @@
 		if !moves {
 			// What discovery says while nobody listens binds the node all the same, and the longer for each pause. Pauses spare a
 			// discovery that is overrun: one that fell silent, or has had no call yet, does not say so.
-			w.core.ListFailed(w.fresh || errors.Is(err, os.ErrDeadlineExceeded))
+			w.core.ListFailed(w.fresh || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errNoDescriptor))
 			w.fresh = false
 		}
 	}
@@ -154,10 +154,12 @@
 	return w.moved
 }
 
+var errNoDescriptor = errors.New("no descriptor left for discovery")
+
 // follow is the life of one watch.
 func (w *Watcher) follow(ctx context.Context) error {
 	if !w.budget.Take() {
-		return errors.New("no descriptor left for discovery")
+		return errNoDescriptor
 	}
 	defer w.budget.Give()
 	dialer := net.Dialer{Timeout: w.limits.ListConnect, KeepAlive: -1}
