--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -110,6 +110,9 @@
 		}
 		watch.Close()
 		goleak.VerifyNone(t, leaks)
+		assert.Equal(t, 9, f.budget.Left(), "each connection's descriptor has come back")
+		assert.Zero(t, f.making.Load())
+		assert.Zero(t, f.large.Load())
 	})
 	return f, core, ln.Addr().String()
 }
@@ -425,6 +428,7 @@
 	c := dial(t, ln.Addr().String())
 	raw, err := ln.Accept()
 	require.NoError(t, err)
+	require.True(t, f.budget.TakeLast())
 	chosen := f.newConn(raw)
 	require.NotNil(t, chosen)
 	c.ask()
