A discovery that ends each watch right behind its list is asked ever later

By reading: each list brought the module's pause back to its start, so a discovery that resets each watch right behind its list was asked some four times a second by every node, for as long as that lasts. Change: a list no longer does that; a watch that had news and lasted for ListSilence does, as silence, a move and a missing descriptor do. The simulator's failures keep their pauses: there it is news since the last failure, as before. Tests: decide (lists between six failures change nothing), registry (a watch that ends at once, and one that lasted).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -268,7 +268,6 @@
 func (b *Balancer) Listed(list []Listing, full bool) {
 	now := b.host.Now()
 	b.list++
-	b.watchBackoff = 0
 	for _, l := range list {
 		s := l.Server
 		if s.entries == nil {
@@ -319,7 +318,8 @@
 	s.tokens, s.tokensAt = b.rng.Float64(), now
 }
 
-// ListFailed asks again, later each time while failures say that the list is overrun. Anew says that this one does not.
+// ListFailed asks again, later each time while failures say that the list is overrun. Anew says that this one does not: there
+// had been news for a while, or discovery had no call that it could fail.
 func (b *Balancer) ListFailed(anew bool) {
 	if anew {
 		b.watchBackoff = 0
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -78,6 +78,7 @@
 	h.until(106)
 	assert.Equal(t, 2, h.watches)
 	for range 6 {
+		h.b.Listed(nil, false) // and lists that come in between change nothing
 		h.b.ListFailed(false)
 	}
 	h.until(107)
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -43,6 +43,7 @@
 	core     Core
 	at       string        // where the last watch went
 	revision int64         // of the list held, in the numbers of that discovery
+	told     bool          // the watch that lasts has brought news
 	failing  bool          // the last watch brought nothing, and that has been told
 	fresh    bool          // discovery has moved, and no watch of the new one has ended
 	patience time.Duration // for a watch's first word
@@ -106,6 +107,8 @@
 		if !wanted {
 			continue
 		}
+		began := time.Now()
+		w.told = false
 		err := w.follow(watch)
 		moves := w.ended()
 		if ctx.Err() != nil {
@@ -118,8 +121,10 @@
 		w.failing = true
 		if !moves {
 			// What discovery says while nobody listens binds the node all the same, and the longer for each pause. Pauses spare a
-			// discovery that is overrun: one that fell silent, or has had no call yet, does not say so.
-			w.core.ListFailed(w.fresh || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errNoDescriptor))
+			// discovery that is overrun: one that fell silent, has had no call yet, or had told news for a while does not say so. One
+			// that ends each watch right behind its list would else be asked ever so often.
+			lasted := w.told && time.Since(began) >= w.limits.ListSilence
+			w.core.ListFailed(lasted || w.fresh || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errNoDescriptor))
 			w.fresh = false
 		}
 	}
@@ -198,7 +203,6 @@
 	if status != 200 {
 		return fmt.Errorf("discovery answered %d", status)
 	}
-	news := false
 	// A discovery that was cut off says nothing; one that lives sends an empty line every other second.
 	messages := feed{from: stream, most: w.limits.ListBytes, chunk: make([]byte, w.limits.Wire.Buffer),
 		alive: func() { c.SetReadDeadline(time.Now().Add(w.limits.ListSilence)) }}
@@ -215,8 +219,8 @@
 			return ctx.Err()
 		}
 		w.take(list)
-		if !news {
-			news, w.failing, w.fresh = true, false, false
+		if !w.told {
+			w.told, w.failing, w.fresh = true, false, false
 			w.log.Info("watching the server list", zap.String("discovery", w.at),
 				zap.Bool("whole", list.Complete), zap.Int64("revision", w.revision))
 		}
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -24,6 +24,7 @@
 
 // instance is one node: it owns a balancer and is its decide.Host.
 type instance struct {
+	told     bool // news of the list since its last failure
 	hub      *Hub
 	id       int
 	conf     *settings.Node
@@ -116,9 +117,11 @@
 		return err
 	}
 	if kind == "FAILED" {
-		in.balancer.ListFailed(false)
+		in.balancer.ListFailed(in.told)
+		in.told = false
 		return nil
 	}
+	in.told = true
 	if kind != "FULL" && kind != "SAVED" && kind != "INCREMENTAL" {
 		return fmt.Errorf("unknown list kind %q", kind)
 	}
