--- /dev/null
+++ b/internal/registry/moves_test.go
@@ -0,0 +1,96 @@
+package registry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"robincart/internal/await"
+	"robincart/internal/limits"
+	"robincart/internal/node"
+	"robincart/internal/settings"
+)
+
+// handClock moves when told to.
+type handClock struct {
+	mu     sync.Mutex
+	now    time.Duration
+	timers []handTimer
+}
+
+type handTimer struct {
+	at time.Duration
+	f  func()
+}
+
+func (c *handClock) Now() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *handClock) AfterFunc(d time.Duration, f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timers = append(c.timers, handTimer{c.now + d, f})
+}
+
+func (c *handClock) step() {
+	c.mu.Lock()
+	c.now += time.Millisecond
+	var due []func()
+	rest := c.timers[:0]
+	for _, t := range c.timers {
+		if t.at <= c.now {
+			due = append(due, t.f)
+		} else {
+			rest = append(rest, t)
+		}
+	}
+	c.timers = rest
+	c.mu.Unlock()
+	for _, f := range due {
+		f()
+	}
+}
+
+// toldCore is the real core, with word of each failure that it was told.
+type toldCore struct {
+	*node.Core
+	told chan bool
+}
+
+func (c toldCore) ListFailed(anew bool) {
+	c.Core.ListFailed(anew)
+	c.told <- anew
+}
+
+// The watcher tells each move's failure; the module still has one call to make, not one for each.
+func TestMovesWhileDiscoveryIsDownMakeTheModuleAskNoOftener(t *testing.T) {
+	n, err := settings.Parse([]byte(`{"Classes":[{"Name":"a","AimMs":1,"DeadlineMs":1,"Repeat":"repeatable"}],"RegistryMode":"subscribe","Rules":{"MustAskInMs":1}}`))
+	require.NoError(t, err)
+	clk, asks := &handClock{}, atomic.Int64{}
+	core := toldCore{node.New(n, 1, clk, time.Now(), func() { asks.Add(1) }), make(chan bool, 9)}
+	w := New(freeAddress(t), nil, limits.Limits{ListConnect: time.Second, ListFirst: time.Second, ListSilence: time.Hour}, limits.NewBudget(1, 0, nil), zap.NewNop())
+	w.Follow(core)
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan bool)
+	go func() { w.Run(ctx); close(done) }()
+	defer func() { end(); <-done; core.Close() }()
+	w.Ask()
+	assert.False(t, await.One(t, core.told))
+	for range 3 {
+		w.Move(freeAddress(t))
+		assert.True(t, await.One(t, core.told))
+	}
+	for range 10_000 {
+		clk.step()
+	}
+	assert.EqualValues(t, 1, asks.Load())
+}
