--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -32,6 +32,7 @@
 	log    *zap.Logger
 	wake   chan struct{}
 	secure func(addr string) *tls.Config // nil: discovery speaks plain TCP
+	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu    sync.Mutex
 	addr  string
@@ -52,7 +53,7 @@
 // New makes a Watcher; Run starts it.
 func New(addr string, zones []string, l limits.Limits, budget *limits.Budget, log *zap.Logger) *Watcher {
 	return &Watcher{addr: addr, at: addr, zones: zones, limits: l, budget: budget, log: log,
-		patience: l.ListFirst, wake: make(chan struct{}, 1), cut: func() {}}
+		patience: l.ListFirst, wake: make(chan struct{}, 1), cut: func() {}, dial: (&net.Dialer{KeepAlive: -1}).DialContext}
 }
 
 // Secure has discovery reached over TLS, by a configuration for each connection. It is told before Run.
@@ -167,8 +168,9 @@
 		return errNoDescriptor
 	}
 	defer w.budget.Give()
-	dialer := net.Dialer{Timeout: w.limits.ListConnect, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", w.at)
+	within, cancel := context.WithTimeout(ctx, w.limits.ListConnect)
+	c, err := w.dial(within, "tcp", w.at)
+	cancel()
 	if err != nil {
 		return fmt.Errorf("reaching discovery: %w", err)
 	}
