A change is told within 6 s of when discovery could be reached, whatever failed before

Seen, the test before the mend (virtual time, 40 plays a state, discovery takes 2 s for a call): late of 40 and the longest: down, refusing, resets 5 and 7.55 s; mute 9 and 7.85; vanished 6 and 8.28; refusing, then vanished 9 and 9.05; down, then mute 4 and 6.97; moves 3 and 6.97; one after another 1 and 6.18; ends its lists 2 and 6.83; one descriptor 9 and 7.85; a new process 15 and 16.62. In time before: fallen silent, half a message, no descriptor. Cause: pauses of up to 6 s by themselves (0.25 s doubled to 4, times 0.5 to 1.5), a patience doubled up to 6 s for a call that is mute, and a first wait of a new process of up to MustAskIn/4 (15 s in the test). Ruled out: the connect's time-out and the time to the list itself. Change: one budget in limits: ListTold 6 s, of it ListFirst (2.5 s, as ListSilence) for the call that brings the news, a quarter of a second to spare, and the rest, ListEvery 3.25 s, from the last word or the begin of one call to the begin of the next. Core.ListFailed tells the module what is left; its pause is drawn from a third to the whole of that. AskWithin bounds the first ask. A call with no word for ListFirst is told as failed but stands on beside the next one: two at most, the first that brings something wins. So nothing doubles, and a call in discovery's queue keeps its turn. A single descriptor goes to the newer call. Weighed and left: a fixed patience with one call at a time: 2.5 s against a queue of 4.5 s would have each call lose its turn.

--- a/cmd/robincart/config.go
+++ b/cmd/robincart/config.go
@@ -91,6 +91,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	c.node.AskWithin = c.limits.ListEvery.Seconds()
 	return c, nil
 }
 
--- a/cmd/robincart/operate_test.go
+++ b/cmd/robincart/operate_test.go
@@ -126,6 +126,18 @@
 	return string(text)
 }
 
+// What discovery had before a process began binds it from its first moment, however long the settings let it wait.
+func TestTheFirstAskHasABound(t *testing.T) {
+	text, err := json.Marshal(configuration(t, newDiscovery(t)))
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "c.json")
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	c, err := readConfig(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] })
+	require.NoError(t, err)
+	assert.Greater(t, c.node.AskWithin, 0.0)
+	assert.InDelta(t, c.limits.ListEvery.Seconds(), c.node.AskWithin, 1e-9)
+}
+
 // A file cut off anywhere changes nothing, and no key that stands in it may be missing.
 func TestEveryCutOfAFileIsRefused(t *testing.T) {
 	d := newDiscovery(t)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -214,7 +214,11 @@
 	b.tune(s)
 	if s.MustWatch {
 		// All nodes start together and the list is one slow service: each waits a random part of the time.
-		h.After(b.rng.Float64()*min(s.MustAskIn/4, 0.1*float64(s.Instances)), watchAgain{})
+		wait := min(s.MustAskIn/4, 0.1*float64(s.Instances))
+		if s.AskWithin > 0 {
+			wait = min(wait, s.AskWithin) // else what was told before the start binds first
+		}
+		h.After(b.rng.Float64()*wait, watchAgain{})
 	}
 	return b
 }
@@ -318,15 +322,16 @@
 	s.tokens, s.tokensAt = b.rng.Float64(), now
 }
 
-// ListFailed asks again, later each time while failures say that the list is overrun. Anew says that this one does not: there
-// had been news for a while, or discovery had no call that it could fail.
-func (b *Balancer) ListFailed(anew bool) {
+// ListFailed asks again, later each time while failures say that the list is overrun. Anew says that this
+// one does not: there had been news for a while, or discovery had no call that it could fail. What discovery
+// had meanwhile binds in time: no pause is over most.
+func (b *Balancer) ListFailed(anew bool, most float64) {
 	if anew {
 		b.watchBackoff = 0
 	}
 	b.watchBackoff = min(max(0.25, b.watchBackoff*2), 4)
 	b.watchTurn++
-	b.host.After(b.watchBackoff*(0.5+b.rng.Float64()), watchAgain{b.watchTurn})
+	b.host.After(min(1.5*b.watchBackoff, most)*(1+2*b.rng.Float64())/3, watchAgain{b.watchTurn})
 }
 
 // Arrived takes a new RPC.
--- a/decide/host.go
+++ b/decide/host.go
@@ -73,6 +73,7 @@
 	CrossZone     float64 // price of a pick that crosses zones
 	MustWatch     bool    // the server list has to be asked for
 	MustAskIn     float64
+	AskWithin     float64 // the longest wait before the first ask; 0: no bound
 
 	ColdFrom     float64
 	ColdFor      float64
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -446,7 +446,7 @@
 }
 
 // ListFailed passes it on.
-func (s *Sink) ListFailed(anew bool) { s.core.ListFailed(anew) }
+func (s *Sink) ListFailed(anew bool, most time.Duration) { s.core.ListFailed(anew, most) }
 
 // pass gives cores their lists anew, if they have changed.
 func (k *Keeper) pass(service string) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -59,8 +59,10 @@
 	Sweep                      time.Duration // between looks at the idle ones
 
 	ListConnect time.Duration
-	ListFirst   time.Duration // for the first word of a watch, and twice as long each time that none came
-	ListAnswer  time.Duration // at most
+	// ListTold is how long a change may take from when discovery had it and could be reached: from then on it binds the node.
+	ListTold    time.Duration
+	ListFirst   time.Duration // for the first word of a watch, before another call is opened beside it
+	ListEvery   time.Duration // from the last word, or a call's begin, to the begin of the next call, at most
 	ListSilence time.Duration // between messages: an empty line comes every 2 s
 
 	ClassLeaves time.Duration // after it was dropped from the settings a class is taken for as long
@@ -79,6 +81,8 @@
 	// SIGKILL may come 0.7 s after the longest deadline, and 3 s of that are the most it waits for.
 	stopLongest = 3 * time.Second
 	stopSpare   = 450 * time.Millisecond
+
+	listSpare = 250 * time.Millisecond // for clocks, connects and the list itself
 )
 
 // Fill makes the limits of a node from its machine and its settings.
@@ -128,15 +132,16 @@
 		ServerIdle:    20 * time.Second,
 		Sweep:         500 * time.Millisecond,
 		ListConnect:   1500 * time.Millisecond,
-		// News that a silent watch misses bind the node 6 s after the silence began: by then it has to be found, and another watch
-		// opened, whose call may stand in a queue first.
-		ListFirst:   2500 * time.Millisecond,
-		ListAnswer:  6 * time.Second,
-		ListSilence: 2500 * time.Millisecond,
-		ClassLeaves: 3 * time.Second,
-		StopTaking:  600 * time.Millisecond,
-		StopWrite:   100 * time.Millisecond,
+		ListTold:      6 * time.Second,
+		ListSilence:   2500 * time.Millisecond,
+		ClassLeaves:   3 * time.Second,
+		StopTaking:    600 * time.Millisecond,
+		StopWrite:     100 * time.Millisecond,
 	}
+	// What a call may wait for is what a watch may be silent for. The call that brings the news has to begin so early that it may
+	// wait as long, too; what is left between the two is the longest pause, and the longer the sooner the call before it failed.
+	l.ListFirst = l.ListSilence
+	l.ListEvery = l.ListTold - l.ListFirst - listSpare
 	// Every RPC needs a connection on either side, a second copy one more and discovery one: callers get
 	// under a half.
 	l.Refused = min(refusedMax, l.Descriptors/8)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -256,11 +256,12 @@
 	return out
 }
 
-// ListFailed tells that a watch has ended or never began; anew, that this is no sign of a discovery that is overrun.
-func (c *Core) ListFailed(anew bool) {
+// ListFailed tells that a watch has ended or never began; anew, that this is no sign of a discovery that is overrun. The
+// module asks again within most.
+func (c *Core) ListFailed(anew bool, most time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.balancer.ListFailed(anew)
+	c.balancer.ListFailed(anew, seconds(most))
 	c.arm()
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -477,6 +477,7 @@
 		shares.Conns: int64(l.Descriptors - l.Connections)}
 	for i := range c.Pools {
 		c.Pools[i].Timeout = c.Limits.For(c.Pools[i].Node)
+		c.Pools[i].Node.AskWithin = c.Limits.ListEvery.Seconds()
 	}
 	return nil
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -23,6 +23,7 @@
 	assert.Equal(t, []string{"book-table", "find-table"}, c.Pools[0].Node.MethodNames)
 	assert.True(t, c.Pools[0].Node.MustWatch, "its servers come from discovery")
 	assert.False(t, c.Pools[1].Node.MustWatch)
+	assert.InDelta(t, c.Limits.ListEvery.Seconds(), c.Pools[0].Node.AskWithin, 1e-9, "a new process asks as soon as any")
 	assert.Len(t, c.Pools[1].Static, 2)
 	assert.InDelta(t, 2.5, c.Pools[0].Node.Methods[0].LatencyTarget, 1e-9)
 	assert.EqualValues(t, c.Limits.Callers, c.Shares.Total[shares.Held])
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,11 +21,13 @@
 // Core takes the news.
 type Core interface {
 	Listed(entries []node.Entry, full bool)
-	// ListFailed tells that a watch has ended or never began. Anew says that this is no sign of a discovery that is overrun.
-	ListFailed(anew bool)
+	// ListFailed tells that a watch has ended, never began, or has not begun for so long that another call is wanted beside it. Anew
+	// says that this is no sign of a discovery that is overrun. The next call has to begin within most.
+	ListFailed(anew bool, most time.Duration)
 }
 
-// Watcher keeps one watch at discovery, whenever the module asks for it and as soon as discovery has moved.
+// Watcher keeps one watch at discovery, whenever the module asks for it and as soon as discovery has moved. A call that is not
+// answered may stand in discovery's queue, or be lost: it stays open beside the next one, and the first that brings something wins.
 type Watcher struct {
 	zones  []string
 	limits limits.Limits
@@ -33,33 +36,52 @@
 	wake   chan struct{}
 	secure func(addr string) *tls.Config // nil: discovery speaks plain TCP
 	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	core   Core
 
-	mu    sync.Mutex
-	addr  string
-	cut   context.CancelFunc // ends the watch that lasts
-	asked bool               // by the module, since the last watch ended
-	moved bool               // discovery has, and no watch of the new one has begun
+	mu       sync.Mutex
+	addr     string
+	asked    bool    // by the module, and not yet looked at
+	moved    bool    // discovery has, and no call to the new one has begun
+	calls    []*call // the oldest first
+	watch    *call   // that has won; nil: none
+	revision int64   // of the list held, in the numbers of that discovery
+	failing  bool    // the last call or watch has failed, and that has been told
+	fresh    bool    // discovery has moved, and no call to the new one has failed
 
-	// Run's alone.
-	core     Core
-	at       string        // where the last watch went
-	revision int64         // of the list held, in the numbers of that discovery
-	told     bool          // the watch that lasts has brought news
-	failing  bool          // the last watch brought nothing, and that has been told
-	fresh    bool          // discovery has moved, and no watch of the new one has ended
-	patience time.Duration // for a watch's first word
+	at string // where the last call went; Run's alone
 }
 
+// call is one call, and the watch that it becomes.
+type call struct {
+	at    string
+	since int64
+	began time.Time
+	cut   context.CancelFunc
+	done  chan struct{} // closed at its end; what follows may be read then
+	err   error
+	told  bool // it has brought news
+
+	// Under the Watcher's mutex.
+	word    time.Time // when something came last
+	mute    bool      // nothing came for so long that another call is wanted
+	failed  bool      // that has been told
+	dropped bool      // nobody wants to hear of it any more
+}
+
+// atOnce is how many calls stand at most. One that is not answered while a second one is, and until a third begins, has had as
+// long as changes take to bind.
+const atOnce = 2
+
 // New makes a Watcher; Run starts it.
 func New(addr string, zones []string, l limits.Limits, budget *limits.Budget, log *zap.Logger) *Watcher {
 	return &Watcher{addr: addr, at: addr, zones: zones, limits: l, budget: budget, log: log,
-		patience: l.ListFirst, wake: make(chan struct{}, 1), cut: func() {}, dial: (&net.Dialer{KeepAlive: -1}).DialContext}
+		wake: make(chan struct{}, 1), dial: (&net.Dialer{KeepAlive: -1}).DialContext}
 }
 
 // Secure has discovery reached over TLS, by a configuration for each connection. It is told before Run.
 func (w *Watcher) Secure(by func(addr string) *tls.Config) { w.secure = by }
 
-// Ask wants a watch; it never waits. While one lasts, that is enough.
+// Ask wants a watch; it never waits. While one lasts, or a call may still be answered in time, that is enough.
 func (w *Watcher) Ask() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -76,10 +98,18 @@
 		return
 	}
 	w.addr, w.moved = addr, true
-	w.cut()
+	for _, c := range w.calls {
+		c.drop()
+	}
 	w.ring()
 }
 
+// drop ends a call of which nothing more is taken or told.
+func (c *call) drop() {
+	c.dropped = true
+	c.cut()
+}
+
 func (w *Watcher) ring() {
 	select {
 	case w.wake <- struct{}{}:
@@ -101,75 +131,177 @@
 	for {
 		select {
 		case <-ctx.Done():
+			w.clear()
 			return
 		case <-w.wake:
 		}
-		watch, wanted := w.begin(ctx)
-		if !wanted {
-			continue
+		for _, c := range w.failures() {
+			w.tell(c)
 		}
-		began := time.Now()
-		w.told = false
-		err := w.follow(watch)
-		moves := w.ended()
-		if ctx.Err() != nil {
-			return
+		w.begin(ctx)
+	}
+}
+
+// failures are the calls that have failed and of which the module has to hear. Those that have ended leave.
+func (w *Watcher) failures() (out []*call) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = slices.DeleteFunc(w.calls, func(c *call) bool {
+		ended := false
+		select {
+		case <-c.done:
+			ended = true
+		default:
 		}
-		if !w.failing {
-			w.log.Warn("no watch of the server list; the list stays", zap.Error(err),
-				zap.String("discovery", w.at), zap.Int64("revision", w.revision))
+		if c == w.watch && ended {
+			w.watch = nil
 		}
-		w.failing = true
-		if !moves {
-			// What discovery says while nobody listens binds the node all the same, and the longer for each pause. Pauses spare a
-			// discovery that is overrun: one that fell silent, has had no call yet, or had told news for a while does not say so. One
-			// that ends each watch right behind its list would else be asked ever so often.
-			lasted := w.told && time.Since(began) >= w.limits.ListSilence
-			w.core.ListFailed(lasted || w.fresh || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errNoDescriptor))
-			w.fresh = false
+		if !c.dropped && !c.failed && (ended || c.mute) {
+			c.failed = true
+			out = append(out, c)
 		}
+		return ended
+	})
+	return out
+}
+
+// tell has the module ask again in its own time, but soon enough. What discovery says while nobody listens binds the node all the
+// same, so long after it could be reached; and it may be reached right after the call that has failed was lost, or since the
+// last word of a watch that fell silent. Pauses spare a discovery that is overrun: one that says nothing, has had no call yet, or
+// had told news for a while does not say so. One that ends each watch right behind its list would else be asked ever so often.
+func (w *Watcher) tell(c *call) {
+	err, lasted := errMute, false
+	select {
+	case <-c.done:
+		err, lasted = c.err, c.told && time.Since(c.began) >= w.limits.ListSilence
+	default:
+	}
+	w.mu.Lock()
+	anew := lasted || w.fresh || errors.Is(err, os.ErrDeadlineExceeded) || err == errMute || err == errNoDescriptor
+	first, revision := !w.failing, w.revision
+	most := w.limits.ListEvery - time.Since(c.word)
+	w.failing, w.fresh = true, false
+	w.mu.Unlock()
+	if first {
+		w.log.Warn("no watch of the server list; the list stays", zap.Error(err),
+			zap.String("discovery", c.at), zap.Int64("revision", revision))
 	}
+	w.core.ListFailed(anew, max(0, most))
 }
 
-// begin prepares a watch, if the module or a move wants one.
-func (w *Watcher) begin(ctx context.Context) (watch context.Context, wanted bool) {
+// begin opens a call, if the module or a move wants one.
+func (w *Watcher) begin(ctx context.Context) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	if !w.asked && !w.moved {
-		return nil, false
+	wanted, moved := w.asked, w.moved
+	w.asked, w.moved = false, false
+	for _, c := range w.calls {
+		wanted = wanted && (c.dropped || c.mute && c != w.watch)
+	}
+	full := len(w.calls) >= atOnce
+	w.mu.Unlock()
+	switch {
+	case moved:
+		w.clear()
+	case !wanted:
+		return
+	case full:
+		w.oldest()
+	}
+	free := w.budget.Take()
+	if !free && w.oldest() {
+		free = w.budget.Take()
 	}
-	w.moved = false
+	within, cut := context.WithCancel(ctx)
+	now := time.Now()
+	c := &call{began: now, word: now, cut: cut, done: make(chan struct{})}
+	w.mu.Lock()
 	if w.at != w.addr {
 		// Another discovery may number otherwise: by the old one's numbers its news would look old.
-		w.at, w.revision, w.failing, w.fresh, w.patience = w.addr, 0, false, true, w.limits.ListFirst
+		w.at, w.revision, w.failing, w.fresh = w.addr, 0, false, true
 		w.log.Info("discovery has moved", zap.String("discovery", w.at))
 	}
-	watch, w.cut = context.WithCancel(ctx)
-	return watch, true
+	c.at, c.since = w.at, w.revision
+	if w.moved { // meanwhile
+		c.drop()
+	}
+	w.calls = append(w.calls, c)
+	w.mu.Unlock()
+	if !free {
+		c.err = errNoDescriptor
+		cut()
+		close(c.done)
+		w.ring()
+		return
+	}
+	quiet := time.AfterFunc(w.limits.ListFirst, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		c.mute = c != w.watch
+		w.ring()
+	})
+	go func() {
+		c.err = w.follow(within, c)
+		quiet.Stop()
+		cut()
+		w.budget.Give()
+		close(c.done)
+		w.ring()
+	}()
 }
 
-// ended tells whether another watch begins by itself: a new discovery is watched at once. Else the module hears of the end
-// and asks in its own time.
-func (w *Watcher) ended() (moves bool) {
+// oldest drops the oldest call and waits until it has ended.
+func (w *Watcher) oldest() bool {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cut()
-	if !w.moved {
-		w.asked = false
+	if len(w.calls) == 0 {
+		w.mu.Unlock()
+		return false
+	}
+	c := w.calls[0]
+	if w.calls = w.calls[1:]; c == w.watch {
+		w.watch = nil
 	}
-	return w.moved
+	c.drop()
+	w.mu.Unlock()
+	<-c.done
+	return true
 }
 
-var errNoDescriptor = errors.New("no descriptor left for discovery")
+// clear drops all calls, and the watch.
+func (w *Watcher) clear() {
+	for w.oldest() {
+	}
+}
 
-// follow is the life of one watch.
-func (w *Watcher) follow(ctx context.Context) error {
-	if !w.budget.Take() {
-		return errNoDescriptor
+// wins tells whether a call that has brought something is the one to listen to. The others are dropped.
+func (w *Watcher) wins(c *call) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if c.dropped {
+		return false
+	}
+	c.word = time.Now()
+	if w.watch == c {
+		return true
+	}
+	w.watch, c.mute, c.failed = c, false, false
+	for _, o := range w.calls {
+		if o != c {
+			o.drop()
+		}
 	}
-	defer w.budget.Give()
+	return true
+}
+
+var (
+	errNoDescriptor = errors.New("no descriptor left for discovery")
+	errMute         = errors.New("discovery has not answered yet")
+	errDropped      = errors.New("another call was answered")
+)
+
+// follow is the life of one call, and of its watch.
+func (w *Watcher) follow(ctx context.Context, own *call) error {
 	within, cancel := context.WithTimeout(ctx, w.limits.ListConnect)
-	c, err := w.dial(within, "tcp", w.at)
+	c, err := w.dial(within, "tcp", own.at)
 	cancel()
 	if err != nil {
 		return fmt.Errorf("reaching discovery: %w", err)
@@ -178,22 +310,16 @@
 	defer context.AfterFunc(ctx, func() { c.Close() })()
 
 	if w.secure != nil {
-		t := tls.Client(c, w.secure(w.at))
+		t := tls.Client(c, w.secure(own.at))
 		c.SetDeadline(time.Now().Add(w.limits.ListConnect))
 		if err := t.HandshakeContext(ctx); err != nil {
 			return fmt.Errorf("discovery's keys: %w", err)
 		}
 		c = t
 	}
-	c.SetDeadline(time.Now().Add(w.patience))
-	status, stream, err := w.call(c)
-	// A call that stands in discovery's queue for longer than that is given up, and the next one waits twice as long: in a queue
-	// of such calls each would else lose its turn. One whose connection fell mute must not be waited for much longer.
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		w.patience = min(2*w.patience, w.limits.ListAnswer)
-	} else {
-		w.patience = w.limits.ListFirst
-	}
+	// One that stands in discovery's queue would lose its turn if it were given up with the first look at it.
+	c.SetDeadline(own.began.Add(w.limits.ListTold))
+	status, stream, err := w.call(c, own)
 	if err != nil {
 		return err
 	}
@@ -202,7 +328,10 @@
 	}
 	// A discovery that was cut off says nothing; one that lives sends an empty line every other second.
 	messages := feed{from: stream, most: w.limits.ListBytes, chunk: make([]byte, w.limits.Wire.Buffer),
-		alive: func() { c.SetReadDeadline(time.Now().Add(w.limits.ListSilence)) }}
+		alive: func() {
+			w.wins(own)
+			c.SetReadDeadline(time.Now().Add(w.limits.ListSilence))
+		}}
 	for {
 		text, err := messages.next()
 		if err != nil {
@@ -212,22 +341,25 @@
 		if err != nil {
 			return err
 		}
-		if ctx.Err() != nil {
-			return ctx.Err()
+		if !w.wins(own) {
+			return errDropped
 		}
 		w.take(list)
-		if !w.told {
-			w.told, w.failing, w.fresh = true, false, false
-			w.log.Info("watching the server list", zap.String("discovery", w.at),
-				zap.Bool("whole", list.Complete), zap.Int64("revision", w.revision))
+		if !own.told {
+			own.told = true
+			w.mu.Lock()
+			w.failing, w.fresh = false, false
+			w.mu.Unlock()
+			w.log.Info("watching the server list", zap.String("discovery", own.at),
+				zap.Bool("whole", list.Complete), zap.Int64("revision", list.Revision))
 		}
 	}
 }
 
 // call asks for a watch and reads the head of the answer.
-func (w *Watcher) call(c net.Conn) (status int, stream *httpwire.Stream, err error) {
+func (w *Watcher) call(c net.Conn, own *call) (status int, stream *httpwire.Stream, err error) {
 	if _, err = fmt.Fprintf(c, "GET %s?%s=1&%s=%d HTTP/1.1\r\nHost: %s\r\n\r\n", httpwire.PathList,
-		httpwire.QueryWatch, httpwire.QuerySince, w.revision, w.at); err != nil {
+		httpwire.QueryWatch, httpwire.QuerySince, own.since, own.at); err != nil {
 		return 0, nil, fmt.Errorf("asking discovery: %w", err)
 	}
 	if status, stream, err = httpwire.NewReader(c, w.limits.Wire).ReadStream(); err != nil {
@@ -239,10 +371,15 @@
 // take passes news on. A change that is older than the list held would bring back what has left: of
 // that the core hears only that discovery has answered.
 func (w *Watcher) take(l *List) {
-	if !l.Complete && l.Revision <= w.revision {
+	w.mu.Lock()
+	old := !l.Complete && l.Revision <= w.revision
+	if !old {
+		w.revision = l.Revision
+	}
+	w.mu.Unlock()
+	if old {
 		w.core.Listed(nil, false)
 		return
 	}
-	w.revision = l.Revision
 	w.core.Listed(l.Entries(w.zones, w.log), l.Complete)
 }
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 
 	"robincart/decide"
@@ -117,7 +118,7 @@
 		return err
 	}
 	if kind == "FAILED" {
-		in.balancer.ListFailed(in.told)
+		in.balancer.ListFailed(in.told, math.Inf(1)) // its rules name no time for that
 		in.told = false
 		return nil
 	}
