--- /dev/null
+++ b/internal/registry/told_test.go
@@ -0,0 +1,527 @@
+package registry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"robincart/internal/limits"
+	"robincart/internal/node"
+	"robincart/internal/settings"
+)
+
+// These tests play on synctest's clock: the real Watcher, the real core with its module, and a stand-in for discovery behind a
+// dialer of its own. What they measure is the same on any machine.
+
+// trouble is how the stand-in meets calls and watches.
+type trouble int
+
+const (
+	none     trouble = iota
+	down             // connections are refused, watches end
+	vanished         // connections never come up, open ones are silent for ever
+	mute             // connections come up, calls are not answered, watches fall silent
+	refusing         // 503; watches end
+	resets           // after a call; watches end
+	halves           // a watch brings half a message and no more
+	brief            // a watch ends right behind its list
+)
+
+// turns is a discovery that works through calls in turn and fails those that have waited too long.
+type turns struct {
+	each  time.Duration // for one call
+	most  time.Duration // that a call waits
+	blind bool          // who has left is worked for all the same
+
+	mu      sync.Mutex
+	trouble trouble
+	queue   []*waiting
+	wake    chan struct{}
+	conns   map[net.Conn]bool // true: silent from now on
+	version int               // of the list
+	news    chan struct{}     // closed when it changes
+	calls   int               // connects that were refused or lost included
+	longest int               // the queue
+	failed  int               // for they had waited too long
+	vain    int               // turns for callers that had left
+}
+
+type waiting struct {
+	c    net.Conn
+	left bool
+	done bool
+}
+
+func newTurns(each, most time.Duration) *turns {
+	return &turns{each: each, most: most, wake: make(chan struct{}, 1), news: make(chan struct{}), version: 42, conns: map[net.Conn]bool{}}
+}
+
+// become begins a trouble, or ends it.
+func (d *turns) become(x trouble) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.trouble = x
+	for c := range d.conns {
+		if x == vanished || x == mute {
+			d.conns[c] = true
+		} else if x != none && x != halves && x != brief {
+			c.Close()
+			delete(d.conns, c)
+		}
+	}
+	if x != none {
+		d.queue = nil
+	}
+}
+
+// change has the list change, and tells it on the watches that stand.
+func (d *turns) change() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version++
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+// fall makes all open watches silent, or ends them; calls are answered as before.
+func (d *turns) fall(silent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
+		if d.conns[c] = true; !silent {
+			c.Close()
+			delete(d.conns, c)
+		}
+	}
+}
+
+func (d *turns) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.trouble = down
+	for c := range d.conns {
+		c.Close()
+	}
+}
+
+func (d *turns) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls++
+	switch d.trouble {
+	case down:
+		return nil, errors.New("refused")
+	case vanished:
+		d.mu.Unlock()
+		<-ctx.Done()
+		d.mu.Lock()
+		return nil, ctx.Err()
+	}
+	here, there := net.Pipe()
+	d.conns[there] = d.trouble == mute
+	go d.serve(there)
+	return here, nil
+}
+
+func (d *turns) serve(c net.Conn) {
+	r := bufio.NewReader(c)
+	for {
+		if line, err := r.ReadString('\n'); err != nil {
+			return
+		} else if line == "\r\n" {
+			break
+		}
+	}
+	w := &waiting{c: c}
+	d.mu.Lock()
+	if d.conns[c] {
+		d.mu.Unlock()
+		return
+	}
+	switch d.trouble {
+	case refusing:
+		d.mu.Unlock()
+		d.refuse(c)
+		return
+	case resets:
+		d.mu.Unlock()
+		c.Close()
+		return
+	}
+	d.queue = append(d.queue, w)
+	d.longest = max(d.longest, len(d.queue))
+	d.mu.Unlock()
+	time.AfterFunc(d.most, func() {
+		d.mu.Lock()
+		late := !w.done && !w.left
+		w.done = true
+		if late {
+			d.failed++
+		}
+		d.mu.Unlock()
+		if late {
+			d.refuse(c)
+		}
+	})
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+	if _, err := r.ReadByte(); err != nil {
+		d.mu.Lock()
+		w.left = true
+		d.mu.Unlock()
+	}
+}
+
+func (d *turns) refuse(c net.Conn) {
+	fmt.Fprint(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+	c.Close()
+}
+
+// work is the loop of discovery.
+func (d *turns) work(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		var w *waiting
+		for len(d.queue) > 0 && w == nil {
+			w = d.queue[0]
+			if d.queue = d.queue[1:]; w.done || w.left && !d.blind {
+				w = nil
+			}
+		}
+		if w != nil {
+			w.done = true
+			if w.left {
+				d.vain++
+			}
+		}
+		d.mu.Unlock()
+		if w == nil {
+			select {
+			case <-d.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		time.Sleep(d.each)
+		go d.watched(w.c)
+	}
+}
+
+func (d *turns) watched(c net.Conn) {
+	say := func(text string) bool {
+		d.mu.Lock()
+		silent, open := d.conns[c]
+		d.mu.Unlock()
+		if !open || silent {
+			return false
+		}
+		_, err := c.Write([]byte(text))
+		return err == nil
+	}
+	d.mu.Lock()
+	x, version, news := d.trouble, d.version, d.news
+	d.mu.Unlock()
+	if x == halves {
+		say(head + chunk(`{"revision":42,`))
+		return
+	}
+	if say(head+line(version, true)) && x == brief {
+		c.Close()
+		return
+	}
+	for said := true; said; {
+		select {
+		case <-news:
+			d.mu.Lock()
+			version, news = d.version, d.news
+			d.mu.Unlock()
+			said = say(line(version, false))
+		case <-time.After(2 * time.Second):
+			said = say(chunk("\n"))
+		}
+	}
+}
+
+// bubbleClock is the core's clock on that of the bubble.
+type bubbleClock struct{ began time.Time }
+
+func (c bubbleClock) Now() time.Duration { return time.Since(c.began) }
+
+// AfterFunc never rings at once: with -race a timer of a bubble that is due when it is set crashes Go 1.26's runtime.
+func (c bubbleClock) AfterFunc(d time.Duration, f func()) {
+	time.AfterFunc(max(d, time.Nanosecond), f)
+}
+
+// hearing is a real core that notes when lists came.
+type hearing struct {
+	*node.Core
+	mu   sync.Mutex
+	last time.Time
+}
+
+func (h *hearing) Listed(e []node.Entry, full bool) {
+	h.mu.Lock()
+	h.last = time.Now()
+	h.mu.Unlock()
+	h.Core.Listed(e, full)
+}
+
+func (h *hearing) heard(since time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.last.Before(since)
+}
+
+// follower is one node: its watcher and its core.
+type follower struct {
+	hearing
+	w      *Watcher
+	budget *limits.Budget
+}
+
+func started(t *testing.T, ctx context.Context, all *sync.WaitGroup, d *turns, seed int64, instances int) *follower {
+	t.Helper()
+	s, err := settings.Parse(fmt.Appendf(nil, `{"Classes":[{"Name":"a","AimMs":1,"DeadlineMs":1,"Repeat":"repeatable"}],"Instances":%d,`+
+		`"RegistryMode":"subscribe","Rules":{"MustAskInMs":60000}}`, instances))
+	require.NoError(t, err)
+	l, err := limits.Fill(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024}, s)
+	require.NoError(t, err)
+	s.AskWithin = l.ListEvery.Seconds()
+	m := &follower{budget: limits.NewBudget(2, 0, nil)}
+	m.w = New("127.0.0.1:1", nil, l, m.budget, zap.NewNop())
+	m.w.dial = d.dial
+	m.Core = node.New(s, seed, bubbleClock{time.Now()}, time.Now(), m.w.Ask)
+	m.w.Follow(m)
+	all.Go(func() { m.w.Run(ctx); m.Close() })
+	return m
+}
+
+// A fleet whose discovery was away, or whose watches all ended, comes back: calls, the longest queue, and when the last has the list.
+func TestAFleetThatComesBackTogetherIsToldInTime(t *testing.T) {
+	for _, nodes := range []int{20, 300} {
+		for _, x := range []struct {
+			name  string
+			was   trouble       // for 8 s before
+			all   time.Duration // that discovery takes for as many calls as there are nodes
+			most  time.Duration
+			blind bool
+		}{
+			{"down, quick", down, 500 * time.Millisecond, 2 * time.Second, false},
+			{"down", down, 3 * time.Second, 2 * time.Second, false},
+			{"down, slow", down, 4500 * time.Millisecond, 2 * time.Second, false},
+			{"down, patient and blind", down, 4500 * time.Millisecond, 10 * time.Second, true},
+			{"down, overrun", down, 15 * time.Second, 2 * time.Second, false},
+			{"vanished, patient and blind", vanished, 4500 * time.Millisecond, 10 * time.Second, true},
+			{"refused", refusing, 3 * time.Second, 2 * time.Second, false},
+			{"watches reset", none, 3 * time.Second, 2 * time.Second, false},
+			{"watches reset, patient and blind", none, 4500 * time.Millisecond, 10 * time.Second, true},
+			{"watches reset, overrun", none, 15 * time.Second, 2 * time.Second, false},
+		} {
+			t.Run(fmt.Sprint(nodes, " ", x.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, end := context.WithCancel(context.Background())
+					var all sync.WaitGroup
+					d := newTurns(time.Millisecond, time.Hour)
+					all.Go(func() { d.work(ctx) })
+					var fleet []*follower
+					for i := range nodes {
+						fleet = append(fleet, started(t, ctx, &all, d, int64(i+1), nodes))
+					}
+					time.Sleep(30 * time.Second)
+					d.mu.Lock()
+					d.calls = 0
+					d.mu.Unlock()
+					d.become(x.was)
+					if x.was == none {
+						d.fall(false)
+					} else {
+						time.Sleep(8 * time.Second)
+					}
+					d.mu.Lock()
+					d.each, d.most, d.blind = x.all/time.Duration(nodes), x.most, x.blind
+					away := d.calls
+					d.calls, d.failed, d.vain, d.longest = 0, 0, 0, 0
+					d.mu.Unlock()
+					back := time.Now()
+					d.become(none)
+					var half, last time.Duration
+					told := 0
+					for n := 0; told < nodes && n < 3000; n++ {
+						time.Sleep(10 * time.Millisecond)
+						told = 0
+						for _, m := range fleet {
+							if m.heard(back) {
+								told++
+							}
+						}
+						if last = time.Since(back); half == 0 && 2*told >= nodes {
+							half = last
+						}
+					}
+					assert.Equal(t, nodes, told, "all have the list again")
+					time.Sleep(10 * time.Second)
+					d.mu.Lock()
+					t.Logf("calls while away %4d, after %4d, failed %4d, in vain %4d, queue %3d, half told %5.2f s, last %5.2f s",
+						away, d.calls, d.failed, d.vain, d.longest, half.Seconds(), last.Seconds())
+					// Pauses of 0.25 s and twice as long each time, up to two thirds of what the bound allows: six calls in 8 s. A discovery that
+					// could tell them all in time has no more to do for that than half as much again; one that can't fails the others over and
+					// over, and a call that stands in its queue begins no other.
+					assert.LessOrEqual(t, away, 6*nodes)
+					if x.all < toldBy {
+						assert.LessOrEqual(t, last, toldBy)
+						assert.LessOrEqual(t, d.calls, 3*nodes/2)
+					} else {
+						assert.LessOrEqual(t, last, x.all+toldBy)
+						assert.LessOrEqual(t, d.calls, 4*nodes)
+					}
+					d.mu.Unlock()
+					end()
+					d.end()
+					all.Wait()
+					time.Sleep(time.Hour) // timers
+				})
+			})
+		}
+	}
+}
+
+// toldBy is the operators' term: whatever is allowed after a call that failed, was refused or given up, a change counts as told so
+// long after discovery had it and could be reached.
+const toldBy = 6 * time.Second
+
+// queued is how long a discovery that works takes here for a call: STANDING.md leaves a call that waits as much.
+const queued = 2 * time.Second
+
+func TestAChangeIsToldInTimeWhateverCameBefore(t *testing.T) {
+	become := func(all ...trouble) func(*turns, *follower, *rand.Rand, time.Duration) {
+		return func(d *turns, _ *follower, _ *rand.Rand, lasts time.Duration) {
+			for _, x := range all {
+				d.become(x)
+				d.fall(x == vanished || x == mute)
+				time.Sleep(lasts / time.Duration(len(all)))
+			}
+		}
+	}
+	for name, before := range map[string]func(*turns, *follower, *rand.Rand, time.Duration){
+		"down":                    become(down),
+		"vanished":                become(vanished),
+		"mute":                    become(mute),
+		"refusing":                become(refusing),
+		"resets":                  become(resets),
+		"half a message":          become(halves),
+		"ends its lists":          become(brief),
+		"down, then mute":         become(down, mute),
+		"refusing, then vanished": become(refusing, vanished),
+		"fallen silent":           func(d *turns, _ *follower, _ *rand.Rand, lasts time.Duration) { time.Sleep(lasts); d.fall(true) },
+		"one after another": func(d *turns, _ *follower, r *rand.Rand, lasts time.Duration) {
+			for end := time.Now().Add(lasts); time.Now().Before(end); {
+				d.become(trouble(1 + r.Intn(int(brief))))
+				time.Sleep(min(time.Until(end), time.Duration(r.Float64()*float64(3*time.Second))))
+			}
+		},
+		"moves": func(d *turns, f *follower, r *rand.Rand, lasts time.Duration) {
+			d.become(trouble(1 + r.Intn(int(brief))))
+			for end, i := time.Now().Add(lasts), 2; time.Now().Before(end); i++ {
+				f.w.Move(fmt.Sprintf("127.0.0.1:%d", i))
+				time.Sleep(min(time.Until(end), time.Duration(r.Float64()*float64(5*time.Second))))
+			}
+		},
+		"no descriptor": func(d *turns, f *follower, _ *rand.Rand, lasts time.Duration) {
+			assert.True(t, f.budget.Take())
+			d.fall(false)
+			synctest.Wait()
+			assert.True(t, f.budget.Take())
+			time.Sleep(lasts)
+			f.budget.Give()
+			f.budget.Give()
+		},
+		"one descriptor": func(d *turns, f *follower, _ *rand.Rand, lasts time.Duration) {
+			assert.True(t, f.budget.Take())
+			d.become(mute)
+			time.Sleep(lasts)
+		},
+		"a new process": nil,
+	} {
+		worst, late := time.Duration(0), 0
+		for n := range 40 {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, end := context.WithCancel(context.Background())
+				var all sync.WaitGroup
+				d := newTurns(queued, time.Hour)
+				all.Go(func() { d.work(ctx) })
+				lasts := time.Duration(n) * 397 * time.Millisecond
+				r := rand.New(rand.NewSource(int64(n)))
+				var f *follower
+				if before == nil {
+					x := trouble(n % int(brief+1))
+					d.become(x)
+					f = started(t, ctx, &all, d, int64(n), 300)
+					if x != none {
+						time.Sleep(lasts)
+					}
+				} else {
+					f = started(t, ctx, &all, d, int64(n), 300)
+					time.Sleep(40 * time.Second)
+					before(d, f, r, lasts)
+				}
+				back := time.Now()
+				d.become(none)
+				d.change()
+				for !f.heard(back) && time.Since(back) < 30*time.Second {
+					time.Sleep(10 * time.Millisecond)
+				}
+				took := time.Since(back)
+				if worst = max(worst, took); took > toldBy {
+					late++
+				}
+				end()
+				d.end()
+				all.Wait()
+				time.Sleep(2 * time.Hour) // timers
+			})
+		}
+		t.Logf("%-24s late %2d of 40, the longest %5.2f s", name, late, worst.Seconds())
+		assert.LessOrEqual(t, worst, toldBy, name)
+	}
+}
+
+// A discovery that resets each watch right behind its list is asked no oftener than one that fails: by pauses that grow up to what
+// the bound allows, of which the shortest is a third.
+func TestADiscoveryThatResetsEachWatchRightBehindItsListIsNotAskedEverSoOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(context.Background())
+		var all sync.WaitGroup
+		d := newTurns(time.Millisecond, time.Hour)
+		d.become(brief)
+		all.Go(func() { d.work(ctx) })
+		f := started(t, ctx, &all, d, 1, 1)
+		time.Sleep(10 * time.Second)
+		d.mu.Lock()
+		d.calls = 0
+		d.mu.Unlock()
+		time.Sleep(time.Minute)
+		assert.True(t, f.heard(time.Now().Add(-f.w.limits.ListEvery)), "each list is taken")
+		d.mu.Lock()
+		assert.LessOrEqual(t, d.calls, int(time.Minute/(f.w.limits.ListEvery/3)))
+		assert.GreaterOrEqual(t, d.calls, int(time.Minute/f.w.limits.ListEvery))
+		t.Logf("%d calls in a minute", d.calls)
+		d.mu.Unlock()
+		end()
+		d.end()
+		all.Wait()
+		time.Sleep(time.Hour) // timers
+	})
+}
