Cold servers hold under the sum of all nodes: tokens lapse, answers count by their moment

Cause: each node kept to its part of a cold server, but the sum did not hold. Change: a token not used for half of the time in which servers fall lapses (at least a quarter of a second's worth stays, as before); each answer counts by the servers at its moment.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -180,6 +180,7 @@
 	overShare, cross       float64
 	maxWait, part          float64 // part: this node's of the tier's nodes
 	coldFrom, coldFor      float64
+	fallFor                float64 // the time in which a cold server falls
 	coldPush               float64 // times its part that a cold server may be sent
 	floorRate              float64 // picks a second to a warm server when nothing is known
 	watchBackoff           float64
@@ -223,7 +224,7 @@
 func (b *Balancer) tune(s Settings) {
 	b.inner, b.copies, b.cancels = s.Stage > 0, s.SecondCopies, s.MayCancel
 	b.overShare, b.cross, b.zone = s.OverShare, s.CrossZone, s.Zone
-	b.coldFrom, b.coldFor, b.part = s.ColdFrom, s.ColdFor, 1/float64(max(1, s.Instances))
+	b.coldFrom, b.coldFor, b.fallFor, b.part = s.ColdFrom, s.ColdFor, s.FallFor, 1/float64(max(1, s.Instances))
 	b.maxWait, b.coldPush = s.MaxRetryAfter, max(1, s.FallMultiple/2)
 	if b.floorRate = s.FallMultiple / s.FallFor * b.part; s.FallFor <= 0 || s.FallMultiple <= 0 {
 		b.coldFor, b.floorRate = 0, 0 // nothing pushes a cold server over
@@ -666,11 +667,7 @@
 
 // unit is the rate of one warm server here at its best: by a jam's, cold ones could not take over from it.
 func (b *Balancer) unit(now float64) float64 {
-	sum := 0.0
-	for _, s := range b.near {
-		sum += b.cold(s, now)
-	}
-	rate := b.done.read(now, unitHalf) * math.Ln2 / unitHalf / max(sum, 1)
+	rate := b.done.read(now, unitHalf) * math.Ln2 / unitHalf
 	b.best = max(b.best*math.Exp2((b.bestAt-now)/baseHalf), rate)
 	b.bestAt = now
 	return max(b.best, b.floorRate)
@@ -685,8 +682,11 @@
 		return true
 	}
 	rate := b.coldPush * unit * part
-	s.tokens = min(s.tokens+rate*(now-s.tokensAt), 1+rate/4)
+	s.tokens += rate * (now - s.tokensAt)
 	s.tokensAt = now
+	// A token not used lapses, else a fleet that was idle could spend one a node at once. One that waited half the
+	// time in which a server falls is past: of nodes due less than one by then only so large a part holds one.
+	s.tokens -= max(0, math.Ceil(s.tokens-1-max(rate/4, min(1, rate*b.fallFor/2))))
 	return s.tokens >= 1
 }
 
@@ -883,7 +883,12 @@
 	b.idleOK.sum = max(b.idleOK.read(now, idleHalf), p.idle)
 	took = max(took-p.extra, 0.2*took)
 	m.took.add(took, now, doneHalf)
-	b.done.add(1, now, unitHalf)
+	// Each answer counts by the servers of then: servers just replaced would else seem to have given all of them.
+	sum := 0.0
+	for _, o := range b.near {
+		sum += b.cold(o, now)
+	}
+	b.done.add(1/max(sum, 1), now, unitHalf)
 	b.pay(p, min(took, paceCap*p.due), now)
 	b.learn(p, took, false, now)
 }
