--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -177,6 +177,10 @@
 	default:
 	}
 	w.mu.Lock()
+	if w.watch != nil || c.dropped { // meanwhile; a watch tells its own end, and a move begins the next call
+		w.mu.Unlock()
+		return
+	}
 	anew := lasted || w.fresh || errors.Is(err, os.ErrDeadlineExceeded) || err == errMute || err == errNoDescriptor
 	first, revision := !w.failing, w.revision
 	most := w.limits.ListEvery - time.Since(c.word)
