Idle callers leave servers, the watch and SIGHUP the descriptors that they need

Cause: Budget.Take held the spare descriptors back for callers even when callers had all of theirs, so with callers' places full servers and discovery lacked as many: 22 requests on 64 sockets got 20 connections, and callers.requests = 1 to 20 with as many callers.connections as the limits allow got none at all. The watcher gave its descriptor back between tries. A process limit below the settings' sockets was not known: accepting failed and nobody gave way, a connect that failed so was counted against its server (ConnectFailed), a watch against discovery, and SIGHUP could not open its file. At the end EMFILE closed the listener over its queue.

Ruled out: the operators' address does not take from the budget (its ten are set aside, the oldest gives way).

Change: the spare ones shrink as callers take theirs; the watcher keeps its descriptor; sockets is bounded by RLIMIT_NOFILE less what the process was started with; EMFILE and ENFILE have idle callers give way, are Ignored for a pick and tell the module that discovery had no call; a descriptor is kept for the configuration; each listener beyond the first has its two descriptors counted.

Measured, with -race: all new tests pass with the change. The two tests of the budget use its new call and were not run against the old one. The frontend's EMFILE test passed without the mend while its idle caller ended by itself after 5 s; that time is an hour now, and it is still to be seen to fail.

--- a/cmd/robincart/config.go
+++ b/cmd/robincart/config.go
@@ -41,11 +41,12 @@
 // readConfig reads the file that EDGE_CONFIG names. The other variables say parts of it again; where they are
 // set they go first, so that a node can be moved without a new file.
 func readConfig(getenv func(string) string) (*config, error) {
+	most := files()
 	path := getenv("EDGE_CONFIG")
 	if path == "" {
 		return nil, errors.New("EDGE_CONFIG is not set: it names the configuration file")
 	}
-	text, err := os.ReadFile(path)
+	text, err := reading(func() ([]byte, error) { return os.ReadFile(path) })
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
@@ -54,6 +55,7 @@
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	c.file = c.Discovery
+	c.Machine.Sockets = min(c.Machine.Sockets, most)
 	for name, to := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen,
 		"EDGE_DISCOVERY": &c.Discovery, "EDGE_ADMIN_ADDR": &c.Admin} {
 		if v := getenv(name); v != "" {
--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -129,6 +129,7 @@
 	defer watch.Close()
 	clk := clock{time.Now()}
 	budget := limits.NewBudget(l.Descriptors, l.Refused, limits.NewBytes(l.Bytes))
+	budget.Callers(l.Connections)
 	watcher := registry.New(c.Discovery, c.node.ZoneNames, l, budget, log)
 	core := node.New(c.node, c.seed(), clk, time.Now(), watcher.Ask)
 	watcher.Start(core, c.list)
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -66,9 +66,15 @@
 	return services(file, sig)
 }
 
+// readOperators reads an operator's file for this process.
+func readOperators(file string) (*operator.Config, error) {
+	most := files()
+	return reading(func() (*operator.Config, error) { return operator.Read(file, most) })
+}
+
 // services is the node with an operator's file: several services behind one set of sockets.
 func services(file string, sig signals) error {
-	c, err := operator.Read(file)
+	c, err := readOperators(file)
 	if err != nil {
 		return err
 	}
@@ -99,7 +105,8 @@
 		return err
 	}
 	clk := clock{time.Now()}
-	budget := limits.NewBudget(l.Descriptors-len(listeners)-len(desks), l.Refused, limits.NewBytes(l.Bytes))
+	budget := limits.NewBudget(l.Descriptors, l.Refused, limits.NewBytes(l.Bytes))
+	budget.Callers(l.Connections)
 	watch, err := lot.New()
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -156,7 +163,7 @@
 			set.Close()
 		},
 		reload: func() {
-			fresh, err := operator.Read(file)
+			fresh, err := readOperators(file)
 			if err != nil {
 				log.Error("the new configuration can't be used; the old one stays", zap.Strings("mistakes", strings.Split(err.Error(), "\n")))
 				return
@@ -218,7 +225,7 @@
 
 // check prints what a file would put in force.
 func check(c *cobra.Command, file string) error {
-	f, err := operator.Read(file)
+	f, err := operator.Read(file, 0)
 	if err != nil {
 		return err
 	}
@@ -292,7 +299,7 @@
 	var headers []string
 	c := &cobra.Command{Use: "routes FILE", Short: "Tell which service a request goes to, and why; without a request, list the routes", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			f, err := operator.Read(args[0])
+			f, err := operator.Read(args[0], 0)
 			if err != nil {
 				return err
 			}
--- a/cmd/robincart/standins_test.go
+++ b/cmd/robincart/standins_test.go
@@ -187,6 +187,13 @@
 }
 
 func start(t *testing.T, config map[string]any) *program {
+	p := prepared(t, config)
+	require.NoError(t, p.Start(t.Context()))
+	return p
+}
+
+// prepared is a node that is still to start.
+func prepared(t *testing.T, config map[string]any) *program {
 	p := &program{t: t, addr: config["listen"].(string), Node: &standin.Node{Name: "n1", Addr: config["listen"].(string), Program: os.Args[0],
 		Config: config, Dir: t.TempDir(), Env: []string{"ROBINCART_TEST_PROGRAM=1", "GORACE=atexit_sleep_ms=0",
 			"EDGE_DISCOVERY=" + config["discovery"].(string)}}}
@@ -195,7 +202,6 @@
 		assert.NotContains(t, p.Log(), "DATA RACE")
 		assert.NotContains(t, p.Log(), "panic:")
 	})
-	require.NoError(t, p.Start(t.Context()))
 	return p
 }
 
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -419,6 +421,46 @@
 	assert.Equal(t, 504, busy.hears(t).StatusCode)
 }
 
+// scarce is a listener of a process that has descriptors for so many connections.
+type scarce struct {
+	net.Listener
+	left func() int
+}
+
+func (s *scarce) Accept() (net.Conn, error) {
+	if s.left() <= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return s.Listener.Accept()
+}
+
+// Whatever holds the other descriptors of the process, callers that rest give way to one that asks, and one in use does not.
+func TestIdleConnectionsGiveWayWhereTheProcessHasNoDescriptorLeft(t *testing.T) {
+	l := bounds()
+	l.CallerIdle = time.Hour // it gives way for no other reason
+	f, core, _ := beginWith(t, l)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	f.Serve(&scarce{ln, func() int { return 2 - connections(f) }})
+	addr := ln.Addr().String()
+	busy := dial(t, addr)
+	busy.ask()
+	r := await.One(t, core.came)
+	idle := dial(t, addr)
+	idle.ask()
+	await.One(t, core.came).Orders <- node.Order{Kind: node.Abort}
+	assert.Equal(t, 504, idle.hears(t).StatusCode)
+	third := dial(t, addr)
+	third.ask()
+	await.One(t, core.came).Orders <- node.Order{Kind: node.Abort}
+	assert.Equal(t, 504, third.hears(t).StatusCode)
+	_, err = idle.r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	r.Orders <- node.Order{Kind: node.Abort}
+	assert.Equal(t, 504, busy.hears(t).StatusCode)
+}
+
 // A request can be on its way to a connection that the node has just chosen to end, and its event not told yet.
 func TestAConnectionThatEndsAnswersTheRequestThatCrossed(t *testing.T) {
 	f, core, _ := begin(t)
--- a/internal/frontend/rest.go
+++ b/internal/frontend/rest.go
@@ -266,7 +266,7 @@
 		f.lot.Remove(&place)
 	}
 	c.Conn.Close()
-	f.budget.Give()
+	f.budget.GiveLast()
 	f.done.Done()
 }
 
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -140,6 +140,7 @@
 		delete(f.doors, ln)
 		f.mu.Unlock()
 	}()
+	short := false // of descriptors: told once, not of each try
 	for {
 		if f.shut.Load() {
 			hurry(ln)
@@ -152,17 +153,32 @@
 			// Closed with connections in its queue it would reset them, with requests that the kernel has taken for this node. An
 			// accept whose time is over does not look there.
 			for {
-				if raw = socket.Accept(ln); raw == nil {
+				raw, err := socket.Accept(ln)
+				switch {
+				case raw != nil:
+					f.take(raw, way)
+				case err != nil && !f.halted(): // those who stand there still are taken as others end
+					f.closeIdle()
+					time.Sleep(f.limits.TakeAgain)
+				default:
 					ln.Close()
 					return
 				}
-				f.take(raw, way)
 			}
+		case socket.Exhausted(err):
+			// The budget should not let it come to that. Whatever holds the others, idle callers give way as they do within it.
+			if !short {
+				short = true
+				f.log.Warn("the process has no descriptor left", zap.Error(err))
+			}
+			f.closeIdle()
+			time.Sleep(f.limits.TakeAgain)
 		case err != nil:
-			// Out of descriptors, or a caller that left in the queue: the listener itself is sound.
+			// A caller that left in the queue: the listener itself is sound.
 			f.log.Warn("taking a connection failed", zap.Error(err))
 			time.Sleep(f.limits.TakeAgain)
 		default:
+			short = false
 			f.take(raw, way)
 		}
 	}
@@ -229,7 +245,7 @@
 	if err != nil {
 		f.log.Warn("watching a connection failed", zap.Error(err))
 		raw.Close()
-		f.budget.Give()
+		f.budget.GiveLast()
 		return nil
 	}
 	return c
--- a/internal/limits/budget.go
+++ b/internal/limits/budget.go
@@ -7,10 +7,12 @@
 type Budget struct {
 	bytes *Bytes
 
-	mu    sync.Mutex
-	left  int
-	spare int
-	evict func() bool
+	mu      sync.Mutex
+	left    int
+	spare   int
+	callers int // descriptors that callers hold
+	most    int // that they hold at most; 0: no bound
+	evict   func() bool
 }
 
 // NewBudget starts with n descriptors free. The last few, spare, are for callers alone: one who finds the
@@ -19,6 +21,10 @@
 	return &Budget{left: n, spare: spare, bytes: bytes}
 }
 
+// Callers says how many descriptors callers hold at most. The fewer they can still take, the fewer are spare: with all of theirs
+// taken, by idle ones as well, the rest is for servers and discovery to the last.
+func (b *Budget) Callers(most int) { b.most = most }
+
 // Bytes is the process's budget of memory.
 func (b *Budget) Bytes() *Bytes { return b.bytes }
 
@@ -27,17 +33,27 @@
 func (b *Budget) Evict(f func() bool) { b.evict = f }
 
 // Take asks for a descriptor for a server or for discovery.
-func (b *Budget) Take() bool { return b.take(b.spare) }
+func (b *Budget) Take() bool { return b.take(false) }
 
-// TakeLast asks for a caller's descriptor, one of the spare ones included.
-func (b *Budget) TakeLast() bool { return b.take(0) }
+// TakeLast asks for a caller's descriptor, one of the spare ones included. It comes back with GiveLast.
+func (b *Budget) TakeLast() bool { return b.take(true) }
 
-func (b *Budget) take(keep int) bool {
+func (b *Budget) take(caller bool) bool {
 	for {
 		b.mu.Lock()
+		keep := 0
+		if !caller {
+			keep = b.spare
+			if b.most > 0 {
+				keep = max(0, min(keep, b.most-b.callers))
+			}
+		}
 		ok := b.left > keep
 		if ok {
 			b.left--
+			if caller {
+				b.callers++
+			}
 		}
 		b.mu.Unlock()
 		if ok {
@@ -72,3 +88,11 @@
 	b.left++
 	b.mu.Unlock()
 }
+
+// GiveLast returns a caller's.
+func (b *Budget) GiveLast() {
+	b.mu.Lock()
+	b.left++
+	b.callers--
+	b.mu.Unlock()
+}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -66,3 +66,39 @@
 	assert.True(t, b.Take())
 	assert.False(t, b.Take())
 }
+
+// Callers that hold all that is theirs, idle ones among them, leave the rest to servers and discovery.
+func TestWithCallersPlacesFullNothingMoreIsSpare(t *testing.T) {
+	b := NewBudget(10, 3, nil)
+	b.Callers(6)
+	for range 6 {
+		require.True(t, b.TakeLast())
+	}
+	for range 4 {
+		assert.True(t, b.Take(), "the rest is for servers and discovery to the last")
+	}
+	assert.False(t, b.Take())
+	b.GiveLast()
+	assert.False(t, b.Take(), "a caller may come again")
+	assert.True(t, b.TakeLast())
+}
+
+// Many connections for few requests, as far as the limits allow: the callers that rest leave a connection for each request that is out, and discovery's.
+func TestWhoHoldsManyConnectionsKeepsThoseOfServersAndDiscovery(t *testing.T) {
+	s := &settings.Node{}
+	s.Methods = []decide.Method{{Deadline: 6}}
+	for _, requests := range []int{1, 5, 20, 100} {
+		l, err := Fill(Machine{Cores: 1, MemoryMB: 192, Sockets: 1024}, s)
+		require.NoError(t, err)
+		l, err = l.Hold(l.Descriptors-requests*11/10-1, requests, 0)
+		require.NoError(t, err)
+		b := NewBudget(l.Descriptors, l.Refused, nil)
+		b.Callers(l.Connections)
+		for range l.Connections {
+			require.True(t, b.TakeLast())
+		}
+		for range l.Callers + 1 {
+			assert.True(t, b.Take(), "%d requests", requests)
+		}
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -190,13 +190,14 @@
 
 const mostFile = 16 << 20
 
-// Read reads a file. The error holds every mistake, a line each, with the line or the key that it is at.
-func Read(path string) (*Config, error) {
+// Read reads a file. The error holds every mistake, a line each, with the line or the key that it is at. Files is how many
+// descriptors the process may have, which goes before a larger machine.sockets; 0: as many as the file says.
+func Read(path string, files int) (*Config, error) {
 	text, err := tomlfile.Read(path, mostFile)
 	if err != nil {
 		return nil, err
 	}
-	c, err := Parse(text)
+	c, err := Parse(text, files)
 	if err != nil {
 		return nil, fmt.Errorf("%s:\n%w", path, err)
 	}
@@ -204,12 +205,15 @@
 }
 
 // Parse reads a file's text.
-func Parse(text []byte) (*Config, error) {
+func Parse(text []byte, files int) (*Config, error) {
 	c := &Config{}
 	if err := tomlfile.Decode(text, &c.File); err != nil {
 		return nil, err
 	}
 	c.fill()
+	if files > 0 {
+		c.Machine.Sockets = min(c.Machine.Sockets, files)
+	}
 	if err := c.compile(); err != nil {
 		return nil, fmt.Errorf("%w", places(err, text))
 	}
@@ -465,6 +469,7 @@
 	if c.Admin.Listen != "" {
 		m.Sockets -= admin.Defaults().Descriptors()
 	}
+	m.Sockets -= 2 * max(0, len(c.Listen)+len(c.Gateway)-1) // each further listener, and what it has just taken
 	l, err := limits.Fill(m, longest(c.Pools))
 	if err != nil {
 		return fmt.Errorf("machine: %w", err)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -17,7 +17,7 @@
 }
 
 func TestTheExampleIsCompiledAndFilled(t *testing.T) {
-	c, err := Parse(example(t))
+	c, err := Parse(example(t), 0)
 	require.NoError(t, err)
 	require.Len(t, c.Pools, 2)
 	assert.Equal(t, []string{"book-table", "find-table"}, c.Pools[0].Node.MethodNames)
@@ -29,7 +29,7 @@
 	assert.NotEqual(t, c.SeedOf("booking"), c.SeedOf("tables"), "no two services choose alike")
 
 	// What a running process can't change stays, and is named.
-	fresh, err := Parse(example(t))
+	fresh, err := Parse(example(t), 0)
 	require.NoError(t, err)
 	fresh.Listen, fresh.Machine.Sockets, fresh.Limits.IDLife = []string{"127.0.0.1:1"}, 64, 2*c.Limits.IDLife
 	assert.Equal(t, []string{"deadlines longer than any before", "listen", "machine"}, fresh.KeepProcess(c))
@@ -44,7 +44,7 @@
 	f.Add([]byte("[[route]]\nsplit = [{to = \"x\", weight = nan}]\nby = \"header:\"\n"))
 	f.Add([]byte("[machine]\nsockets = -1\ncores = inf\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		c, err := Parse(text)
+		c, err := Parse(text, 0)
 		if err != nil {
 			if err.Error() == "" {
 				t.Fatal("an error without words")
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -352,3 +352,23 @@
 		}
 	})
 }
+
+// Discovery is down, and each watch ends. What stands in the watcher's way between two tries takes every descriptor that it can get.
+func TestAWatcherKeepsItsDescriptorFromWatchToWatch(t *testing.T) {
+	budget := limits.NewBudget(3, 0, nil)
+	w := New(freeAddress(t), nil, times(), budget, zap.NewNop())
+	core := make(fakeCore, 9)
+	w.core = core
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan bool)
+	go func() { w.Run(ctx); close(done) }()
+	w.Ask()
+	assert.Equal(t, news{failed: true}, core.next(t))
+	for budget.Take() {
+	}
+	w.Ask()
+	assert.Equal(t, news{failed: true}, core.next(t), "it has a descriptor, and discovery is called")
+	end()
+	<-done
+	assert.Equal(t, 1, budget.Left(), "it comes back at the end")
+}
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -15,6 +15,7 @@
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
 	"robincart/internal/node"
+	"robincart/internal/socket"
 )
 
 // Core takes the news.
@@ -47,6 +48,7 @@
 	failing  bool          // the last watch brought nothing, and that has been told
 	fresh    bool          // discovery has moved, and no watch of the new one has ended
 	patience time.Duration // for a watch's first word
+	held     bool          // a descriptor
 }
 
 // New makes a Watcher; Run starts it.
@@ -97,6 +99,12 @@
 
 // Run watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
+	w.hold()
+	defer func() {
+		if w.held {
+			w.budget.Give()
+		}
+	}()
 	for {
 		select {
 		case <-ctx.Done():
@@ -161,14 +169,23 @@
 
 var errNoDescriptor = errors.New("no descriptor left for discovery")
 
+// hold takes the watcher's descriptor and keeps it from watch to watch. Given back while discovery is down it would be gone when
+// discovery is back, with every other in use for as long as servers hang.
+func (w *Watcher) hold() bool {
+	w.held = w.held || w.budget.Take()
+	return w.held
+}
+
 // follow is the life of one watch.
 func (w *Watcher) follow(ctx context.Context) error {
-	if !w.budget.Take() {
+	if !w.hold() {
 		return errNoDescriptor
 	}
-	defer w.budget.Give()
 	dialer := net.Dialer{Timeout: w.limits.ListConnect, KeepAlive: -1}
 	c, err := dialer.DialContext(ctx, "tcp", w.at)
+	if socket.Exhausted(err) {
+		return errNoDescriptor // the process's own: discovery has had no call
+	}
 	if err != nil {
 		return fmt.Errorf("reaching discovery: %w", err)
 	}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -2,9 +2,11 @@
 package socket
 
 import (
+	"errors"
 	"net"
 	"os"
 	"syscall"
+	"time"
 )
 
 // State is what stands in a connection's receive buffer.
@@ -49,15 +51,21 @@
 	return state
 }
 
-// Accept takes a connection that stands in a listener's queue, or nil: it does not wait, and no deadline counts.
-func Accept(ln net.Listener) net.Conn {
+// Exhausted tells that an error is of this side's descriptors, the process's or the machine's, and not of a peer.
+func Exhausted(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// Accept takes a connection that stands in a listener's queue, or nil: it does not wait, and no deadline counts. An error is of
+// this side's descriptors, and the queue may hold some.
+func Accept(ln net.Listener) (net.Conn, error) {
 	sc, ok := ln.(syscall.Conn)
 	if !ok {
-		return nil
+		return nil, nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return nil
+		return nil, nil
 	}
 	for {
 		n, bad := -1, error(nil)
@@ -69,14 +77,21 @@
 		if err == nil && (bad == syscall.EINTR || bad == syscall.ECONNABORTED) {
 			continue
 		}
+		if Exhausted(bad) {
+			return nil, bad
+		}
 		if err != nil || bad != nil {
-			return nil
+			return nil, nil
 		}
 		f := os.NewFile(uintptr(n), "caller")
 		c, err := net.FileConn(f)
+		for tries := 0; Exhausted(err) && tries < 100; tries++ { // for a moment it needs two, and its caller is not to lose by that
+			time.Sleep(5 * time.Millisecond)
+			c, err = net.FileConn(f)
+		}
 		f.Close()
 		if err == nil {
-			return c
+			return c, nil
 		}
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -14,6 +14,7 @@
 	"robincart/internal/fcgi"
 	"robincart/internal/httpwire"
 	"robincart/internal/node"
+	"robincart/internal/socket"
 )
 
 // exchange is one pick being carried out. What breaks it is told to it and not to its connection, which by then may serve
@@ -112,6 +113,9 @@
 		raw, err := x.dial(addr)
 		if err != nil {
 			p.budget.Give()
+			if socket.Exhausted(err) {
+				return decide.Ignored, nil // as with a budget that is spent
+			}
 			return decide.ConnectFailed, nil
 		}
 		c = p.newConn(raw, addr)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -296,6 +298,16 @@
 	assert.Equal(t, decide.ConnectFailed, begin(ln.Addr().String(), 5).pick())
 }
 
+// The process has no descriptor left, whatever the budget says: its server is not to blame for that.
+func TestAConnectThatFailsForWantOfDescriptorsIsNoFaultOfTheServer(t *testing.T) {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE} {
+		s := begin("127.0.0.1:1", 5)
+		s.dialer.Control = func(string, string, syscall.RawConn) error { return os.NewSyscallError("socket", e) }
+		assert.Equal(t, decide.Ignored, s.pick(), e)
+		assert.Equal(t, 5, s.budget.Left())
+	}
+}
+
 func TestAPickThatIsGivenUpReturnsAtOnceAndClosesItsConnection(t *testing.T) {
 	closed := make(chan bool, 1)
 	server := serve(t, func(s *standIn, _ int, c *net.TCPConn) { s.read(c); closed <- !s.read(c) })
