--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -224,8 +224,11 @@
 	return p, err
 }
 
+// mostAhead is how many informational heads may come ahead of an answer.
+const mostAhead = 16
+
 func (r *Reader) readResponse() (*Response, error) {
-	for {
+	for ahead := 0; ; ahead++ {
 		r.got = r.n
 		if err := r.First(); err != nil {
 			return nil, err
@@ -235,6 +238,9 @@
 			return nil, err
 		}
 		if status >= 100 && status < 200 && status != 101 {
+			if ahead == mostAhead { // else they would hold the pick to its deadline
+				return nil, fmt.Errorf("%w: no answer behind %d informational ones", ErrMalformed, ahead)
+			}
 			if r.rest(); r.Pace != nil {
 				r.Pace.Progress(false)
 			}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -150,7 +150,11 @@
 	return res, answer
 }
 
-// dial connects, for as long as the pick is wanted.
+// dialAgain is shorter than the time for which accepting pauses once it has made callers give way.
+const dialAgain = 2 * time.Millisecond
+
+// dial connects, for as long as the pick is wanted. Where the process can open nothing more, whatever the budget says, an idle
+// connection gives way, or callers do, and it is tried again: turned away at once the pick would be ordered again in the same moment.
 func (x *exchange) dial(addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(x.pool.connect.Load()))
 	defer cancel()
@@ -158,7 +162,20 @@
 	if !x.pool.core.Hold(x.pick, x) {
 		return nil, context.Canceled
 	}
-	return x.pool.dialer.DialContext(ctx, "tcp", addr)
+	for {
+		c, err := x.pool.dialer.DialContext(ctx, "tcp", addr)
+		if !socket.Exhausted(err) {
+			return c, err
+		}
+		if x.pool.Evict() {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(dialAgain):
+		}
+	}
 }
 
 // heads are buffers that requests are written from.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -305,6 +305,16 @@
 		s.dialer.Control = func(string, string, syscall.RawConn) error { return os.NewSyscallError("socket", e) }
 		assert.Equal(t, decide.Ignored, s.pick(), e)
 		assert.Equal(t, 5, s.budget.Left())
+
+		s = begin(serve(t, answers(okText)).Addr().String(), 5)
+		fails := 3
+		s.dialer.Control = func(string, string, syscall.RawConn) error {
+			if fails--; fails >= 0 {
+				return os.NewSyscallError("socket", e)
+			}
+			return nil
+		}
+		assert.Equal(t, decide.OK, s.pick(), "others may give way meanwhile")
 	}
 }
 
@@ -498,3 +508,31 @@
 	assert.Equal(t, body, await.One(t, got))
 	assert.Equal(t, body, string(s.core.answer.Body))
 }
+
+// Bytes go on coming, and the answer's end does not: its pick ends all the same, in time for another.
+func TestAnAnswerThatNeverEndsIsGivenUpInTime(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"headers":   {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"a header":  {"HTTP/1.1 200 OK\r\nA: ", "b"},
+		"chunks":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"no length": {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+		"a length":  {"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n", "x"},
+		"ahead":     {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		server := serve(t, func(s *standIn, _ int, c *net.TCPConn) {
+			s.read(c)
+			io.WriteString(c, parts[0])
+			for {
+				if _, err := io.WriteString(c, parts[1]); err != nil {
+					return
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+		s := begin(server.Addr().String(), 1)
+		done := make(chan decide.Result, 1)
+		go func() { done <- s.pick() }()
+		assert.Equal(t, decide.Failed, await.One(t, done), name)
+		assert.Equal(t, 1, s.budget.Left(), name)
+	}
+}
