--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -16,6 +16,7 @@
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
 	"robincart/internal/node"
+	"robincart/internal/socket"
 )
 
 // Core takes the news.
@@ -48,6 +49,9 @@
 	failing  bool    // the last call or watch has failed, and that has been told
 	fresh    bool    // discovery has moved, and no call to the new one has failed
 
+	// Descriptors: what is held, one of them from watch to watch, and what calls use.
+	held, used int
+
 	at string // where the last call went; Run's alone
 }
 
@@ -128,6 +132,14 @@
 
 // Run watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
+	if w.acquire() {
+		w.release()
+	}
+	defer func() {
+		for range w.held {
+			w.budget.Give()
+		}
+	}()
 	for {
 		select {
 		case <-ctx.Done():
@@ -211,9 +223,9 @@
 	case full:
 		w.oldest()
 	}
-	free := w.budget.Take()
+	free := w.acquire()
 	if !free && w.oldest() {
-		free = w.budget.Take()
+		free = w.acquire()
 	}
 	within, cut := context.WithCancel(ctx)
 	now := time.Now()
@@ -247,7 +259,7 @@
 		c.err = w.follow(within, c)
 		quiet.Stop()
 		cut()
-		w.budget.Give()
+		w.release()
 		close(c.done)
 		w.ring()
 	}()
@@ -302,11 +314,46 @@
 	errDropped      = errors.New("another call was answered")
 )
 
+// acquire takes a descriptor for a call. One is kept from watch to watch: given back while discovery is down it would be gone when
+// discovery is back, with every other in use for as long as servers hang. Only Run's goroutine calls it.
+func (w *Watcher) acquire() bool {
+	w.mu.Lock()
+	more := w.held <= w.used
+	w.mu.Unlock()
+	if more && !w.budget.Take() {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if more {
+		w.held++
+	}
+	w.used++
+	return true
+}
+
+// release is the end of an acquire.
+func (w *Watcher) release() {
+	w.mu.Lock()
+	w.used--
+	spare := w.held > max(1, w.used)
+	if spare {
+		w.held--
+	}
+	w.mu.Unlock()
+	if spare {
+		w.budget.Give()
+	}
+}
+
 // follow is the life of one call, and of its watch.
 func (w *Watcher) follow(ctx context.Context, own *call) error {
 	within, cancel := context.WithTimeout(ctx, w.limits.ListConnect)
 	c, err := w.dial(within, "tcp", own.at)
 	cancel()
+	if socket.Exhausted(err) {
+		return errNoDescriptor // the process's own: discovery has had no call
+	}
 	if err != nil {
 		return fmt.Errorf("reaching discovery: %w", err)
 	}
