An attempt's first byte goes out only after a look whether its caller still waits

That a caller has left (FIN, RST, half-close, a gateway's ABORT) reached an attempt only by a chain: the lot's goroutine, the request's own goroutine, the core's Vanished. Each of them may come to it late on a core with thousands of other things to do, while timers that order further picks and connects that come up at last do not wait for them. Begin asks the core, which then knows nothing yet. A gateway's ABORT that came in one read with its request was told by nothing at all: no event, nothing in the kernel.

Right before the first byte, after the connect and Begin, the exchange asks the request's Sender (frontend.conn.Waits). While the kernel's last word about that connection, stamped before the epoll_wait that brought it, is younger than limits.CallerLook (25 ms), nothing is asked; else one recv with MSG_PEEK, and a poll for RDHUP only where bytes lie unread. A gateway's records are read on without waiting, up to 128 KiB of a body that is still coming. Who finds the end tells the RPC, so that its picks end at once.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -33,6 +33,7 @@
 	desk   *desk                    // nil: its caller speaks HTTP
 	rpc    atomic.Pointer[node.RPC] // while one is out
 	ended  atomic.Bool              // the caller has closed its side
+	heard  atomic.Int64             // when the kernel was last asked whether it has, in nanoseconds of the server's clock
 	cut    atomic.Bool              // what is being read is given up: its deadline must not be put off
 
 	// Its own goroutine's:
@@ -46,6 +47,10 @@
 	full   bool          // its request came too slowly for the places there are
 	linger bool          // what its caller still sends is to be taken in before the close
 
+	// Who else may look at what a gateway has sent while its request is out; guarded by its own mutex.
+	look sync.Mutex
+	out  *httpwire.Request // nil: none
+
 	// Guarded by the server's mutex:
 	wake.Member
 	ring         wheel.Timer // while resting
@@ -195,6 +200,8 @@
 		recalled = lease.Recalled()
 	}
 
+	q.Sender = c
+	c.shows(q)
 	rpc := service.core.Arrived(class.slot, tenant, came+q.Left, q.SecondTry, q.Rest != nil, q.Work)
 	c.watch(rpc)
 	var a *httpwire.Answer
@@ -264,12 +271,14 @@
 				continue
 			}
 			c.rpc.Store(nil)
+			c.shows(nil)
 			service.giveUp(rpc, f.answers)
 			f.end()
 			return c.abandoned(q)
 		}
 	}
 	c.rpc.Store(nil)
+	c.shows(nil)
 	if held > 0 {
 		defer f.answers.Give(held)
 	}
@@ -306,13 +315,53 @@
 // stays tells, when a caller seems to have left, whether it has only sent something. One that has ended its side has left,
 // whatever it sent before that: nothing is sent on for it, and what it had asked next nobody waits for.
 func (c *conn) stays(q *httpwire.Request, rpc *node.RPC) bool {
-	if c.desk == nil || !c.desk.stays(q) {
+	if c.desk == nil {
+		return false
+	}
+	c.look.Lock()
+	stays := c.desk.stays(q)
+	c.look.Unlock()
+	if !stays {
 		return false
 	}
 	c.watch(rpc) // it is told of each thing that comes
 	return true
 }
 
+// shows lets those who carry a gateway's request out look at what has come behind it, until it is shown no more.
+func (c *conn) shows(q *httpwire.Request) {
+	if c.desk != nil {
+		c.look.Lock()
+		c.out = q
+		c.look.Unlock()
+	}
+}
+
+// Waits tells whether a request's caller still waits for its answer. The lot tells of its end, too, but a lot that has much to tell
+// may come to it late, and so may the request's own goroutine. While the kernel's last word is fresh it counts, and costs nothing.
+func (c *conn) Waits(q *httpwire.Request) bool {
+	if c.desk != nil {
+		c.look.Lock()
+		defer c.look.Unlock()
+		if c.out != q {
+			return false // it has its answer: what is on the connection now is another's
+		}
+	}
+	now := c.server.clock()
+	fresh := now-time.Duration(c.heard.Load()) < c.server.limits.CallerLook
+	if !fresh && socket.Ended(c.raw) {
+		c.ended.Store(true)
+	}
+	if c.ended.Load() || c.desk != nil && !c.desk.waits(fresh) {
+		c.tell()
+		return false
+	}
+	if !fresh {
+		c.heard.Store(int64(now))
+	}
+	return true
+}
+
 // abandoned ends a request whose caller has given it up, and tells whether its connection can be used again: a gateway has said so and
 // goes on.
 func (c *conn) abandoned(q *httpwire.Request) bool {
--- a/internal/frontend/desk.go
+++ b/internal/frontend/desk.go
@@ -13,6 +13,7 @@
 
 	"robincart/internal/fcgi"
 	"robincart/internal/httpwire"
+	"robincart/internal/socket"
 )
 
 // Gateway says how gateways that speak FastCGI are listened to. What a gateway can't send has a param of its own choice, or is
@@ -182,11 +183,18 @@
 	return nil
 }
 
+// lookMost is how much of a body that is still coming is taken in to see whether its gateway has given it up behind that: as much as
+// the kernel holds of a connection that is not read from.
+const lookMost = 128 << 10
+
 // look takes in what has come while a request is out, without waiting, and tells whether its gateway still waits for it.
 func (d *desk) look() bool {
 	d.looking = true
 	defer func() { d.looking, d.c.try = false, false }()
 	for !d.gone.Load() {
+		if len(d.pend)-d.at > lookMost {
+			return true
+		}
 		if err := d.next(); err != nil {
 			return err == errNothing
 		}
@@ -387,6 +395,18 @@
 	return d.look()
 }
 
+// waits is stays for who is about to send the request on, and has claimed its body where that is coming. Fresh tells that what the
+// kernel holds is known; what has been read of it may hold more than the request.
+func (d *desk) waits(fresh bool) bool {
+	switch {
+	case d.gone.Load():
+		return false
+	case d.records.Buffered() || !fresh && socket.Peek(d.c.raw) == socket.Bytes:
+		return d.look()
+	}
+	return true
+}
+
 // answer writes a whole answer to the request that is out, and its end.
 func (d *desk) answer(to []byte, a *httpwire.Answer, headOnly bool) []byte {
 	if d.id == 0 {
--- a/internal/frontend/endings_test.go
+++ b/internal/frontend/endings_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"robincart/decide"
 	"robincart/internal/await"
 	"robincart/internal/node"
+	"robincart/internal/socket"
 )
 
 // Crossings at the callers' side: what is still owed at the instant in which something ends.
@@ -29,6 +31,17 @@
 	"reset":      func(c *caller) { c.Conn.(*net.TCPConn).SetLinger(0); c.Close() },
 	"asked more": func(c *caller) { io.WriteString(c, request("more")); c.Close() },
 	"said more":  func(c *caller) { io.WriteString(c, strings.Repeat("x", 8<<10)); c.Close() },
+	"flooded":    func(c *caller) { c.flood(); c.Conn.(*net.TCPConn).SetLinger(0); c.Close() },
+}
+
+// flood sends as much as the kernel takes while nobody reads it.
+func (c *caller) flood() {
+	c.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+	for b := make([]byte, 1<<16); ; {
+		if _, err := c.Write(b); err != nil {
+			return
+		}
+	}
 }
 
 func connections(f *Server) int {
@@ -168,6 +181,45 @@
 	assert.Empty(t, core.came)
 }
 
+// An end that its caller's kernel holds back behind a flood has not reached the node: what is out then is answered, to nobody, and
+// nothing that the flood holds is taken for a request.
+func TestAFloodBehindARequestBringsNothingAndEndsWithTheAnswer(t *testing.T) {
+	f, core, addr := begin(t)
+	c := dial(t, addr)
+	c.ask()
+	rpc := await.One(t, core.came)
+	c.flood()
+	c.Close()
+	rpc.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}}
+	assert.Eventually(t, func() bool { return connections(f) == 0 && f.making.Load() == 0 }, 20*time.Second, time.Millisecond)
+	assert.Empty(t, core.came)
+	assert.Empty(t, core.started)
+}
+
+// Where a close over unread bytes resets a connection, what the system still held back of small writes would go with it.
+func TestNoSmallWriteIsHeldBackHoweverACallersConnectionCame(t *testing.T) {
+	f, _, addr := begin(t)
+	held := func(raw syscall.RawConn) (n int) {
+		raw.Control(func(fd uintptr) { n, _ = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY) })
+		return n
+	}
+	dial(t, addr)
+	require.Eventually(t, func() bool { return connections(f) == 1 }, 20*time.Second, time.Millisecond)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	dial(t, ln.Addr().String())
+	c := socket.Accept(ln) // out of the queue of a listener that ends, and as from another process
+	require.NotNil(t, c)
+	f.Adopt(c, true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	require.Len(t, f.conns, 2)
+	for c := range f.conns {
+		assert.Equal(t, 1, held(c.raw))
+	}
+}
+
 // One caller has the only place, the next is in the accept loop's hands, and the last ones are known to the kernel alone when the
 // listener is to close.
 func TestCallersInTheListenersQueueAreServedAtTheEnd(t *testing.T) {
--- a/internal/frontend/rest.go
+++ b/internal/frontend/rest.go
@@ -39,6 +39,7 @@
 // Stirred is the lot's word of what happened on a connection.
 func (c *conn) Stirred(e lot.Event) {
 	f := c.server
+	c.heard.Store(int64(f.lot.As().Sub(f.started)))
 	if e&lot.Ended != 0 {
 		c.ended.Store(true)
 		c.tell()
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -27,15 +27,23 @@
 	Close     bool    // the caller wants the connection closed
 	Type      string
 	Body      []byte
-	Rest      *Rest // of the body; nil: it is here
-	Held      int   // of the reader's room: to be given back
-	Old       bool  // HTTP/1.0
+	Rest      *Rest  // of the body; nil: it is here
+	Held      int    // of the reader's room: to be given back
+	Old       bool   // HTTP/1.0
+	Sender    Sender // while an answer to it is owed; nil: nobody knows
 
 	// Where the reader keeps them, since requests are routed by them:
 	Header    textproto.MIMEHeader // all of them, as they came
 	Authority string               // of a target in absolute form
 }
 
+// Sender is who has sent a request.
+type Sender interface {
+	// Waits tells, without waiting, whether it still waits for the request's answer. Who is about to send the request on asks this
+	// right before the first byte, any number at once; one whose body is coming, by who has claimed that.
+	Waits(*Request) bool
+}
+
 // ReadRequest reads one request.
 func (r *Reader) ReadRequest() (*Request, error) {
 	q, err := r.readRequest()
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -38,6 +38,7 @@
 	CallerLong   time.Duration // between requests before it does as soon as one is needed
 	LastLook     time.Duration // at a connection that ends, for a request that crossed
 	CallerRead   time.Duration // from a request's first byte, or the connect, to its last
+	CallerLook   time.Duration // that the kernel's word of a caller counts: an attempt that begins later looks whether it still waits
 	ComeBack     time.Duration // what a caller is told when the node is full
 	CallerWrite  time.Duration // for an answer
 	CallerTakes  time.Duration // that a caller may take nothing of a large one
@@ -105,13 +106,15 @@
 			Begin:  4 << 10,
 			Chunk:  256,
 		},
-		ListBytes:     4 * mb,
-		TakeAgain:     5 * time.Millisecond,
-		CallerIdle:    90 * time.Second,
-		CallerRest:    100 * time.Millisecond,
-		CallerLong:    2 * time.Second,
-		LastLook:      5 * time.Millisecond,
-		CallerRead:    2500 * time.Millisecond,
+		ListBytes:  4 * mb,
+		TakeAgain:  5 * time.Millisecond,
+		CallerIdle: 90 * time.Second,
+		CallerRest: 100 * time.Millisecond,
+		CallerLong: 2 * time.Second,
+		LastLook:   5 * time.Millisecond,
+		CallerRead: 2500 * time.Millisecond,
+		// Once a caller has gone for 0.1 s no attempt may begin. What is left of that is for the way to the server.
+		CallerLook:    25 * time.Millisecond,
 		ComeBack:      500 * time.Millisecond,
 		CallerWrite:   2 * time.Second,
 		CallerTakes:   30 * time.Second,
--- a/internal/lot/lot.go
+++ b/internal/lot/lot.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -30,6 +31,7 @@
 	ep   *os.File
 	raw  syscall.RawConn
 	done chan struct{}
+	as   time.Time // of the kernel's last word
 
 	mu    sync.Mutex
 	slots []slot
@@ -121,6 +123,10 @@
 	l.Remove(p)
 }
 
+// As is, within Stirred, when the kernel was asked for what is being told: what came later is still to be told, also where the
+// lot was kept from its work for long.
+func (l *Lot) As() time.Time { return l.as }
+
 // Close ends the lot; nothing is told afterwards.
 func (l *Lot) Close() {
 	l.ep.Close()
@@ -135,6 +141,7 @@
 		n := 0
 		err := l.raw.Read(func(fd uintptr) bool {
 			var err error
+			l.as = time.Now()
 			if n, err = unix.EpollWait(int(fd), events, 0); err != nil {
 				n = 0
 			}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what stands in a connection's receive buffer.
@@ -49,6 +51,26 @@
 	return state
 }
 
+// Ended tells, without waiting, whether a connection's peer has ended its side or broken it, also where bytes lie unread ahead
+// of that, which hide it from a peek. It takes one system call, and a second one only behind such bytes.
+func Ended(raw syscall.RawConn) bool {
+	switch Peek(raw) {
+	case Quiet:
+		return false
+	case Closed:
+		return true
+	}
+	ended := true
+	if err := raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		_, err := unix.Poll(p, 0)
+		ended = err == nil && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}); err != nil {
+		return true
+	}
+	return ended
+}
+
 // Accept takes a connection that stands in a listener's queue, or nil: it does not wait, and no deadline counts.
 func Accept(ln net.Listener) net.Conn {
 	sc, ok := ln.(syscall.Conn)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -121,7 +121,7 @@
 		}
 	}
 	x.conn = c
-	if !p.core.Begin(x.pick, x) {
+	if !p.core.Begin(x.pick, x) || !x.awaited() {
 		if x.stage.CompareAndSwap(running, over) {
 			p.keep(server, c)
 		} else {
@@ -146,6 +146,10 @@
 	return res, answer
 }
 
+// awaited tells whether the caller still waits, which the core may not have heard yet: whoever tells it may be late, as a timer
+// that orders another pick is not.
+func (x *exchange) awaited() bool { return x.q.Sender == nil || x.q.Sender.Waits(x.q) }
+
 // dial connects, for as long as the pick is wanted.
 func (x *exchange) dial(addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(x.pool.connect.Load()))
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -486,3 +487,68 @@
 	assert.Equal(t, body, await.One(t, got))
 	assert.Equal(t, body, string(s.core.answer.Body))
 }
+
+// A body without a length, where its head tells so, ends with its connection: by an end it is whole, by a reset it is cut, however much of it had come. The
+// large ones are passed on while they come.
+func TestAnAnswerWithoutLengthIsWholeAtAnEndAndCutAtAReset(t *testing.T) {
+	ends := map[string]func(*net.TCPConn){
+		"end":   func(c *net.TCPConn) { c.Close() },
+		"reset": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	}
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"} {
+		for _, size := range []int{0, 2, 40_000, 200_000} {
+			for name, end := range ends {
+				now := make(chan struct{})
+				server := serve(t, func(s *standIn, _ int, c *net.TCPConn) {
+					s.read(c)
+					io.WriteString(c, head+strings.Repeat("x", size))
+					<-now
+					end(c)
+				})
+				s := begin(server.Addr().String(), 5)
+				s.limits.Wire.Stream, s.limits.Wire.Begin = 1<<20, 4<<10
+				s.limits.AnswerRest, s.limits.AnswerSilence, s.limits.CallerTakes = 20*time.Second, 20*time.Second, 20*time.Second
+				s.core.left = 20 * time.Second
+				over := make(chan decide.Result, 1)
+				go func() { over <- s.pick() }()
+				what := fmt.Sprintf("%q %d %s", head, size, name)
+				if size < 1<<16 {
+					close(now)
+					want := map[string]decide.Result{"end": decide.OK, "reset": decide.Reset}[name]
+					assert.Equal(t, want, await.One(t, over), what)
+					continue
+				}
+				answer := func() *node.Answer {
+					s.core.mu.Lock()
+					defer s.core.mu.Unlock()
+					return s.core.answer
+				}
+				require.Eventually(t, func() bool { return answer() != nil }, 20*time.Second, time.Millisecond, what)
+				close(now)
+				got, err := len(answer().Body), error(nil)
+				for piece := make([]byte, 1<<12); err == nil; {
+					var n int
+					n, err = answer().Rest.Read(piece)
+					got += n
+				}
+				if name == "end" {
+					assert.Equal(t, io.EOF, err, what)
+					assert.Equal(t, size, got, what)
+				} else {
+					assert.NotErrorIs(t, err, io.EOF, what)
+				}
+				answer().Rest.Close(name == "end")
+				await.One(t, over)
+			}
+		}
+	}
+}
+
+// What the system held back of small writes would be lost where a close over unread bytes resets their connection.
+func TestNoSmallWriteToAServerIsHeldBack(t *testing.T) {
+	s := begin(serve(t, answers(okText)).Addr().String(), 5)
+	require.Equal(t, decide.OK, s.pick())
+	on := 0
+	s.idle[s.server].raw.Control(func(fd uintptr) { on, _ = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY) })
+	assert.Equal(t, 1, on)
+}
