--- a/internal/frontend/desk_test.go
+++ b/internal/frontend/desk_test.go
@@ -133,3 +133,40 @@
 	r.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Type: "text/x", Body: []byte("hi")}}
 	return r
 }
+
+// What an attempt pays for the look at its caller, right before its first byte.
+func BenchmarkWaits(b *testing.B) {
+	for name, look := range map[string]time.Duration{"fresh": time.Hour, "looks": 0} {
+		for front, way := range map[string]*Gateway{"http": nil, "fastcgi": {}} {
+			b.Run(name+"/"+front, func(b *testing.B) {
+				watch, err := lot.New()
+				require.NoError(b, err)
+				defer watch.Close()
+				l := bounds()
+				l.CallerLook = look
+				f := New(l, limits.NewBudget(99, 0, nil), func() time.Duration { return time.Minute }, zap.NewNop(), watch)
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(b, err)
+				defer ln.Close()
+				out, err := net.Dial("tcp", ln.Addr().String())
+				require.NoError(b, err)
+				defer out.Close()
+				in, err := ln.Accept()
+				require.NoError(b, err)
+				defer in.Close()
+				c := f.newConn(in)
+				q := &httpwire.Request{Sender: c}
+				if way != nil {
+					c.desk = newDesk(c, way)
+					c.shows(q)
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					if !q.Sender.Waits(q) {
+						b.Fatal("it has not left")
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -26,6 +26,7 @@
 		assert.Equal(t, 250*time.Millisecond, l.Connect)
 		assert.Less(t, l.StopMost+l.StopWrite, 3600*time.Millisecond, "SIGKILL may come soon after")
 		assert.Greater(t, l.StopMost, 3*time.Second)
+		assert.LessOrEqual(t, l.CallerLook, 50*time.Millisecond, "no attempt begins for who has gone for 0.1 s, and the way to a server takes some")
 		// News that a mute watch misses bind 6 s after it fell mute. A call that comes then stands in discovery's queue for a while.
 		const binds, pause, queue = 6 * time.Second, 375 * time.Millisecond, 2 * time.Second
 		assert.Less(t, l.ListSilence+pause+queue, binds)
