--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -26,6 +26,7 @@
 		assert.Equal(t, 250*time.Millisecond, l.Connect)
 		assert.Less(t, l.StopMost+l.StopWrite, 3600*time.Millisecond, "SIGKILL may come soon after")
 		assert.Greater(t, l.StopMost, 3*time.Second)
+		assert.LessOrEqual(t, l.CallerLook, 50*time.Millisecond, "no attempt begins for who has gone for 0.1 s, and the way to a server takes some")
 		// What discovery had binds 6 s after it could be reached, whatever failed before. A call that comes then stands in its queue for
 		// a while.
 		const binds, queue = 6 * time.Second, 2 * time.Second
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -7,6 +7,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what stands in a connection's receive buffer.
@@ -56,6 +58,26 @@
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
 }
 
+// Ended tells, without waiting, whether a connection's peer has ended its side or broken it, also where bytes lie unread ahead
+// of that, which hide it from a peek. It takes one system call, and a second one only behind such bytes.
+func Ended(raw syscall.RawConn) bool {
+	switch Peek(raw) {
+	case Quiet:
+		return false
+	case Closed:
+		return true
+	}
+	ended := true
+	if err := raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		_, err := unix.Poll(p, 0)
+		ended = err == nil && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}); err != nil {
+		return true
+	}
+	return ended
+}
+
 // Accept takes a connection that stands in a listener's queue, or nil: it does not wait, and no deadline counts. An error is of
 // this side's descriptors, and the queue may hold some.
 func Accept(ln net.Listener) (net.Conn, error) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -125,7 +125,7 @@
 		}
 	}
 	x.conn = c
-	if !p.core.Begin(x.pick, x) {
+	if !p.core.Begin(x.pick, x) || !x.awaited() {
 		if x.stage.CompareAndSwap(running, over) {
 			p.keep(server, c)
 		} else {
@@ -150,6 +150,10 @@
 	return res, answer
 }
 
+// awaited tells whether the caller still waits, which the core may not have heard yet: whoever tells it may be late, as a timer
+// that orders another pick is not.
+func (x *exchange) awaited() bool { return x.q.Sender == nil || x.q.Sender.Waits(x.q) }
+
 // dialAgain is shorter than the time for which accepting pauses once it has made callers give way.
 const dialAgain = 2 * time.Millisecond
 
