A room below one no longer refuses for good: a lone RPC goes unless the last were late

Cause: the room begins at ten times the servers a node. From some fourteen nodes a server on it is below one even with the guess for waits, so each node refused every RPC; nothing was sent, nothing learnt, and it stayed so. Ruled out: cold servers (none here), the list, the callers' rate.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -401,7 +401,8 @@
 	b.held.add(n, now, doneHalf)
 	// Chance moves the number held by its root. Of one held that is none or two, and over hundreds of such nodes
 	// one more at each is a crowd.
-	return n <= room+math.Sqrt(b.held.read(now, doneHalf, 0, 0))-1
+	// A lone one goes unless the last were late: room below one would else refuse all, and nothing would be learnt.
+	return n == 0 && waited < goal || n <= room+math.Sqrt(b.held.read(now, doneHalf, 0, 0))-1
 }
 
 // waited is what the last RPCs waited, as a part of their latency targets. Where few are recent, older ones
