--- a/internal/lab/pgstand/pgstand.go
+++ b/internal/lab/pgstand/pgstand.go
@@ -47,6 +47,7 @@
 	codes   int
 	cutIn   int // statements until a connection is cut; 0: none is
 	Commits int
+	counts  Counts
 }
 
 // Start listens; the rows lie in a file, which outlasts the server.
@@ -132,12 +133,16 @@
 		c := &conn{s: s, net: raw, back: pgproto3.NewBackend(raw, raw)}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
+		s.counts.Opened++
+		s.counts.Most = max(s.counts.Most, len(s.conns))
 		s.mu.Unlock()
 		s.done.Go(func() {
 			c.serve()
 			c.end()
+			b, n := traffic(raw)
 			raw.Close()
 			s.mu.Lock()
+			s.counts.Bytes, s.counts.Segments = s.counts.Bytes+b, s.counts.Segments+n
 			delete(s.conns, c)
 			s.mu.Unlock()
 		})
@@ -288,6 +293,7 @@
 func (c *conn) run(text string, args []any, describe bool) (ok, alive bool) {
 	s := c.s
 	s.mu.Lock()
+	s.counts.Statements++
 	stalled, code := s.stalled, ""
 	if s.codes > 0 {
 		s.codes--
@@ -511,6 +517,7 @@
 		}
 	}
 	s.Commits++
+	s.counts.Notices += len(to) * len(notes)
 	s.mu.Unlock()
 	for _, c := range to {
 		for _, n := range notes {
