--- a/cmd/robincart-controller/main.go
+++ b/cmd/robincart-controller/main.go
@@ -59,8 +59,12 @@
 		History  int
 		Watchers int
 	}
-	Keys    keys.Files // towards nodes
-	Record  struct{ Store string }
+	Keys   keys.Files // towards nodes
+	Record struct {
+		Store   string
+		Listen  string
+		Callers int
+	}
 	Service []struct{ Name, Service, Port, Listen string }
 }
 
@@ -83,6 +87,9 @@
 				for _, s := range k.Services {
 					fmt.Fprintf(c.OutOrStdout(), "list %s of service %s, port %q, at %s\n", s.Name, s.Service, s.Port, s.Listen)
 				}
+				if k.Record != "" {
+					fmt.Fprintf(c.OutOrStdout(), "the record for nodes at %s, %d of them at most\n", k.Record, k.Callers)
+				}
 				return nil
 			}}, certs())
 	if err := root.Execute(); err != nil {
@@ -188,6 +195,17 @@
 			bad(true, "record.store: %w", err)
 		}
 	}
+	tomlfile.Default(&f.Record.Callers, 5000)
+	c.Record, c.Callers = f.Record.Listen, f.Record.Callers
+	if c.Record != "" {
+		host, _, err := net.SplitHostPort(c.Record)
+		ip := net.ParseIP(host)
+		bad(err != nil, "record.listen: %q is no address with a port", c.Record)
+		bad(f.Record.Store == "", "record.listen: there is no record.store to tell of")
+		// Who may call writes drains: nobody may who shows no key.
+		bad(err == nil && !c.Keys.On() && (ip == nil || !ip.IsLoopback()), "record.listen: without [keys] it has to be a loopback address, and %s is none", host)
+	}
+	bad(f.Record.Callers < 0, "record.callers: it must not be negative")
 	if err := m.Valid(); err != nil {
 		all = append(all, fmt.Errorf("membership: %w", err))
 	}
--- a/cmd/robincart/record.go
+++ b/cmd/robincart/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"math/rand"
 	"net"
@@ -17,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"robincart/internal/keeper"
+	"robincart/internal/keys"
 	"robincart/internal/operator"
 	"robincart/internal/record"
 	"robincart/internal/store"
@@ -147,8 +149,16 @@
 }
 
 // keep begins to keep the record, and to show how it stands.
-func keep(c *operator.Config, log *zap.Logger) (*keeper.Keeper, func(), error) {
+func keep(c *operator.Config, ring *keys.Ring, log *zap.Logger) (*keeper.Keeper, func(), error) {
 	r := c.Record
+	open := func() (store.Store, error) { return agent(r.Store, log) }
+	if addrs, is, _ := store.Controllers(r.Store); is { // no driver, no program beside this one
+		var secure func(string) *tls.Config
+		if ring != nil {
+			secure = ring.Client
+		}
+		open = func() (store.Store, error) { return store.Through(addrs, secure), nil }
+	}
 	var status net.Listener
 	if r.Status != "" {
 		var err error
@@ -158,7 +168,7 @@
 	}
 	start, cancel := context.WithTimeout(context.Background(), 2*time.Duration(r.Timeout))
 	defer cancel()
-	k, err := keeper.Open(start, keeper.Config{Name: c.Name, Store: store.Redact(r.Store), Open: func() (store.Store, error) { return agent(r.Store, log) }, Snapshot: r.Snapshot, Required: r.Required, MostAge: time.Duration(*r.MostAge),
+	k, err := keeper.Open(start, keeper.Config{Name: c.Name, Store: store.Redact(r.Store), Open: open, Snapshot: r.Snapshot, Required: r.Required, MostAge: time.Duration(*r.MostAge),
 		Queue: r.Queue, Timeout: time.Duration(r.Timeout), Poll: time.Duration(r.Poll)}, log)
 	if err != nil {
 		if status != nil {
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -127,7 +127,7 @@
 	written := c // the file alone
 	var facts <-chan struct{}
 	if c.Record.Store != "" {
-		kept, end, err := keep(c, log)
+		kept, end, err := keep(c, set.Keys, log)
 		if err != nil {
 			set.Close()
 			return err
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -38,6 +38,7 @@
 	"robincart/internal/fanout"
 	"robincart/internal/keys"
 	"robincart/internal/membership"
+	"robincart/internal/relay"
 	"robincart/internal/store"
 )
 
@@ -70,6 +71,9 @@
 	Keys       keys.Files // towards nodes; none: plain TCP
 	// Store, if set, is the record that the settings of the API go into. Run closes it.
 	Store store.Store
+	// Record is the address at which nodes are told the record by this replica, so that they need not ask the store; "": nowhere.
+	Record  string
+	Callers int // nodes there, at most
 }
 
 // Controller is one replica.
@@ -95,7 +99,8 @@
 	bad    map[string]string // objects that were skipped, and why
 	cut    map[string]*cut   // kinds that are not followed
 	gates  int
-	book   *book // nil without a record
+	book   *book        // nil without a record
+	relay  *relay.Relay // nil where nodes are not told the record
 }
 
 // New prepares one.
@@ -168,10 +173,20 @@
 			return err
 		}
 	}
-	ctx, end := context.WithCancel(ctx)
-	defer end()
+	var told net.Listener
+	if k.c.Record != "" {
+		if told, err = net.Listen("tcp", k.c.Record); err != nil {
+			return fmt.Errorf("record.listen: %w", err)
+		}
+		listeners = append(listeners, told)
+		if ring != nil {
+			told = tls.NewListener(told, ring.Server())
+		}
+	}
 	var all sync.WaitGroup
 	defer all.Wait()
+	ctx, end := context.WithCancel(ctx)
+	defer end() // before the wait: what is waited for ends by it
 	if ring != nil {
 		all.Go(func() { ring.Run(ctx) })
 	}
@@ -222,6 +237,14 @@
 			}
 		})
 	}
+	if k.c.Store != nil && told != nil {
+		r := relay.New(k.c.Store, relay.Defaults(), k.log)
+		k.mu.Lock()
+		k.relay = r
+		k.mu.Unlock()
+		all.Go(func() { r.Run(ctx) })
+		all.Go(func() { store.ServeWithin(ctx, told, r, relay.Within(k.c.Callers)) })
+	}
 	follow := func(group, resource, namespace string, example any, s sink) {
 		from(cache.NewListWatchFromClient(clients[group], resource, namespace, selection.Everything()), resource, example, s)
 	}
@@ -677,6 +700,7 @@
 	Skipped  map[string]string        `json:"skipped"`
 	Gates    int                      `json:"gates_opened"`
 	Record   string                   `json:"record,omitempty"` // what keeps it from following the settings
+	Relay    *relay.Status            `json:"relay,omitempty"`  // the record as nodes are told it here
 	Services map[string]fanout.Status `json:"services"`
 }
 
@@ -689,6 +713,10 @@
 	if k.book != nil {
 		s.Record = k.book.fault
 	}
+	if k.relay != nil {
+		r := k.relay.Status()
+		s.Relay = &r
+	}
 	for kind, c := range k.cut {
 		s.Cut[kind] = time.Since(c.since).Seconds()
 	}
--- a/internal/keeper/fleet_test.go
+++ b/internal/keeper/fleet_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -18,32 +22,67 @@
 
 	"robincart/decide"
 	"robincart/internal/lab/pgstand"
+	"robincart/internal/lab/traffic"
 	"robincart/internal/node"
 	"robincart/internal/record"
+	"robincart/internal/relay"
 	"robincart/internal/store"
 	"robincart/internal/store/sqlstore"
 )
 
-// TestMain serves the stand-in of the store where a measurement has started this binary for that: its CPU is to be told by itself.
+// TestMain serves the stand-in of the store, or three replicas' relays, where a measurement has started this binary for that: their CPU is to be told by
+// itself.
 func TestMain(m *testing.M) {
-	path := os.Getenv("ROBINCART_PGSTAND_ROWS")
-	if path == "" {
+	rows, of := os.Getenv("ROBINCART_PGSTAND_ROWS"), os.Getenv("ROBINCART_RELAYS_OF")
+	var counts func() counted
+	switch {
+	case rows != "":
+		s, err := pgstand.Start("127.0.0.1:0", rows)
+		if err != nil {
+			panic(err)
+		}
+		fmt.Println(s.Address())
+		counts = func() counted { return counted{Counts: s.Counts()} }
+	case of != "":
+		var addrs []string
+		var all []*traffic.Listener
+		for range 3 {
+			up, err := sqlstore.OpenThere(of)
+			if err != nil {
+				panic(err)
+			}
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				panic(err)
+			}
+			r, t := relay.New(up, relay.Defaults(), zap.NewNop()), traffic.Listen(ln)
+			go r.Run(context.Background())
+			go store.ServeWithin(context.Background(), t, r, relay.Within(5000))
+			addrs, all = append(addrs, ln.Addr().String()), append(all, t)
+		}
+		fmt.Println(strings.Join(addrs, ","))
+		counts = func() (c counted) {
+			for _, t := range all {
+				x := t.Counts()
+				c.Bytes, c.Segments, c.Connections = c.Bytes+x.Bytes, c.Segments+x.Segments, c.Connections+x.Connections
+			}
+			return c
+		}
+	default:
 		os.Exit(m.Run())
 	}
-	s, err := pgstand.Start("127.0.0.1:0", path)
-	if err != nil {
-		panic(err)
-	}
-	fmt.Println(s.Address())
 	for in := bufio.NewScanner(os.Stdin); in.Scan(); { // a line asks for the counts
-		text, _ := json.Marshal(counted{s.Counts(), used(syscall.RUSAGE_SELF)})
+		c := counts()
+		c.CPU, c.Resident = used(syscall.RUSAGE_SELF), resident()
+		text, _ := json.Marshal(c)
 		fmt.Println(string(text))
 	}
 }
 
 type counted struct {
 	pgstand.Counts
-	CPU time.Duration
+	CPU      time.Duration
+	Resident int // KB
 }
 
 func used(who int) time.Duration {
@@ -52,38 +91,38 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// distant is the stand-in in a process of its own.
+func resident() (kb int) {
+	text, _ := os.ReadFile("/proc/self/status")
+	if _, after, ok := strings.Cut(string(text), "VmRSS:"); ok {
+		fmt.Sscan(after, &kb)
+	}
+	return kb
+}
+
+// distant is the stand-in, or the relays, in a process of its own.
 type distant struct {
-	b       testing.TB
 	Address string
 	ask     func() counted
 }
 
-func newDistant(b testing.TB) *distant {
+func newDistant(b testing.TB, env string) *distant {
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "ROBINCART_PGSTAND_ROWS="+filepath.Join(b.TempDir(), "rows"))
+	cmd.Env = append(os.Environ(), env)
 	cmd.Stderr = os.Stderr
 	in, err := cmd.StdinPipe()
 	require.NoError(b, err)
 	out, err := cmd.StdoutPipe()
 	require.NoError(b, err)
 	require.NoError(b, cmd.Start())
-	b.Cleanup(func() { in.Close(); cmd.Wait() })
+	b.Cleanup(func() { in.Close(); cmd.Process.Kill(); cmd.Wait() })
 	lines := bufio.NewScanner(out)
 	require.True(b, lines.Scan())
-	d := &distant{b: b, Address: lines.Text()}
-	d.ask = func() (c counted) {
+	return &distant{Address: lines.Text(), ask: func() (c counted) {
 		fmt.Fprintln(in)
 		require.True(b, lines.Scan())
 		require.NoError(b, json.Unmarshal(lines.Bytes(), &c))
 		return c
-	}
-	db, err := sqlstore.Open(d.Address)
-	require.NoError(b, err)
-	defer db.Close()
-	_, err = db.Init(b.Context(), false)
-	require.NoError(b, err)
-	return d
+	}}
 }
 
 // waits is a core that tells when a server is drained.
@@ -102,134 +141,158 @@
 }
 func (c *waits) ListFailed(bool) {}
 
-// BenchmarkFleet is what a fleet's nodes ask of the store of record: at rest, for one drain that an operator records, for one route,
-// and for one server's drain that discovery tells all nodes at once. Per node and second, or until all is quiet.
+// BenchmarkFleet is what a fleet's nodes ask of the store of record, each by itself or through three replicas of the controller: at their start, at rest, for a
+// drain that an operator records, for one that discovery tells all nodes, and for an operator's while discovery tells of a zone's end. Bytes a node are
+// those that it sends and gets for the record. Quiet is when nobody has written for two seconds.
 func BenchmarkFleet(b *testing.B) {
-	for _, n := range []int{14, 27, 55, 110, 220, 440} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			for b.Loop() {
-				fleet(b, n)
-			}
-		})
+	for _, how := range []string{"direct", "controllers"} {
+		for _, n := range []int{14, 27, 55, 110, 220, 440} {
+			b.Run(fmt.Sprint(how, "/", n), func(b *testing.B) {
+				for b.Loop() {
+					fleet(b, n, how == "controllers")
+				}
+			})
+		}
 	}
 }
 
-func fleet(b *testing.B, n int) {
-	d := newDistant(b)
-	const services, servers = 30, 15
-	var of [][]node.Entry
-	for range services {
-		var l []node.Entry
-		for i := range servers {
-			l = append(l, node.Entry{ID: fmt.Sprint("pod-", i), Addr: fmt.Sprintf("10.0.0.%d:8080", i), State: decide.Ready, Weight: 1, Started: time.UnixMilli(1000)})
+func fleet(b *testing.B, n int, relayed bool) {
+	d := newDistant(b, "ROBINCART_PGSTAND_ROWS="+filepath.Join(b.TempDir(), "rows"))
+	db, err := sqlstore.Open(d.Address)
+	require.NoError(b, err)
+	defer db.Close()
+	_, err = db.Init(b.Context(), false)
+	require.NoError(b, err)
+	nodes, relays := d, (*distant)(nil)
+	open := func() (store.Store, error) { return sqlstore.Open(d.Address) }
+	replica := 0
+	if relayed {
+		relays = newDistant(b, "ROBINCART_RELAYS_OF="+d.Address)
+		nodes = relays
+		open = func() (store.Store, error) { // a third begins at each
+			addrs := strings.Split(relays.Address, ",")
+			replica++
+			return store.Through(append(addrs[replica%3:], addrs[:replica%3]...), nil), nil
 		}
-		of = append(of, l)
 	}
-	list := func(s, replica int, changed ...node.Entry) []node.Entry { // each replica of the controller numbers by itself
-		l := changed
-		if l == nil {
-			l = of[s]
-		}
-		out := append([]node.Entry(nil), l...)
-		for i := range out {
-			out[i].Listed = int64(1000*replica + 1)
+	const services, servers = 30, 15
+	list := func(replica int, phase decide.State, from, to int) (l []node.Entry) { // each replica of the controller numbers its lists by itself
+		for i := from; i < to; i++ {
+			l = append(l, node.Entry{ID: fmt.Sprint("pod-", i), Addr: fmt.Sprintf("10.0.0.%d:8080", i), State: phase, Weight: 1, Started: time.UnixMilli(1000),
+				Listed: int64(1000*replica + 1)})
 		}
-		return out
+		return l
 	}
-	quiet := func() counted {
-		last, same := d.ask(), 0
-		for same < 10 {
-			time.Sleep(200 * time.Millisecond)
-			if c := d.ask(); c.Commits == last.Commits {
-				same++
-			} else {
-				last, same = c, 0
+	quiet := func() (at time.Time) {
+		at = time.Now()
+		for last := d.ask().Commits; time.Since(at) < 2*time.Second; time.Sleep(50 * time.Millisecond) {
+			if c := d.ask().Commits; c != last {
+				last, at = c, time.Now()
 			}
 		}
-		return d.ask()
+		return at
 	}
-	var left sync.WaitGroup
-	var ks []*Keeper
-	var sinks [][]*Sink
-	var late []time.Duration
-	var mu sync.Mutex
-	watch := func() { // from now until the core of each node has the drain
-		begun := time.Now()
-		late = nil
-		left.Add(n)
-		for i := range ks {
-			c := &waits{id: "pod-0", done: func() {
-				mu.Lock()
-				late = append(late, time.Since(begun))
-				mu.Unlock()
-				left.Done()
-			}}
-			s := sinks[i][0]
-			s.order.Lock()
-			s.core = c
-			s.order.Unlock()
+	type sum struct {
+		store, nodes, relays counted
+		mine                 time.Duration
+	}
+	all := func() (s sum) {
+		s.store, s.nodes, s.mine = d.ask(), nodes.ask(), used(syscall.RUSAGE_SELF)
+		if relays != nil {
+			s.relays = relays.ask()
 		}
+		return s
 	}
-	open := func() (store.Store, error) { return sqlstore.Open(d.Address) }
+	var ks []*Keeper
+	var sinks [][]*Sink
 	begun := time.Now()
 	for i := range n {
-		k, err := Open(b.Context(), Config{Name: fmt.Sprint("n", i), Store: "stand-in", Open: open, Queue: 10_000, Timeout: 2 * time.Second, Poll: time.Second, MostAge: 10 * time.Minute}, zap.NewNop())
+		k, err := Open(b.Context(), Config{Name: fmt.Sprint("n", i), Store: "stand-in", Open: open, Queue: 10_000, Timeout: 2 * time.Second, Poll: time.Second,
+			MostAge: 10 * time.Minute}, zap.NewNop())
 		require.NoError(b, err)
 		defer k.Close()
 		ks = append(ks, k)
-		var all []*Sink
+		var of []*Sink
 		for s := range services {
 			x := k.Sink(fmt.Sprint("s", s), &core{})
-			x.Listed(list(s, i%3), true)
-			all = append(all, x)
+			x.Listed(list(i%3, decide.Ready, 0, servers), true)
+			of = append(of, x)
+		}
+		sinks = append(sinks, of)
+	}
+	waiting := func() (w int) {
+		for _, k := range ks {
+			w += k.Status().Waiting
 		}
-		sinks = append(sinks, all)
+		return w
 	}
-	c := quiet()
-	b.Logf("%d nodes: start %v: commits %d statements %d, store's CPU %v, connections %d", n, time.Since(begun).Round(time.Millisecond), c.Commits, c.Statements, c.CPU, c.Connections)
-	a, mine := d.ask(), used(syscall.RUSAGE_SELF)
+	for time.Since(begun) < 60*time.Second && waiting() > 0 {
+		time.Sleep(100 * time.Millisecond)
+	}
+	a := all()
+	b.Logf("start: all written after %v, %d changes still wait; %d commits, %d statements, store's CPU %v, %d connections at most; relays' CPU %v, %d MB", time.Since(begun).Round(time.Millisecond),
+		waiting(), a.store.Commits, a.store.Statements, a.store.CPU, a.store.Most, a.relays.CPU, a.relays.Resident>>10)
+	quiet()
 	const rest = 10
+	a = all()
 	time.Sleep(rest * time.Second)
-	c = d.ask()
-	b.Logf("at rest: connections %d; a node and second: %.2f statements, %.0f bytes with headers; store's CPU %.1f ms/s, nodes' %.2f ms/s each", c.Connections,
-		float64(c.Statements-a.Statements)/float64(n*rest), float64(c.Wire()-a.Wire())/float64(n*rest), ms(c.CPU-a.CPU)/rest, ms(used(syscall.RUSAGE_SELF)-mine)/float64(n*rest))
-	told := func(what string, do func()) {
-		a, begun := d.ask(), time.Now()
-		watch()
+	c := all()
+	b.Logf("at rest: %d connections at the store; a node and second %.0f bytes, %.2f ms of CPU; store's CPU %.1f ms/s, relays' %.1f ms/s", c.store.Connections,
+		float64(c.nodes.Wire()-a.nodes.Wire())/float64(n*rest), ms(c.mine-a.mine)/float64(n*rest), ms(c.store.CPU-a.store.CPU)/rest, ms(c.relays.CPU-a.relays.CPU)/rest)
+	told := func(what, pod string, do func()) {
+		var mu sync.Mutex
+		var late []time.Duration
+		a, begun, done := all(), time.Now(), make(chan struct{})
+		for i := range ks {
+			c := &waits{id: pod, done: func() {
+				mu.Lock()
+				defer mu.Unlock()
+				if late = append(late, time.Since(begun)); len(late) == n {
+					close(done)
+				}
+			}}
+			s := sinks[i][0]
+			s.order.Lock()
+			s.core = c
+			s.order.Unlock()
+		}
 		do()
-		all := make(chan struct{})
-		go func() { left.Wait(); close(all) }()
 		select {
-		case <-all:
+		case <-done:
 		case <-time.After(60 * time.Second):
 		}
 		mu.Lock()
-		last, got := late[len(late)-1], len(late)
+		got, last := len(late), slices.Max(append(late, 0))
 		mu.Unlock()
-		c := quiet()
-		b.Logf("%s: %d of %d nodes told, last after %v; commits %d, statements %d, notices %d, store's CPU %v, %.0f bytes a node, quiet after %v", what, got, n, last.Round(time.Millisecond),
-			c.Commits-a.Commits, c.Statements-a.Statements, c.Notices-a.Notices, c.CPU-a.CPU, float64(c.Wire()-a.Wire())/float64(n), (time.Since(begun) - 2*time.Second).Round(time.Millisecond))
+		end := quiet()
+		c := all()
+		b.Logf("%s: %d of %d nodes told, last after %v; %d commits, %d statements, %d notices, store's CPU %v; %.0f bytes a node, relays' CPU %v; quiet after %v", what, got, n,
+			last.Round(time.Millisecond), c.store.Commits-a.store.Commits, c.store.Statements-a.store.Statements, c.store.Notices-a.store.Notices, c.store.CPU-a.store.CPU,
+			float64(c.nodes.Wire()-a.nodes.Wire())/float64(n), c.relays.CPU-a.relays.CPU, end.Sub(begun).Round(time.Millisecond))
 	}
-	db, err := sqlstore.Open(d.Address)
-	require.NoError(b, err)
-	defer db.Close()
-	told("a drain by an operator", func() {
+	drain := func(pod string) {
 		m, err := db.Meta(b.Context())
 		require.NoError(b, err)
-		_, _, err = db.Write(b.Context(), m.Epoch, []record.Change{{Key: record.Key{Kind: record.Drain, Name: "s0/pod-0"}, Expect: record.Any, By: "op", Mark: "m1", Value: []byte(`{"start_ms":0,"since_ms":1,"by":"op"}`)}})
+		_, _, err = db.Write(b.Context(), m.Epoch, []record.Change{{Key: record.Key{Kind: record.Drain, Name: "s0/" + pod}, Expect: record.Any, By: "op", Mark: "m" + pod,
+			Value: []byte(`{"start_ms":0,"since_ms":1,"by":"op"}`)}})
 		require.NoError(b, err)
+	}
+	told("an operator's drain", "pod-0", func() { drain("pod-0") })
+	told("discovery's", "pod-1", func() {
+		for i := range n {
+			go sinks[i][0].Listed(list(i%3, decide.Draining, 1, 2), false)
+		}
 	})
-	told("a drain by discovery", func() {
+	told("an operator's while discovery tells of a zone's 56", "pod-2", func() {
 		for i := range n {
 			go func() {
-				e := of[1][0]
-				e.State = decide.Draining
-				sinks[i][1].Listed(list(1, i%3, e), false)
+				for s := 2; s < services; s++ {
+					sinks[i][s].Listed(list(i%3, decide.Draining, 13, 15), false)
+				}
 			}()
 		}
-		for i := range n {
-			go sinks[i][0].core.Listed([]node.Entry{{ID: "pod-0", State: decide.Draining}}, false)
-		}
+		time.Sleep(200 * time.Millisecond)
+		drain("pod-2")
 	})
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -96,6 +96,7 @@
 	if k.store, err = c.Open(); err != nil {
 		return nil, err
 	}
+	k.stands()
 	if err := k.follow(ctx); err != nil {
 		if c.Required {
 			k.store.Close()
@@ -207,6 +208,30 @@
 	}
 }
 
+// copied is a store that is read through a replica's copy: it wants to know where this node stands, and tells how old its word is.
+type copied interface {
+	At(record.Meta)
+	Age() time.Duration
+}
+
+// stands tells it.
+func (k *Keeper) stands() {
+	if c, is := k.store.(copied); is {
+		k.mu.Lock()
+		m := k.view.Meta
+		k.mu.Unlock()
+		c.At(m)
+	}
+}
+
+// said is when the store said what has just been read.
+func (k *Keeper) said() int64 {
+	if c, is := k.store.(copied); is {
+		return k.millis() - c.Age().Milliseconds()
+	}
+	return k.millis()
+}
+
 // follow reads what the store has that this copy has not.
 func (k *Keeper) follow(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, k.c.Timeout)
@@ -219,7 +244,7 @@
 	after, whole := k.view.Wants(m)
 	same := !whole && after == m.Revision && k.view.Standing == record.Follows
 	if same {
-		k.view.At = k.millis()
+		k.view.At = k.said()
 	}
 	k.mu.Unlock()
 	if same {
@@ -244,6 +269,7 @@
 	k.mu.Lock()
 	was := k.view.Standing
 	k.view.Store(p, k.millis())
+	k.view.At = k.said()
 	is := k.view.Standing
 	news := false
 	for _, f := range p.Facts {
@@ -251,6 +277,7 @@
 	}
 	waits := k.view.Waiting()
 	k.mu.Unlock()
+	k.stands()
 	if is != was && is != record.Follows {
 		k.log.Warn("the store stands elsewhere than this copy", zap.Stringer("standing", is), zap.String("epoch", p.Meta.Epoch),
 			zap.Int64("revision", p.Meta.Revision), zap.Int("to be written again", waits))
@@ -284,6 +311,7 @@
 					k.mu.Lock()
 					k.view.Settled(now)
 					k.mu.Unlock()
+					k.stands()
 				}
 			}
 			return nil
--- a/internal/lab/pgstand/pgstand.go
+++ b/internal/lab/pgstand/pgstand.go
@@ -15,6 +15,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	_ "modernc.org/sqlite" // keeps the rows
+
+	"robincart/internal/lab/traffic"
 )
 
 // CommitFault is what becomes of the next commit.
@@ -32,7 +34,7 @@
 	User, Password string
 
 	path string
-	ln   net.Listener
+	ln   *traffic.Listener
 	done sync.WaitGroup
 	lock chan struct{} // the one advisory lock
 
@@ -57,10 +59,12 @@
 	if s.db, err = sql.Open("sqlite", "file:"+path+"?_pragma=journal_mode(WAL)&_pragma=busy_timeout(5000)&_pragma=synchronous(OFF)"); err != nil {
 		return nil, err
 	}
-	if s.ln, err = net.Listen("tcp", addr); err != nil {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
 		s.db.Close()
 		return nil, err
 	}
+	s.ln = traffic.Listen(ln)
 	s.done.Go(s.accept)
 	return s, nil
 }
@@ -133,16 +137,12 @@
 		c := &conn{s: s, net: raw, back: pgproto3.NewBackend(raw, raw)}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
-		s.counts.Opened++
-		s.counts.Most = max(s.counts.Most, len(s.conns))
 		s.mu.Unlock()
 		s.done.Go(func() {
 			c.serve()
 			c.end()
-			b, n := traffic(raw)
 			raw.Close()
 			s.mu.Lock()
-			s.counts.Bytes, s.counts.Segments = s.counts.Bytes+b, s.counts.Segments+n
 			delete(s.conns, c)
 			s.mu.Unlock()
 		})
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -393,7 +393,7 @@
 	bad(c.Admin.Listen == "" && c.Admin.Kept != "", "admin.kept: there is no admin.listen")
 	bad(!slices.Contains([]string{"debug", "info", "warn", "error"}, c.Log.Level), "log.level: %q is none of debug, info, warn, error", c.Log.Level)
 	bad(!slices.Contains([]string{"json", "console"}, c.Log.Form), "log.form: %q is neither json nor console", c.Log.Form)
-	if err := c.Record.check(); err != nil {
+	if err := c.Record.check(c.Keys.On()); err != nil {
 		all = append(all, err)
 	}
 	bad(len(c.Service) == 0, "service: there is none")
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -265,6 +265,9 @@
 // ErrEpoch is a write meant for another epoch of the record than the store's: it was restored or made anew meanwhile.
 var ErrEpoch = errors.New("the record has another epoch")
 
+// ErrBehind is said by a replica's copy to one who stands further, while the store that would know better can't be asked.
+var ErrBehind = errors.New("this copy of the record is older than the caller's, and the store can't be asked")
+
 // Meta is where a store stands.
 type Meta struct {
 	Epoch    string `json:"epoch"` // a new one whenever the record is made, restored or imported
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,452 @@
+// Package relay tells many nodes the store of record in the store's place: one follower of the store, one copy, one writer. What the copy may answer and
+// which writes are one is decided by package replica; here are the goroutines round it. store.ServeWithin puts it on a listener.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"robincart/internal/record"
+	"robincart/internal/replica"
+	"robincart/internal/store"
+)
+
+// Config bounds one.
+type Config struct {
+	Poll    time.Duration // between looks at the store where nothing is told
+	Timeout time.Duration // of one call to the store
+	Gather  time.Duration // between two readings, so that a burst of changes is some words to each node
+	Every   time.Duration // between signs of life
+	Check   time.Duration // for the store's word about one who stands further than the copy
+	Page    int           // facts read, and changes written, in one go
+	Batch   int
+}
+
+// Defaults keep what is written in force everywhere within some seconds, whichever replica ends.
+func Defaults() Config {
+	return Config{Poll: time.Second, Timeout: 2 * time.Second, Gather: 200 * time.Millisecond, Every: 2 * time.Second, Check: time.Second, Page: 2000, Batch: 200}
+}
+
+// Within are the bounds of nodes that call.
+func Within(callers int) store.Bounds {
+	return store.Bounds{Callers: callers, Call: 1 << 20, Head: 5 * time.Second, Write: 2 * time.Second, Calls: []string{"follow", "since", "write"}}
+}
+
+// Relay is one replica's. It is a store.Follower.
+type Relay struct {
+	c    Config
+	up   store.Store
+	log  *zap.Logger
+	look chan struct{} // the store is to be read
+	put  chan struct{} // and to be written
+
+	mu      sync.Mutex
+	copy    replica.Copy
+	queue   replica.Queue
+	news    chan struct{} // closed when the copy has changed
+	back    chan struct{} // closed when it has gone back, or to another epoch
+	heard   time.Time     // when the store last said where it stands
+	fault   string
+	rounds  int           // readings begun
+	round   chan struct{} // closed when one ends
+	well    int           // the last that went well
+	follows int
+	counts  Status
+}
+
+// New makes one of a store, which it does not close. Run starts it.
+func New(up store.Store, c Config, log *zap.Logger) *Relay {
+	return &Relay{c: c, up: up, log: log, look: make(chan struct{}, 1), put: make(chan struct{}, 1), news: make(chan struct{}), back: make(chan struct{}),
+		round: make(chan struct{})}
+}
+
+func ring(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Run follows the store and writes to it until the context ends.
+func (r *Relay) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	all.Go(func() {
+		for ctx.Err() == nil {
+			if err := r.up.Wait(ctx, r.c.Poll); err != nil {
+				sleep(ctx, r.c.Poll)
+			}
+			ring(r.look)
+		}
+	})
+	all.Go(func() { r.write(ctx) })
+	ring(r.look)
+	for pause := r.c.Gather; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.look:
+		}
+		r.mu.Lock()
+		r.rounds++
+		r.mu.Unlock()
+		err := r.read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if r.ended(err); err == nil {
+			pause = r.c.Gather
+		} else { // a store that comes back must not meet all replicas at once
+			pause = min(2*pause, 2*time.Second)
+		}
+		sleep(ctx, pause/2+time.Duration(rand.Int63n(int64(pause)/2+1)))
+	}
+}
+
+// read is one reading of what the store has and the copy has not.
+func (r *Relay) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, r.c.Timeout)
+	defer cancel()
+	m, err := r.up.Meta(ctx)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	after, whole, any := r.copy.Wants(m)
+	r.mu.Unlock()
+	if !any {
+		return nil
+	}
+	p := record.Page{Whole: whole}
+	for {
+		next, err := r.up.Since(ctx, after, r.c.Page)
+		if err != nil {
+			return err
+		}
+		if len(p.Facts) > 0 && next.Meta.Epoch != p.Meta.Epoch {
+			return record.ErrEpoch // restored while it was read: from the start, next time
+		}
+		if p.Meta, p.Facts = next.Meta, append(p.Facts, next.Facts...); len(p.Facts) > replica.MostFacts {
+			return replica.ErrTooLarge
+		}
+		if len(next.Facts) < r.c.Page {
+			break
+		}
+		after = next.Facts[len(next.Facts)-1].Revision
+	}
+	if !whole && (p.Meta.Epoch != m.Epoch || p.Meta.Revision < m.Revision) { // what came is no continuation of the copy
+		return record.ErrEpoch
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	back, err := r.copy.Take(p)
+	if err != nil {
+		return err
+	}
+	close(r.news)
+	r.news = make(chan struct{})
+	if back {
+		r.log.Warn("the store of record went back, or has another epoch; nodes are told anew", zap.String("epoch", p.Meta.Epoch), zap.Int64("revision", p.Meta.Revision))
+		close(r.back)
+		r.back = make(chan struct{})
+	}
+	return nil
+}
+
+// ended notes how a reading went; the log tells of changes.
+func (r *Relay) ended(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil:
+		if r.fault != "" {
+			r.log.Info("the store of record is back", zap.Int64("revision", r.copy.Meta().Revision))
+		}
+		r.fault, r.heard, r.well = "", time.Now(), r.rounds
+	case r.fault == "":
+		r.log.Error("the store of record can't be used; nodes are told the copy", zap.Error(err), zap.Int64("revision", r.copy.Meta().Revision))
+		fallthrough
+	default:
+		r.fault = err.Error()
+	}
+	close(r.round)
+	r.round = make(chan struct{})
+}
+
+// errNothing is said before the first reading.
+var errNothing = errors.New("nothing was read of the record yet")
+
+// Knows tells whether the copy can answer one who stands there. Where the copy does not know, the store is asked first: it may have gone back, or
+// this replica may be the one that is behind.
+func (r *Relay) Knows(ctx context.Context, at record.Meta) error {
+	ctx, cancel := context.WithTimeout(ctx, r.c.Check)
+	defer cancel()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for begun := r.rounds; ; {
+		switch {
+		case r.copy.Knows(at):
+			return nil
+		case r.well > begun: // a reading that began after the question
+			return nil
+		}
+		ended := r.round
+		r.mu.Unlock()
+		ring(r.look)
+		select {
+		case <-ctx.Done():
+		case <-ended:
+		}
+		r.mu.Lock()
+		switch {
+		case ctx.Err() == nil:
+		case r.copy.Meta().Epoch == "":
+			return errNothing
+		default:
+			return record.ErrBehind
+		}
+	}
+}
+
+// stand is where the copy stands. The mutex is held.
+func (r *Relay) stand() store.Stand {
+	return store.Stand{Meta: r.copy.Meta(), Age: time.Since(r.heard).Milliseconds()}
+}
+
+// Follow tells the copy's stand, and each change of it.
+func (r *Relay) Follow(ctx context.Context, tell func(*store.Stand) error) error {
+	r.mu.Lock()
+	if r.copy.Meta().Epoch == "" {
+		r.mu.Unlock()
+		return errNothing
+	}
+	s, news, back := r.stand(), r.news, r.back
+	r.follows++
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		r.follows--
+		r.mu.Unlock()
+	}()
+	tick := time.NewTicker(r.c.Every)
+	defer tick.Stop()
+	for say := &s; ; {
+		if err := tell(say); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-back:
+			return errors.New("the record went back, or has another epoch: ask anew")
+		case <-tick.C:
+		case <-news:
+		}
+		r.mu.Lock()
+		// While the store is away its last word grows older, and those who follow have to know.
+		if say = nil; r.news != news || r.fault != "" {
+			s = r.stand()
+			say = &s
+		}
+		news = r.news
+		r.mu.Unlock()
+	}
+}
+
+// Meta is the copy's.
+func (r *Relay) Meta(context.Context) (record.Meta, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.copy.Meta().Epoch == "" {
+		return record.Meta{}, errNothing
+	}
+	return r.copy.Meta(), nil
+}
+
+// Since is the copy's.
+func (r *Relay) Since(_ context.Context, after int64, most int) (record.Page, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.copy.Meta().Epoch == "" {
+		return record.Page{}, errNothing
+	}
+	return r.copy.Since(after, most), nil
+}
+
+// Write answers what the copy knows, and has the rest written once for all who ask for it. Unlike a store's it may do some of the changes and not others:
+// who tries the same again with the same marks loses nothing.
+func (r *Relay) Write(ctx context.Context, epoch string, changes []record.Change) ([]record.Fact, record.Meta, error) {
+	if err := replica.Allowed(changes); err != nil {
+		return nil, record.Meta{}, err
+	}
+	facts, jobs := make([]record.Fact, len(changes)), make([]*replica.Job, len(changes))
+	var refused error
+	r.mu.Lock()
+	for i, c := range changes {
+		if epoch == r.copy.Meta().Epoch {
+			f, err, known := r.copy.Answer(&c)
+			if facts[i] = f; known {
+				r.counts.Answered++
+				if refused == nil {
+					refused = err
+				}
+				continue
+			}
+		}
+		if jobs[i] = r.queue.Add(epoch, c); jobs[i] == nil {
+			r.mu.Unlock()
+			return nil, record.Meta{}, fmt.Errorf("%w: %d changes wait for the store", store.ErrBusy, replica.MostWaiting)
+		}
+	}
+	r.mu.Unlock()
+	ring(r.put)
+	for i, j := range jobs {
+		if j == nil {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil, record.Meta{}, fmt.Errorf("%w: %w", store.ErrUnknown, ctx.Err())
+		case <-j.Done:
+		}
+		if facts[i] = j.Fact; j.Err != nil && refused == nil {
+			refused = j.Err
+		}
+	}
+	if refused != nil {
+		return nil, record.Meta{}, refused
+	}
+	m, err := r.Meta(ctx)
+	return facts, m, err
+}
+
+// write takes what waits to the store, one batch after the other.
+func (r *Relay) write(ctx context.Context) {
+	for {
+		r.mu.Lock()
+		batch := r.queue.Next(r.c.Batch)
+		r.mu.Unlock()
+		if len(batch) == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-r.put:
+				continue
+			}
+		}
+		r.send(ctx, batch)
+		r.mu.Lock()
+		r.queue.Ended(batch)
+		r.counts.Written += len(batch)
+		r.mu.Unlock()
+		for _, j := range batch {
+			close(j.Done)
+		}
+		ring(r.look)
+	}
+}
+
+// send writes a batch in one transaction, or where one of it is refused each by itself, so that it costs no other.
+func (r *Relay) send(ctx context.Context, batch []*replica.Job) {
+	changes := make([]record.Change, len(batch))
+	for i, j := range batch {
+		changes[i] = j.Change
+	}
+	call := func(changes []record.Change) ([]record.Fact, error) {
+		ctx, cancel := context.WithTimeout(ctx, r.c.Timeout)
+		defer cancel()
+		facts, _, err := r.up.Write(ctx, batch[0].Epoch, changes)
+		return facts, err
+	}
+	facts, err := call(changes)
+	var stale *record.Stale
+	var lost *record.Conflict
+	if len(batch) > 1 && (errors.As(err, &stale) || errors.As(err, &lost)) {
+		for i, j := range batch {
+			var f []record.Fact
+			if f, j.Err = call(changes[i : i+1]); j.Err == nil {
+				j.Fact = f[0]
+			}
+		}
+		return
+	}
+	for i, j := range batch {
+		if j.Err = err; err == nil {
+			j.Fact = facts[i]
+		}
+	}
+}
+
+// Wait returns when the copy has changed, or after a while.
+func (r *Relay) Wait(ctx context.Context, most time.Duration) error {
+	r.mu.Lock()
+	news := r.news
+	r.mu.Unlock()
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-news:
+	case <-t.C:
+	}
+	return nil
+}
+
+var errPeople = errors.New("that is done at the store itself")
+
+// Init, Replace and Verify are people's, at the store.
+func (r *Relay) Init(context.Context, bool) ([]string, error) { return nil, errPeople }
+
+// Replace is not done here.
+func (r *Relay) Replace(context.Context, []record.Fact) (record.Meta, error) {
+	return record.Meta{}, errPeople
+}
+
+// Verify is not done here.
+func (r *Relay) Verify(context.Context) ([]string, error) { return nil, errPeople }
+
+// Close leaves the store open: others use it.
+func (r *Relay) Close() error { return nil }
+
+// Status is what the status page shows.
+type Status struct {
+	Epoch    string  `json:"epoch"`
+	Revision int64   `json:"revision"`
+	Facts    int     `json:"facts"`
+	Nodes    int     `json:"nodes"` // that follow
+	HeardAgo float64 `json:"heard_seconds_ago"`
+	Fault    string  `json:"fault,omitempty"`
+	Waiting  int     `json:"waiting"`  // changes
+	Written  int     `json:"written"`  // sent to the store
+	Answered int     `json:"answered"` // from the copy
+	Merged   int     `json:"merged"`   // with another node's
+}
+
+// Status tells how it stands.
+func (r *Relay) Status() Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.counts
+	s.Epoch, s.Revision, s.Facts, s.Nodes, s.Fault = r.copy.Meta().Epoch, r.copy.Meta().Revision, r.copy.Len(), r.follows, r.fault
+	s.Waiting, s.Merged, s.HeardAgo = r.queue.Waiting(), r.queue.Merged, -1
+	if !r.heard.IsZero() {
+		s.HeardAgo = time.Since(r.heard).Seconds()
+	}
+	return s
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,213 @@
+// Package replica decides what a replica of the controller may say of the store of record in the store's place: what its copy
+// holds and answers, and which of many nodes' writes are one. It has no clock, no socket and no database.
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+
+	"robincart/internal/record"
+)
+
+// Bounds of what a copy takes and a node may ask.
+const (
+	MostFacts   = 100_000  // in a copy: deleted ones count
+	MostBytes   = 64 << 20 // of their names and values
+	MostWaiting = 10_000   // changes that wait for the store
+	MostChanges = 1000     // in one call of a node
+)
+
+// ErrTooLarge is a record beyond the bounds; the copy before stays.
+var ErrTooLarge = fmt.Errorf("the record has more than %d facts or %d MB", MostFacts, MostBytes>>20)
+
+// Copy is the record as it was last read. It is not safe for concurrent use.
+type Copy struct {
+	meta  record.Meta
+	facts map[record.Key]record.Fact
+	order []record.Fact // by revision; nil: to be made again
+	bytes int
+}
+
+// Meta is where the copy stands; an empty epoch says that nothing was read yet.
+func (c *Copy) Meta() record.Meta { return c.meta }
+
+// Len is how many facts it has.
+func (c *Copy) Len() int { return len(c.facts) }
+
+// Wants is what to ask the store for, given where that stands: nothing, what came after a revision, or with whole all of it.
+func (c *Copy) Wants(m record.Meta) (after int64, whole, any bool) {
+	switch {
+	case m == c.meta:
+		return 0, false, false
+	case m.Epoch != c.meta.Epoch || m.Revision < c.meta.Revision:
+		return 0, true, true
+	}
+	return c.meta.Revision, false, true
+}
+
+// Take puts what was read in force, all of it or nothing. Back tells that the record has another epoch now or went back: whoever was told the copy before
+// has to be told so.
+func (c *Copy) Take(p record.Page) (back bool, err error) {
+	facts, bytes := map[record.Key]record.Fact{}, 0
+	if !p.Whole {
+		facts, bytes = c.facts, c.bytes
+		fresh, grown := 0, 0
+		for _, f := range p.Facts {
+			if was, there := facts[f.Key]; there {
+				grown -= size(was)
+			} else {
+				fresh++
+			}
+			grown += size(f)
+		}
+		if len(facts)+fresh > MostFacts || bytes+grown > MostBytes {
+			return false, ErrTooLarge
+		}
+		if facts == nil {
+			facts = map[record.Key]record.Fact{}
+		}
+	}
+	for _, f := range p.Facts {
+		bytes += size(f) - size(facts[f.Key])
+		facts[f.Key] = f
+		if len(facts) > MostFacts || bytes > MostBytes {
+			return false, ErrTooLarge
+		}
+	}
+	back = c.meta.Epoch != "" && (p.Meta.Epoch != c.meta.Epoch || p.Meta.Revision < c.meta.Revision)
+	c.meta, c.facts, c.order, c.bytes = p.Meta, facts, nil, bytes
+	return back, nil
+}
+
+func size(f record.Fact) int { return len(f.Name) + len(f.Value) + len(f.By) + len(f.Mark) }
+
+// Knows tells whether the copy can answer one who stands there. One who stands further, or in another epoch, was told so by somebody who may know more.
+func (c *Copy) Knows(at record.Meta) bool {
+	return c.meta.Epoch != "" && (at.Epoch == "" || at.Epoch == c.meta.Epoch && at.Revision <= c.meta.Revision)
+}
+
+// Since is what changed after a revision, as a store would say it.
+func (c *Copy) Since(after int64, most int) record.Page {
+	if c.order == nil {
+		c.order = make([]record.Fact, 0, len(c.facts))
+		for _, f := range c.facts {
+			c.order = append(c.order, f)
+		}
+		slices.SortFunc(c.order, func(a, b record.Fact) int { return int(a.Revision - b.Revision) })
+	}
+	from := sort.Search(len(c.order), func(i int) bool { return c.order[i].Revision > after })
+	to := min(from+max(most, 1), len(c.order))
+	p := record.Page{Meta: c.meta, Facts: slices.Clone(c.order[from:to]), Whole: after == 0 && to == len(c.order)}
+	if len(p.Facts) == most { // more may come: this far it is known
+		p.Meta.Revision = p.Facts[most-1].Revision
+	}
+	return p
+}
+
+// Allowed tells what a node may not write. It writes what it was told of servers; services, routes and tenants are people's and the leader's.
+func Allowed(changes []record.Change) error {
+	if len(changes) > MostChanges {
+		return fmt.Errorf("%d changes in one call are more than %d", len(changes), MostChanges)
+	}
+	for i := range changes {
+		c := &changes[i]
+		if err := c.Valid(); err != nil {
+			return err
+		}
+		if c.Kind != record.Server && (c.Kind != record.Drain || c.Delete) {
+			return fmt.Errorf("%s %s: a node writes sightings of servers and drains, and nothing else", c.Kind, c.Name)
+		}
+	}
+	return nil
+}
+
+// Answer is a change's outcome where the copy knows it: the fact that stands, or what the store would refuse it by. What would be written has to be
+// sent to the store, and so has one whose writer has seen more than the copy.
+func (c *Copy) Answer(x *record.Change) (f record.Fact, refused error, known bool) {
+	now, there := c.facts[x.Key]
+	if !there || x.Expect > c.meta.Revision {
+		return f, nil, false
+	}
+	outcome, err := record.Decide(&now, x)
+	if err == nil && outcome == record.Write {
+		return f, nil, false
+	}
+	return now, err, true
+}
+
+// Job is one change on its way to the store, for all who asked for it.
+type Job struct {
+	Change record.Change
+	Epoch  string
+	Done   chan struct{} // closed when what follows is known
+	Fact   record.Fact
+	Err    error
+}
+
+// Queue merges writes. It is not safe for concurrent use.
+type Queue struct {
+	jobs   []*Job
+	by     map[record.Key][]*Job // those that wait and those at the store
+	Merged int                   // changes that another's stands for
+}
+
+// Waiting is how many changes wait.
+func (q *Queue) Waiting() int { return len(q.jobs) }
+
+// Add puts a change into the queue, or finds the one there, or at the store already, that says the same. It refuses, with nil, where too many wait.
+func (q *Queue) Add(epoch string, c record.Change) *Job {
+	for _, j := range q.by[c.Key] {
+		if j.Epoch == epoch && equal(&j.Change, &c) {
+			q.Merged++
+			return j
+		}
+	}
+	if len(q.jobs) >= MostWaiting {
+		return nil
+	}
+	if q.by == nil {
+		q.by = map[record.Key][]*Job{}
+	}
+	j := &Job{Change: c, Epoch: epoch, Done: make(chan struct{})}
+	q.jobs, q.by[c.Key] = append(q.jobs, j), append(q.by[c.Key], j)
+	return j
+}
+
+// Ended takes what the store has answered out.
+func (q *Queue) Ended(batch []*Job) {
+	for _, j := range batch {
+		k := j.Change.Key
+		if q.by[k] = slices.DeleteFunc(q.by[k], func(x *Job) bool { return x == j }); len(q.by[k]) == 0 {
+			delete(q.by, k)
+		}
+	}
+}
+
+// equal tells whether two changes would leave the same behind.
+func equal(a, b *record.Change) bool {
+	if a.Key != b.Key || a.Expect != b.Expect || a.Delete != b.Delete {
+		return false
+	}
+	if a.Delete {
+		return true
+	}
+	outcome, err := record.Decide(&record.Fact{Key: a.Key, Revision: 1, Mark: a.Mark, Value: a.Value},
+		&record.Change{Key: b.Key, Expect: record.Any, By: b.By, Mark: b.Mark, Value: b.Value})
+	return err == nil && outcome != record.Write
+}
+
+// Next takes the next changes out, so many at most: of one epoch and each key once, in the order in which they came.
+func (q *Queue) Next(most int) (batch []*Job) {
+	keys, left := map[record.Key]bool{}, q.jobs[:0:0]
+	for _, j := range q.jobs {
+		if len(batch) < most && !keys[j.Change.Key] && (len(batch) == 0 || j.Epoch == batch[0].Epoch) {
+			batch = append(batch, j)
+		} else {
+			left = append(left, j)
+		}
+		keys[j.Change.Key] = true // a later one of the same key waits for the earlier
+	}
+	q.jobs = left
+	return batch
+}
--- /dev/null
+++ b/internal/store/controllers.go
@@ -0,0 +1,291 @@
+package store
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"robincart/internal/record"
+)
+
+// The way to the record through the controller's replicas, each of which follows the store for many nodes: the same calls over TCP, and one that lasts, by
+// which a replica tells where the record stands. The replica that tells is the one that is called.
+
+const (
+	mostReply   = 64 << 20 // of a replica
+	mostLine    = 4 << 10  // of one that lasts
+	dialFor     = 1500 * time.Millisecond
+	silence     = 5 * time.Second // a replica that lives says something every two
+	firstPause  = 50 * time.Millisecond
+	longPause   = 2 * time.Second
+	mostAddress = 8
+)
+
+// controllersScheme begins the address of such a store.
+const controllersScheme = "controllers:"
+
+// Controllers are the addresses of replicas in a store's address, nearest first. Is tells whether it has that form at all.
+func Controllers(address string) (addrs []string, is bool, err error) {
+	text, is := strings.CutPrefix(address, controllersScheme)
+	if !is {
+		return nil, false, nil
+	}
+	addrs = strings.Split(text, ",")
+	if len(addrs) > mostAddress {
+		return nil, true, fmt.Errorf("%d controllers are more than %d", len(addrs), mostAddress)
+	}
+	for i, a := range addrs {
+		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || port == "" {
+			return nil, true, fmt.Errorf("%q is no address with a port", a)
+		}
+		if slices.Contains(addrs[:i], a) {
+			return nil, true, fmt.Errorf("%s stands twice", a)
+		}
+	}
+	return addrs, true, nil
+}
+
+type through struct {
+	addrs  []string
+	secure func(addr string) *tls.Config
+	end    context.CancelFunc
+	all    sync.WaitGroup
+	news   chan struct{}
+
+	mu      sync.Mutex
+	at      string // the replica that tells; empty: none does
+	stand   record.Meta
+	heard   time.Time     // when the store itself said so
+	known   record.Meta   // where the caller stands
+	why     error         // none tells
+	turn    int           // counts connections that told
+	changed chan struct{} // closed when any of that changes
+}
+
+// Through is the record as the first of the controller's replicas has it that can be reached and is not behind. Secure, if set, makes the keys for a connection.
+func Through(addrs []string, secure func(addr string) *tls.Config) Store {
+	ctx, end := context.WithCancel(context.Background())
+	s := &through{addrs: addrs, secure: secure, end: end, news: make(chan struct{}, 1), changed: make(chan struct{}), why: errors.New("not reached yet")}
+	s.all.Go(func() { s.run(ctx) })
+	return s
+}
+
+func (s *through) run(ctx context.Context) {
+	pause := firstPause
+	for i := 0; ctx.Err() == nil; i++ {
+		begun := time.Now()
+		err := s.follow(ctx, s.addrs[i%len(s.addrs)])
+		s.mu.Lock()
+		s.at, s.why = "", err
+		s.stir()
+		s.mu.Unlock()
+		if time.Since(begun) > silence {
+			pause = firstPause
+		}
+		// Those who lost one replica do not meet the next in one moment.
+		t := time.NewTimer(pause/2 + time.Duration(rand.Int63n(int64(pause))))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+		if i%len(s.addrs) == len(s.addrs)-1 {
+			pause = min(2*pause, longPause)
+		}
+	}
+}
+
+// stir wakes who waits for a change. The mutex is held.
+func (s *through) stir() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
+
+func (s *through) dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialFor, KeepAlive: -1}
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil || s.secure == nil {
+		return c, err
+	}
+	t := tls.Client(c, s.secure(addr))
+	ctx, cancel := context.WithTimeout(ctx, dialFor)
+	defer cancel()
+	if err := t.HandshakeContext(ctx); err != nil {
+		c.Close()
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	return t, nil
+}
+
+// follow is the life of one connection over which a replica tells.
+func (s *through) follow(ctx context.Context, addr string) error {
+	bad := func(err error) error { return fmt.Errorf("the controller at %s: %w", addr, err) }
+	c, err := s.dial(ctx, addr)
+	if err != nil {
+		return bad(err)
+	}
+	defer c.Close()
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	s.mu.Lock()
+	known := s.known
+	s.mu.Unlock()
+	c.SetDeadline(time.Now().Add(silence))
+	if err := json.NewEncoder(c).Encode(call{Op: "follow", At: &known, Left: silence}); err != nil {
+		return bad(err)
+	}
+	in := bufio.NewReaderSize(c, mostLine)
+	for first := true; ; {
+		c.SetReadDeadline(time.Now().Add(silence))
+		line, err := in.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			err = errors.New("a line without end")
+		}
+		if err != nil {
+			return bad(err)
+		}
+		var is struct {
+			Stand
+			Fault string
+			Name  string
+		}
+		if len(line) > 1 {
+			if err := json.Unmarshal(line, &is); err != nil {
+				return bad(fmt.Errorf("no proper line: %w", err))
+			}
+			r := reply{Fault: is.Fault, Name: is.Name}
+			if err := r.err(); err != nil {
+				return bad(err)
+			}
+			if is.Meta.Epoch == "" || is.Meta.Revision < 0 || is.Age < 0 {
+				return bad(errors.New("no proper line: it does not say where the record stands"))
+			}
+		}
+		s.mu.Lock()
+		now := time.Now()
+		switch {
+		case len(line) > 1:
+			s.heard = now.Add(-min(time.Duration(is.Age), 1<<40) * time.Millisecond)
+			// What was read meanwhile may be newer than a line that was on its way.
+			if first || is.Meta.Epoch != s.stand.Epoch || is.Meta.Revision > s.stand.Revision {
+				if s.stand = is.Meta; first {
+					s.turn++
+				}
+				s.at, first = addr, false
+				s.stir()
+			}
+		case !first:
+			s.heard = now
+		}
+		s.mu.Unlock()
+	}
+}
+
+// At tells where the caller stands, so that no replica that is behind takes it back.
+func (s *through) At(m record.Meta) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known = m
+}
+
+// Age is how long ago the store itself said where it stands.
+func (s *through) Age() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.heard)
+}
+
+// tells waits for a replica that does.
+func (s *through) tells(ctx context.Context) (addr string, m, known record.Meta, err error) {
+	for {
+		s.mu.Lock()
+		addr, m, known, err = s.at, s.stand, s.known, s.why
+		changed := s.changed
+		s.mu.Unlock()
+		if addr != "" {
+			return addr, m, known, nil
+		}
+		select {
+		case <-ctx.Done():
+			return "", m, known, fmt.Errorf("no controller tells the record: %w", err)
+		case <-changed:
+		}
+	}
+}
+
+func (s *through) call(ctx context.Context, c call) (r reply, err error) {
+	addr, _, known, err := s.tells(ctx)
+	if err != nil {
+		return r, err
+	}
+	conn, err := s.dial(ctx, addr)
+	if err != nil {
+		return r, fmt.Errorf("the controller at %s: %w", addr, err)
+	}
+	c.At = &known
+	return ask(ctx, conn, c, mostReply, "the controller at "+addr)
+}
+
+func (s *through) Meta(ctx context.Context) (record.Meta, error) {
+	_, m, _, err := s.tells(ctx)
+	return m, err
+}
+
+func (s *through) Since(ctx context.Context, after int64, most int) (record.Page, error) {
+	s.mu.Lock()
+	turn := s.turn
+	s.mu.Unlock()
+	r, err := s.call(ctx, call{Op: "since", After: after, Most: most})
+	if err == nil {
+		s.mu.Lock()
+		if m := r.Page.Meta; turn == s.turn && m.Epoch == s.stand.Epoch && m.Revision > s.stand.Revision {
+			s.stand = m
+		}
+		s.mu.Unlock()
+	}
+	return r.Page, err
+}
+
+func (s *through) Write(ctx context.Context, epoch string, changes []record.Change) ([]record.Fact, record.Meta, error) {
+	r, err := s.call(ctx, call{Op: "write", Epoch: epoch, Changes: changes})
+	if err == nil && len(r.Facts) != len(changes) {
+		err = fmt.Errorf("the controller answered %d of %d changes", len(r.Facts), len(changes))
+	}
+	return r.Facts, r.Meta, err
+}
+
+func (s *through) Wait(ctx context.Context, most time.Duration) error {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+	case <-s.news:
+	}
+	return nil
+}
+
+func (s *through) Init(context.Context, bool) ([]string, error) { return nil, errPeople }
+func (s *through) Replace(context.Context, []record.Fact) (record.Meta, error) {
+	return record.Meta{}, errPeople
+}
+func (s *through) Verify(context.Context) ([]string, error) { return nil, errPeople }
+
+func (s *through) Close() error {
+	s.end()
+	s.all.Wait()
+	return nil
+}
--- a/internal/store/remote.go
+++ b/internal/store/remote.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"robincart/internal/record"
@@ -26,6 +28,8 @@
 	Epoch   string          `json:"epoch,omitempty"`
 	Changes []record.Change `json:"changes,omitempty"`
 	Left    time.Duration   `json:"left"` // how long the caller waits
+	// At is where the caller stands, for who answers from a copy that may be older. Those who read the store itself leave it alone.
+	At *record.Meta `json:"at,omitempty"`
 }
 
 type reply struct {
@@ -39,7 +43,7 @@
 }
 
 var faults = map[string]error{"foreign": ErrForeign, "newer": ErrNewer, "older": ErrOlder, "none": ErrNone, "damaged": ErrDamaged, "denied": ErrDenied,
-	"unknown": ErrUnknown, "full": ErrFull, "busy": ErrBusy, "read only": ErrReadOnly, "epoch": record.ErrEpoch}
+	"unknown": ErrUnknown, "full": ErrFull, "busy": ErrBusy, "read only": ErrReadOnly, "epoch": record.ErrEpoch, "behind": record.ErrBehind}
 
 func (r *reply) fail(err error) {
 	if err == nil {
@@ -91,6 +95,11 @@
 	if err != nil {
 		return r, fmt.Errorf("the store's program: %w", err)
 	}
+	return ask(ctx, conn, c, mostCall, "the store's program")
+}
+
+// ask makes one call over a connection of its own, which it closes, and reads so many bytes of its answer at most. Who names the other side for people.
+func ask(ctx context.Context, conn net.Conn, c call, most int64, who string) (r reply, err error) {
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })()
 	c.Left = time.Minute
@@ -98,7 +107,7 @@
 		c.Left = time.Until(at)
 	}
 	if err = json.NewEncoder(conn).Encode(c); err == nil {
-		err = json.NewDecoder(io.LimitReader(conn, mostCall)).Decode(&r)
+		err = json.NewDecoder(io.LimitReader(conn, most)).Decode(&r)
 	}
 	if err != nil {
 		if ctx.Err() != nil {
@@ -107,7 +116,7 @@
 		if c.Op == "write" { // it may have gone through
 			err = errors.Join(ErrUnknown, err)
 		}
-		return r, fmt.Errorf("the store's program: %w", err)
+		return reply{}, fmt.Errorf("%s: %w", who, err)
 	}
 	return r, r.err()
 }
@@ -143,11 +152,41 @@
 func (s *remote) Verify(context.Context) ([]string, error) { return nil, errPeople }
 func (s *remote) Close() error                             { return nil }
 
+// Stand is where a record stands, and how old that word is.
+type Stand struct {
+	Meta record.Meta `json:"meta"`
+	Age  int64       `json:"age_ms"` // since the store said so
+}
+
+// Follower is a store that answers from a copy, and tells many who follow it where that stands.
+type Follower interface {
+	Store
+	// Knows returns nil if the copy is not behind one who stands there, else record.ErrBehind.
+	Knows(ctx context.Context, at record.Meta) error
+	// Follow tells each change of the copy's stand, and nil in between as a sign of life, until the context or the telling ends, or the copy goes back.
+	Follow(ctx context.Context, tell func(*Stand) error) error
+}
+
+// Bounds are of those who call.
+type Bounds struct {
+	Callers int           // connections at most
+	Call    int64         // bytes of one call
+	Head    time.Duration // until the call is there
+	Write   time.Duration // of a line to one who follows
+	Calls   []string      // that are answered; nil: all
+}
+
 // Serve answers calls to a store on a listener until the context ends.
 func Serve(ctx context.Context, ln net.Listener, s Store) {
+	ServeWithin(ctx, ln, s, Bounds{Call: mostCall, Head: 10 * time.Second, Write: 10 * time.Second})
+}
+
+// ServeWithin is Serve for callers of whom there may be too many, or some who mean no good.
+func ServeWithin(ctx context.Context, ln net.Listener, s Store, b Bounds) {
 	var all sync.WaitGroup
 	defer all.Wait()
 	defer context.AfterFunc(ctx, func() { ln.Close() })()
+	var callers atomic.Int64
 	for {
 		c, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -157,17 +196,23 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
+		if callers.Add(1) > int64(b.Callers) && b.Callers > 0 {
+			callers.Add(-1)
+			c.Close() // it tries elsewhere
+			continue
+		}
 		all.Go(func() {
+			defer callers.Add(-1)
 			defer c.Close()
-			answer(ctx, c, s)
+			answer(ctx, c, s, b)
 		})
 	}
 }
 
-func answer(ctx context.Context, c net.Conn, s Store) {
-	c.SetDeadline(time.Now().Add(10 * time.Second))
+func answer(ctx context.Context, c net.Conn, s Store, b Bounds) {
+	c.SetDeadline(time.Now().Add(b.Head))
 	var q call
-	in := bufio.NewReader(io.LimitReader(c, mostCall))
+	in := bufio.NewReader(io.LimitReader(c, b.Call))
 	line, err := in.ReadBytes('\n')
 	var r reply
 	if err == nil {
@@ -178,7 +223,14 @@
 	} else {
 		left := min(max(q.Left, 0), time.Hour)
 		c.SetDeadline(time.Now().Add(left + 10*time.Second))
-		ctx, cancel := context.WithTimeout(ctx, left)
+		f, copies := s.(Follower)
+		stays := q.Op == "follow" && copies
+		var cancel context.CancelFunc
+		if stays {
+			ctx, cancel = context.WithCancel(ctx)
+		} else {
+			ctx, cancel = context.WithTimeout(ctx, left)
+		}
 		defer cancel()
 		gone := make(chan struct{})
 		go func() { // a caller that leaves ends its call
@@ -187,14 +239,32 @@
 			cancel()
 		}()
 		defer func() { c.Close(); <-gone }()
-		switch q.Op {
-		case "meta":
+		if copies && q.At != nil && q.Op != "write" {
+			err = f.Knows(ctx, *q.At)
+		}
+		switch {
+		case err != nil:
+		case b.Calls != nil && !slices.Contains(b.Calls, q.Op):
+			err = fmt.Errorf("no call named %.20q here", q.Op)
+		case stays:
+			c.SetReadDeadline(time.Time{})
+			err = f.Follow(ctx, func(s *Stand) error {
+				c.SetWriteDeadline(time.Now().Add(b.Write))
+				text := []byte{}
+				if s != nil {
+					text, _ = json.Marshal(s)
+				}
+				_, err := c.Write(append(text, '\n'))
+				return err
+			})
+			c.SetWriteDeadline(time.Now().Add(b.Write))
+		case q.Op == "meta":
 			r.Meta, err = s.Meta(ctx)
-		case "since":
+		case q.Op == "since":
 			r.Page, err = s.Since(ctx, q.After, min(max(q.Most, 1), 10_000))
-		case "write":
+		case q.Op == "write":
 			r.Facts, r.Meta, err = s.Write(ctx, q.Epoch, q.Changes)
-		case "wait":
+		case q.Op == "wait":
 			err = s.Wait(ctx, time.Duration(q.Most)*time.Millisecond)
 		default:
 			err = fmt.Errorf("no call named %.20q", q.Op)
