Record: a store that went back behind a node's own write is seen, and what it lost written again

Cause: a node asked only whether the store stands behind what it had read. A store restored to just there, behind what the node wrote since, looked unchanged, and the drain that it had written was never written again. Found by the test of a backup through a replica, whose word comes a little later than the store's own. Test: at the view, with and without a restart; without the change it fails (seen): whole is false, and the drain is not in the backup.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -218,7 +218,7 @@
 func (k *Keeper) stands() {
 	if c, is := k.store.(copied); is {
 		k.mu.Lock()
-		m := k.view.Meta
+		m := k.view.Stands()
 		k.mu.Unlock()
 		c.At(m)
 	}
@@ -349,6 +349,7 @@
 			k.wrote++
 		}
 		k.mu.Unlock()
+		k.stands()
 		ring(k.dirty)
 		if err != nil {
 			return err
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -388,3 +388,32 @@
 	put(s.meta.Revision, Drained{Start: 6, Since: 8, By: "op", Until: 950, Ended: true, Over: s.meta.Revision}) // as robincart record undrain does
 	put(Any, Drained{Start: 6, Since: 9, By: "op", Until: 950, Over: s.meta.Revision})
 }
+
+// A store that goes back to just where a node had read last, behind what that node wrote since, has lost that: it is seen, and written again.
+func TestAStoreThatWentBackBehindAWriteIsSeen(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		s := &shelf{meta: Meta{Epoch: "e", Revision: 2}, facts: map[Key]Fact{}}
+		v := view("n")
+		v.Store(s.page(0, true), 1)
+		backup := s.copy()
+		v.Drain("s/a", Drained{Start: 5, Since: 1, By: "op"}, 2)
+		for _, c := range v.Pending(9) {
+			f, err := s.write(c)
+			assert.NoError(t, err)
+			v.Written(c, f)
+		}
+		assert.Equal(t, Meta{Epoch: "e", Revision: 3}, v.Stands())
+		if restarted { // from a snapshot that was taken before the write was read
+			snap := v.Snapshot()
+			v = view("n")
+			v.Restore(snap, 3)
+		}
+		_, whole := v.Wants(backup.meta)
+		assert.True(t, whole)
+		v.sync(backup, 4)
+		assert.Contains(t, backup.facts, Key{Drain, "s/a"}, "restarted %v", restarted)
+		v.sync(backup, 5)
+		assert.Equal(t, Follows, v.Standing)
+		assert.Equal(t, backup.meta, v.Meta)
+	}
+}
--- a/internal/record/view.go
+++ b/internal/record/view.go
@@ -39,6 +39,7 @@
 	Clock    int64 // the latest time heard: the machine's may be set back
 
 	facts      map[Key]Fact
+	wrote      int64                          // the highest revision of what this node wrote: the store stood there, whether or not it was read since
 	discovered map[string]map[string]Sighting // by service
 	heard      map[string]bool                // services whose discovery has spoken since the start
 	own        map[string]Drained             // drains that this node was told, by name
@@ -79,6 +80,7 @@
 	v.Meta, v.At, v.Clock, v.Standing = s.Meta, s.At, max(s.Clock, now), Never
 	for _, f := range s.Facts {
 		v.facts[f.Key] = f
+		v.wrote = max(v.wrote, f.Revision)
 	}
 	for name, d := range s.Drains {
 		v.tell(name, d)
@@ -92,9 +94,12 @@
 	Facts []Fact
 }
 
+// Stands is where this copy stands: as far as it has read, or has written.
+func (v *View) Stands() Meta { return Meta{v.Meta.Epoch, max(v.Meta.Revision, v.wrote)} }
+
 // Wants is what to ask the store for next, given where it stands: all of it, or what came after a revision.
 func (v *View) Wants(m Meta) (after int64, whole bool) {
-	if m.Epoch != v.Meta.Epoch || m.Revision < v.Meta.Revision {
+	if s := v.Stands(); m.Epoch != s.Epoch || m.Revision < s.Revision {
 		return 0, true
 	}
 	return v.Meta.Revision, false
@@ -105,7 +110,7 @@
 func (v *View) Store(p Page, now int64) {
 	v.tick(now)
 	switch {
-	case v.Meta.Epoch == "" || p.Meta.Epoch == v.Meta.Epoch && p.Meta.Revision >= v.Meta.Revision:
+	case v.Meta.Epoch == "" || p.Meta.Epoch == v.Meta.Epoch && p.Meta.Revision >= v.Stands().Revision:
 		v.Standing = Follows
 	case p.Meta.Epoch == v.Meta.Epoch:
 		v.Standing = Back
@@ -158,7 +163,7 @@
 		v.queueDrain(name, d)
 	}
 	if v.Standing != Back {
-		v.Meta = p.Meta
+		v.Meta, v.wrote = p.Meta, 0
 	}
 	v.At = now
 }
@@ -172,7 +177,7 @@
 // Settled ends a Back or Other once what was lacking has been written: from there the store is followed.
 func (v *View) Settled(m Meta) {
 	if len(v.pending) == 0 || m.Revision >= v.Meta.Revision {
-		v.Meta, v.Standing = m, Follows
+		v.Meta, v.wrote, v.Standing = m, 0, Follows
 	}
 }
 
@@ -393,6 +398,7 @@
 		delete(v.pending, c.Key)
 	}
 	if f.Revision > 0 {
+		v.wrote = max(v.wrote, f.Revision)
 		if was, ok := v.facts[f.Key]; !ok || was.Revision < f.Revision {
 			v.facts[f.Key] = f
 		}
