--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -331,8 +331,30 @@
 	if refused != nil {
 		return nil, record.Meta{}, refused
 	}
-	m, err := r.Meta(ctx)
-	return facts, m, err
+	return facts, r.reads(ctx, epoch, facts), nil
+}
+
+// reads waits for a while until the copy has what was written: who wrote it would else find this replica behind itself.
+func (r *Relay) reads(ctx context.Context, epoch string, facts []record.Fact) record.Meta {
+	ctx, cancel := context.WithTimeout(ctx, r.c.Check)
+	defer cancel()
+	to := int64(0)
+	for _, f := range facts {
+		to = max(to, f.Revision)
+	}
+	for {
+		r.mu.Lock()
+		m, ended := r.copy.Meta(), r.round
+		r.mu.Unlock()
+		if ctx.Err() != nil || m.Epoch != epoch || m.Revision >= to {
+			return m
+		}
+		ring(r.look)
+		select {
+		case <-ctx.Done():
+		case <-ended:
+		}
+	}
 }
 
 // write takes what waits to the store, one batch after the other.
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,451 @@
+package relay
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"robincart/decide"
+	"robincart/internal/keeper"
+	"robincart/internal/keys"
+	"robincart/internal/lab/pgstand"
+	"robincart/internal/node"
+	"robincart/internal/record"
+	"robincart/internal/store"
+	"robincart/internal/store/sqlstore"
+)
+
+// place is a store of record, replicas that relay it, and nodes.
+type place struct {
+	t  *testing.T
+	pg *pgstand.Server
+	db store.Store // people's way to it
+}
+
+func newPlace(t *testing.T) *place {
+	leaks := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, leaks) })
+	pg, err := pgstand.Start("127.0.0.1:0", filepath.Join(t.TempDir(), "rows"))
+	require.NoError(t, err)
+	t.Cleanup(pg.Stop)
+	db, err := sqlstore.Open(pg.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { db.Close() })
+	_, err = db.Init(t.Context(), false)
+	require.NoError(t, err)
+	return &place{t, pg, db}
+}
+
+// cuttable is a store that can be cut off for one replica alone.
+type cuttable struct {
+	store.Store
+	away atomic.Bool
+}
+
+var errAway = errors.New("cut off")
+
+func (c *cuttable) Meta(ctx context.Context) (record.Meta, error) {
+	if c.away.Load() {
+		return record.Meta{}, errAway
+	}
+	return c.Store.Meta(ctx)
+}
+
+func (c *cuttable) Write(ctx context.Context, epoch string, changes []record.Change) ([]record.Fact, record.Meta, error) {
+	if c.away.Load() {
+		return nil, record.Meta{}, errAway
+	}
+	return c.Store.Write(ctx, epoch, changes)
+}
+
+type relayed struct {
+	*Relay
+	up   *cuttable
+	addr string
+	stop func()
+}
+
+// relay starts one; addr is where nodes call, "": a new one.
+func (p *place) relay(addr string, ring *keys.Ring) *relayed {
+	up, err := sqlstore.OpenThere(p.pg.Address())
+	require.NoError(p.t, err)
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", addr)
+	require.NoError(p.t, err)
+	x := &relayed{up: &cuttable{Store: up}, addr: ln.Addr().String()}
+	if ring != nil {
+		ln = tls.NewListener(ln, ring.Server())
+	}
+	c := Defaults()
+	c.Poll, c.Timeout, c.Gather, c.Every, c.Check = 50*time.Millisecond, 300*time.Millisecond, 5*time.Millisecond, 100*time.Millisecond, 500*time.Millisecond
+	x.Relay = New(x.up, c, zap.NewNop())
+	ctx, end := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	all.Go(func() { x.Run(ctx) })
+	all.Go(func() { store.ServeWithin(ctx, ln, x.Relay, Within(100)) })
+	x.stop = sync.OnceFunc(func() { end(); all.Wait(); up.Close() })
+	p.t.Cleanup(x.stop)
+	return x
+}
+
+// core notes what it was told last.
+type core struct {
+	mu    sync.Mutex
+	state map[string]decide.State
+}
+
+func (c *core) Listed(entries []node.Entry, _ bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = map[string]decide.State{}
+	for _, e := range entries {
+		c.state[e.ID] = e.State
+	}
+}
+func (c *core) ListFailed(bool) {}
+
+func (c *core) drained(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state[id] == decide.Draining
+}
+
+func (p *place) node(name string, open func() (store.Store, error)) *keeper.Keeper {
+	k, err := keeper.Open(p.t.Context(), keeper.Config{Name: name, Store: "test", Open: open, Snapshot: filepath.Join(p.t.TempDir(), "snap"), Queue: 100, Timeout: time.Second,
+		Poll: 50 * time.Millisecond, MostAge: time.Hour}, zap.NewNop())
+	require.NoError(p.t, err)
+	p.t.Cleanup(sync.OnceFunc(k.Close))
+	return k
+}
+
+func through(addrs ...string) func() (store.Store, error) {
+	return func() (store.Store, error) { return store.Through(addrs, nil), nil }
+}
+
+func (p *place) direct() func() (store.Store, error) {
+	return func() (store.Store, error) { return sqlstore.OpenThere(p.pg.Address()) }
+}
+
+func list(phase decide.State, ids ...string) (out []node.Entry) {
+	for _, id := range ids {
+		out = append(out, node.Entry{ID: id, Addr: "10.0.0.1:80", State: phase, Weight: 1, Started: time.UnixMilli(1000)})
+	}
+	return out
+}
+
+func (p *place) write(kind record.Kind, name string, value string) int64 {
+	p.t.Helper()
+	m, err := p.db.Meta(p.t.Context())
+	require.NoError(p.t, err)
+	facts, _, err := p.db.Write(p.t.Context(), m.Epoch, []record.Change{{Key: record.Key{Kind: kind, Name: name}, Expect: record.Any, By: "op", Mark: fmt.Sprint(time.Now().UnixNano()),
+		Value: json.RawMessage(value)}})
+	require.NoError(p.t, err)
+	return facts[0].Revision
+}
+
+func (p *place) recorded(kind record.Kind, name string) bool {
+	s, err := p.db.Since(p.t.Context(), 0, 1000)
+	if err != nil {
+		return false
+	}
+	for _, f := range s.Facts {
+		if f.Kind == kind && f.Name == name && !f.Deleted {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *place) becomes(what string, is func() bool) {
+	p.t.Helper()
+	require.Eventually(p.t, is, 20*time.Second, 2*time.Millisecond, what)
+}
+
+// An upgrade: old nodes read the store themselves, new ones through replicas, and a new one stands before a controller that is not new yet. What one writes the others have.
+func TestOldAndNewNodesAndControllersHaveOneRecord(t *testing.T) {
+	p := newPlace(t)
+	r := p.relay("", nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // the new node's controller is an old one: nothing listens there yet
+	require.NoError(t, err)
+	later := ln.Addr().String()
+	ln.Close()
+	cores := map[string]*core{}
+	all := map[string]*keeper.Keeper{"old": p.node("old", p.direct()), "new": p.node("new", through(r.addr)), "early": p.node("early", through(later))}
+	sinks := map[string]*keeper.Sink{}
+	for name, k := range all {
+		cores[name] = &core{}
+		sinks[name] = k.Sink("s", cores[name])
+		sinks[name].Listed(list(decide.Ready, "a", "b", "c", "d"), true)
+	}
+	p.write(record.Drain, "s/a", `{"start_ms":0,"since_ms":1,"by":"op"}`)
+	for _, name := range []string{"old", "new"} {
+		p.becomes(name+" hears an operator", func() bool { return cores[name].drained("a") })
+	}
+	sinks["new"].Listed(list(decide.Draining, "b"), false)
+	p.becomes("the old one hears what the new one was told", func() bool { return cores["old"].drained("b") })
+	sinks["old"].Listed(list(decide.Draining, "c"), false)
+	p.becomes("and the other way", func() bool { return cores["new"].drained("c") })
+	assert.Contains(t, all["early"].Status().Fault, later, "what it waits for is named")
+	sinks["early"].Listed(list(decide.Draining, "d"), false)
+	assert.True(t, cores["early"].drained("d"), "in force at once, whoever listens")
+	p.relay(later, nil) // its controller is new
+	for name, c := range cores {
+		p.becomes(name, func() bool { return c.drained("a") && c.drained("b") && c.drained("c") && c.drained("d") })
+	}
+	p.becomes("nothing waits", func() bool {
+		s := all["early"].Status()
+		return s.Waiting == 0 && s.Standing == "follows" && s.Fault == ""
+	})
+}
+
+// A replica ends, by itself or with all: nodes are at another soon, and in the meantime have what they had.
+func TestAReplicaThatEndsCostsNoNodeItsRecord(t *testing.T) {
+	p := newPlace(t)
+	one, two := p.relay("", nil), p.relay("", nil)
+	k, c := p.node("n", through(one.addr, two.addr)), &core{}
+	k.Sink("s", c).Listed(list(decide.Ready, "a", "b", "d"), true)
+	p.becomes("at the first", func() bool { return one.Status().Nodes == 1 })
+	one.stop()
+	p.write(record.Drain, "s/a", `{"start_ms":0,"since_ms":1,"by":"op"}`)
+	p.becomes("told by the second", func() bool { return c.drained("a") && two.Status().Nodes == 1 })
+	two.stop()
+	p.becomes("none is left", func() bool { return k.Status().Fault != "" })
+	assert.True(t, c.drained("a"))
+	p.write(record.Drain, "s/b", `{"start_ms":0,"since_ms":1,"by":"op"}`)
+	p.relay(one.addr, nil)
+	p.becomes("told by the first again", func() bool { return c.drained("b") && k.Status().Fault == "" })
+}
+
+// A replica that hangs, with its connections open, is left for another.
+func TestAReplicaThatFellMuteIsLeft(t *testing.T) {
+	p := newPlace(t)
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { mute.Close() })
+	go func() {
+		for {
+			c, err := mute.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+		}
+	}()
+	good := p.relay("", nil)
+	c := &core{}
+	p.node("n", through(mute.Addr().String(), good.addr)).Sink("s", c).Listed(list(decide.Ready, "a"), true)
+	begun := time.Now()
+	p.write(record.Drain, "s/a", `{"start_ms":0,"since_ms":1,"by":"op"}`)
+	p.becomes("told by the other", func() bool { return c.drained("a") })
+	assert.Less(t, time.Since(begun), 10*time.Second, "what is written is in force everywhere by then")
+}
+
+// The store goes away: replicas go on with their copies and say how old they are, a node that starts meanwhile has the record, and drains wait.
+func TestAReplicaServesItsCopyWhileTheStoreIsAway(t *testing.T) {
+	p := newPlace(t)
+	r := p.relay("", nil)
+	p.write(record.Drain, "s/a", `{"start_ms":0,"since_ms":1,"by":"op"}`)
+	p.write(record.Route, "r", `{"toml":"x"}`)
+	old := p.node("old", through(r.addr))
+	p.becomes("heard", func() bool { return len(old.Of(record.Route)) == 1 })
+	p.pg.Refuse(true)
+	p.pg.Cut()
+	p.becomes("the replica says so", func() bool { return r.Status().Fault != "" })
+	fresh, c := p.node("fresh", through(r.addr)), &core{}
+	sink := fresh.Sink("s", c)
+	sink.Listed(list(decide.Ready, "a", "b"), true)
+	assert.True(t, c.drained("a"), "known from the replica's copy")
+	assert.Len(t, fresh.Of(record.Route), 1)
+	sink.Listed(list(decide.Draining, "b"), false)
+	assert.True(t, c.drained("b"), "in force before it is recorded")
+	p.becomes("its word grows old", func() bool { return fresh.Status().HeardAgo > 0.3 })
+	p.pg.Refuse(false)
+	p.becomes("recorded when the store is back", func() bool { return p.recorded(record.Drain, "s/b") })
+	p.becomes("all is well", func() bool {
+		s := fresh.Status()
+		return s.Fault == "" && s.Waiting == 0 && s.HeardAgo < 5 && r.Status().Fault == ""
+	})
+}
+
+// Regions lose each other: the replica on the far side is behind. A node that comes to it from another must not be taken back, nor by an import that it has not heard of.
+func TestANodeIsNotTakenBackByAReplicaThatIsBehind(t *testing.T) {
+	for _, imported := range []bool{false, true} {
+		t.Run(fmt.Sprint("imported ", imported), func(t *testing.T) {
+			p := newPlace(t)
+			near, far := p.relay("", nil), p.relay("", nil)
+			p.write(record.Route, "r", `{"toml":"first"}`)
+			p.becomes("both have it", func() bool { return near.Status().Revision == 1 && far.Status().Revision == 1 })
+			k := p.node("n", through(near.addr, far.addr))
+			far.up.away.Store(true)
+			p.becomes("cut off", func() bool { return far.Status().Fault != "" })
+			if imported {
+				page, err := p.db.Since(t.Context(), 0, 100)
+				require.NoError(t, err)
+				page.Facts[0].Value = json.RawMessage(`{"toml":"second"}`)
+				_, err = p.db.Replace(t.Context(), page.Facts)
+				require.NoError(t, err)
+			} else {
+				p.write(record.Route, "r", `{"toml":"second"}`)
+			}
+			is := func(want string) bool {
+				f := k.Of(record.Route)
+				return len(f) == 1 && string(f[0].Value) == `{"toml":"`+want+`"}`
+			}
+			p.becomes("the near one tells it", func() bool { return is("second") })
+			near.stop()
+			p.becomes("the far one says that it is behind", func() bool { return k.Status().Fault != "" })
+			assert.Contains(t, k.Status().Fault, "no controller tells the record")
+			assert.True(t, is("second"))
+			assert.Zero(t, far.Status().Nodes)
+			far.up.away.Store(false)
+			p.becomes("together again", func() bool { return k.Status().Fault == "" && far.Status().Nodes == 1 })
+			assert.True(t, is("second"))
+		})
+	}
+}
+
+// A store that really went back to a backup is told as one that is read directly would be: drains are written again.
+func TestABackupLosesNoDrainThroughAReplica(t *testing.T) {
+	p := newPlace(t)
+	r := p.relay("", nil)
+	k, c := p.node("n", through(r.addr)), &core{}
+	sink := k.Sink("s", c)
+	sink.Listed(list(decide.Ready, "a", "b"), true)
+	p.becomes("recorded", func() bool { return k.Status().Waiting == 0 && p.recorded(record.Server, "s/a") })
+	backup := filepath.Join(t.TempDir(), "backup")
+	require.NoError(t, p.pg.Backup(backup))
+	sink.Listed(list(decide.Draining, "a"), false)
+	p.becomes("recorded", func() bool { return p.recorded(record.Drain, "s/a") })
+	require.NoError(t, p.pg.Restore(backup))
+	p.becomes("written again", func() bool { return p.recorded(record.Drain, "s/a") })
+	assert.True(t, c.drained("a"))
+	p.becomes("followed", func() bool { return k.Status().Standing == "follows" && k.Status().Waiting == 0 })
+	p.write(record.Drain, "s/b", `{"start_ms":0,"since_ms":1,"by":"op"}`)
+	p.becomes("and what comes after arrives", func() bool { return c.drained("b") })
+}
+
+// held keeps each write until it is let go.
+type held struct {
+	store.Store
+	came chan struct{}
+	free chan struct{}
+	n    atomic.Int64
+}
+
+func (h *held) Write(ctx context.Context, epoch string, changes []record.Change) ([]record.Fact, record.Meta, error) {
+	h.n.Add(1)
+	h.came <- struct{}{}
+	<-h.free
+	return h.Store.Write(ctx, epoch, changes)
+}
+
+// All nodes write the same in one moment: the store is asked once, and each has its answer. One change that is refused costs no other.
+func TestManyNodesWritesAreOne(t *testing.T) {
+	p := newPlace(t)
+	up := &held{Store: p.db, came: make(chan struct{}, 100), free: make(chan struct{})}
+	c := Defaults()
+	c.Gather = time.Millisecond
+	r := New(up, c, zap.NewNop())
+	ctx, end := context.WithCancel(t.Context())
+	var run sync.WaitGroup
+	run.Go(func() { r.Run(ctx) })
+	t.Cleanup(func() { end(); run.Wait() })
+	p.becomes("read", func() bool { _, err := r.Meta(ctx); return err == nil })
+	m, _ := r.Meta(ctx)
+	change := func(name, phase string, start, mark int) record.Change {
+		return record.Change{Key: record.Key{Kind: record.Server, Name: name}, Expect: record.Any, By: fmt.Sprint("n", mark), Mark: fmt.Sprint(name, phase, start, mark),
+			Value: json.RawMessage(fmt.Sprintf(`{"addr":"10.0.0.1:80","phase":%q,"start_ms":%d,"listed":%d}`, phase, start, mark))}
+	}
+	var all sync.WaitGroup
+	write := func(changes ...record.Change) (fact *record.Fact, err *error) {
+		fact, err = new(record.Fact), new(error)
+		all.Go(func() {
+			var f []record.Fact
+			if f, _, *err = r.Write(ctx, m.Epoch, changes); *err == nil {
+				*fact = f[0]
+			}
+		})
+		return fact, err
+	}
+	first, _ := write(change("s/a", "draining", 5, 0))
+	<-up.came // the first is on its way, and is held
+	var facts []*record.Fact
+	var errs []*error
+	for i := 1; i < 50; i++ {
+		f, err := write(change("s/a", "draining", 5, i))
+		facts, errs = append(facts, f), append(errs, err)
+	}
+	p.becomes("merged", func() bool { return r.Status().Merged == 49 })
+	close(up.free)
+	all.Wait()
+	for i := range facts {
+		assert.NoError(t, *errs[i])
+		assert.Equal(t, first.Revision, facts[i].Revision)
+	}
+	assert.EqualValues(t, 1, up.n.Load(), "one write for fifty nodes")
+
+	up.free = make(chan struct{})
+	_, _ = write(change("s/hold", "ready", 1, 0))
+	<-up.came
+	_, stale := write(change("s/a", "ready", 4, 0)) // an older process than is recorded
+	good, fine := write(change("s/b", "ready", 1, 0))
+	p.becomes("both asked", func() bool { s := r.Status(); return s.Waiting+s.Answered >= 2 })
+	close(up.free)
+	all.Wait()
+	var is *record.Stale
+	assert.ErrorAs(t, *stale, &is)
+	assert.NoError(t, *fine)
+	assert.NotZero(t, good.Revision)
+	_, _, err := r.Write(ctx, m.Epoch, []record.Change{{Key: record.Key{Kind: record.Route, Name: "r"}, Expect: record.Any, Mark: "m", Value: json.RawMessage(`{}`)}})
+	assert.ErrorContains(t, err, "and nothing else")
+	gone, stop := context.WithCancel(ctx)
+	stop()
+	_, _, err = r.Write(gone, m.Epoch, []record.Change{change("s/c", "ready", 1, 0)})
+	assert.ErrorIs(t, err, store.ErrUnknown, "who does not wait does not know")
+	_, _, err = r.Write(ctx, "other", []record.Change{change("s/d", "ready", 1, 0)})
+	assert.ErrorIs(t, err, record.ErrEpoch)
+}
+
+// With keys, who shows none is told nothing and writes nothing.
+func TestKeysAreAskedOfNodes(t *testing.T) {
+	p := newPlace(t)
+	dir := t.TempDir()
+	require.NoError(t, keys.Make(dir, []string{"controller", "node"}, nil, time.Hour))
+	require.NoError(t, keys.Make(filepath.Join(dir, "other"), []string{"node"}, nil, time.Hour))
+	ring := func(dir, name string) *keys.Ring {
+		r, err := keys.Open(keys.Files{Cert: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+".key"), CA: filepath.Join(dir, "ca.pem")}, zap.NewNop())
+		require.NoError(t, err)
+		return r
+	}
+	r := p.relay("", ring(dir, "controller"))
+	try := func(secure func(string) *tls.Config) (record.Meta, error) {
+		s := store.Through([]string{r.addr}, secure)
+		defer s.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		return s.Meta(ctx)
+	}
+	m, err := try(ring(dir, "node").Client)
+	require.NoError(t, err)
+	assert.NotEmpty(t, m.Epoch)
+	_, err = try(nil)
+	assert.Error(t, err)
+	_, err = try(ring(filepath.Join(dir, "other"), "node").Client)
+	assert.ErrorContains(t, err, "keys")
+	assert.Zero(t, r.Status().Nodes)
+}
--- a/internal/store/controllers.go
+++ b/internal/store/controllers.go
@@ -27,6 +27,8 @@
 	silence     = 5 * time.Second // a replica that lives says something every two
 	firstPause  = 50 * time.Millisecond
 	longPause   = 2 * time.Second
+	stale       = 4 * time.Second // a replica whose own word of the store is older is left for one that has a newer
+	probeFor    = 1500 * time.Millisecond
 	mostAddress = 8
 )
 
@@ -84,6 +86,10 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		begun := time.Now()
 		err := s.follow(ctx, s.addrs[i%len(s.addrs)])
+		if better := (*fresher)(nil); errors.As(err, &better) {
+			i = slices.Index(s.addrs, better.addr) - 1
+			continue
+		}
 		s.mu.Lock()
 		s.at, s.why = "", err
 		s.stir()
@@ -147,37 +153,23 @@
 		return bad(err)
 	}
 	in := bufio.NewReaderSize(c, mostLine)
+	next := slices.Index(s.addrs, addr)
 	for first := true; ; {
 		c.SetReadDeadline(time.Now().Add(silence))
-		line, err := in.ReadSlice('\n')
-		if errors.Is(err, bufio.ErrBufferFull) {
-			err = errors.New("a line without end")
-		}
+		is, err := line(in)
 		if err != nil {
 			return bad(err)
 		}
-		var is struct {
-			Stand
-			Fault string
-			Name  string
-		}
-		if len(line) > 1 {
-			if err := json.Unmarshal(line, &is); err != nil {
-				return bad(fmt.Errorf("no proper line: %w", err))
-			}
-			r := reply{Fault: is.Fault, Name: is.Name}
-			if err := r.err(); err != nil {
-				return bad(err)
-			}
-			if is.Meta.Epoch == "" || is.Meta.Revision < 0 || is.Age < 0 {
-				return bad(errors.New("no proper line: it does not say where the record stands"))
+		if is != nil && is.age() > stale && len(s.addrs) > 1 { // another may not be cut off from the store
+			if next = (next + 1) % len(s.addrs); s.addrs[next] != addr && s.probe(ctx, s.addrs[next], known) < is.age()/2 {
+				return &fresher{s.addrs[next]}
 			}
 		}
 		s.mu.Lock()
 		now := time.Now()
 		switch {
-		case len(line) > 1:
-			s.heard = now.Add(-min(time.Duration(is.Age), 1<<40) * time.Millisecond)
+		case is != nil:
+			s.heard = now.Add(-is.age())
 			// What was read meanwhile may be newer than a line that was on its way.
 			if first || is.Meta.Epoch != s.stand.Epoch || is.Meta.Revision > s.stand.Revision {
 				if s.stand = is.Meta; first {
@@ -193,6 +185,63 @@
 	}
 }
 
+// fresher ends a connection for a better one.
+type fresher struct{ addr string }
+
+func (f *fresher) Error() string {
+	return "the controller at " + f.addr + " has a newer word of the store"
+}
+
+// probe is how old another replica's word of the store is.
+func (s *through) probe(ctx context.Context, addr string, known record.Meta) time.Duration {
+	const none = 1 << 62
+	ctx, cancel := context.WithTimeout(ctx, probeFor)
+	defer cancel()
+	c, err := s.dial(ctx, addr)
+	if err != nil {
+		return none
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(probeFor))
+	if json.NewEncoder(c).Encode(call{Op: "follow", At: &known, Left: probeFor}) != nil {
+		return none
+	}
+	is, err := line(bufio.NewReaderSize(c, mostLine))
+	if err != nil || is == nil {
+		return none
+	}
+	return is.age()
+}
+
+func (s *Stand) age() time.Duration { return time.Duration(min(s.Age, 1<<40)) * time.Millisecond }
+
+// line reads what a replica says; nil is a sign of life.
+func line(in *bufio.Reader) (*Stand, error) {
+	text, err := in.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		err = errors.New("a line without end")
+	}
+	if err != nil || len(text) == 1 {
+		return nil, err
+	}
+	var is struct {
+		Stand
+		Fault string
+		Name  string
+	}
+	if err := json.Unmarshal(text, &is); err != nil {
+		return nil, fmt.Errorf("no proper line: %w", err)
+	}
+	r := reply{Fault: is.Fault, Name: is.Name}
+	if err := r.err(); err != nil {
+		return nil, err
+	}
+	if is.Meta.Epoch == "" || is.Meta.Revision < 0 || is.Age < 0 {
+		return nil, errors.New("no proper line: it does not say where the record stands")
+	}
+	return &is.Stand, nil
+}
+
 // At tells where the caller stands, so that no replica that is behind takes it back.
 func (s *through) At(m record.Meta) {
 	s.mu.Lock()
@@ -230,12 +279,19 @@
 	if err != nil {
 		return r, err
 	}
+	s.mu.Lock()
+	turn := s.turn
+	s.mu.Unlock()
 	conn, err := s.dial(ctx, addr)
 	if err != nil {
 		return r, fmt.Errorf("the controller at %s: %w", addr, err)
 	}
 	c.At = &known
-	return ask(ctx, conn, c, mostReply, "the controller at "+addr)
+	if r, err = ask(ctx, conn, c, mostReply, "the controller at "+addr); err == nil {
+		s.hears(turn, r.Meta)
+		s.hears(turn, r.Page.Meta)
+	}
+	return r, err
 }
 
 func (s *through) Meta(ctx context.Context) (record.Meta, error) {
@@ -244,20 +300,19 @@
 }
 
 func (s *through) Since(ctx context.Context, after int64, most int) (record.Page, error) {
-	s.mu.Lock()
-	turn := s.turn
-	s.mu.Unlock()
 	r, err := s.call(ctx, call{Op: "since", After: after, Most: most})
-	if err == nil {
-		s.mu.Lock()
-		if m := r.Page.Meta; turn == s.turn && m.Epoch == s.stand.Epoch && m.Revision > s.stand.Revision {
-			s.stand = m
-		}
-		s.mu.Unlock()
-	}
 	return r.Page, err
 }
 
+// hears takes where the replica stood when it answered a call, if it is the one that still tells: that may be further than its last line.
+func (s *through) hears(turn int, m record.Meta) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if turn == s.turn && m.Epoch == s.stand.Epoch && m.Revision > s.stand.Revision {
+		s.stand = m
+	}
+}
+
 func (s *through) Write(ctx context.Context, epoch string, changes []record.Change) ([]record.Fact, record.Meta, error) {
 	r, err := s.call(ctx, call{Op: "write", Epoch: epoch, Changes: changes})
 	if err == nil && len(r.Facts) != len(changes) {
