Controller tells nodes the record; a taken port ends its start; files checked; a node program end to end

controller.toml [record] listen and callers, record.store = controllers:... at nodes: wrong forms and addresses beyond this machine without keys are named. A port taken by another kept the controller running without its list: it waited for goroutines that end by a context which it ended only afterwards. TestATakenPortEndsTheStart: 20 s and 'it goes on without its list' without the change (seen). The relay's writer sends drains by themselves and halves a batch that a far store can't take in time (as found by the hollow fleet). Run: go test -race ./internal/store ./internal/operator ./internal/controller: ok; scale test of connections, commits and notifications at 6 and 24 nodes, three times: ok.

--- a/cmd/robincart/services_test.go
+++ b/cmd/robincart/services_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,9 +21,15 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"robincart/internal/keeper"
 	"robincart/internal/lab/chaos"
 	"robincart/internal/lab/standin"
+	"robincart/internal/record"
+	"robincart/internal/relay"
+	"robincart/internal/store"
+	"robincart/internal/store/sqlstore"
 )
 
 const oneService = `
@@ -142,6 +151,58 @@
 	becomes(200)
 }
 
+// The same told by a controller's replica: no program beside the node, and what was in force outlasts the replica and the node.
+func TestTheRecordComesThroughAReplica(t *testing.T) {
+	dir := t.TempDir()
+	up, err := sqlstore.Open("sqlite:" + filepath.Join(dir, "record.db"))
+	require.NoError(t, err)
+	t.Cleanup(func() { up.Close() })
+	_, err = up.Init(t.Context(), false)
+	require.NoError(t, err)
+	at := freeAddress(t)
+	begin := func() (stop func()) {
+		ln, err := net.Listen("tcp", at)
+		require.NoError(t, err)
+		r := relay.New(up, relay.Defaults(), zap.NewNop())
+		ctx, end := context.WithCancel(context.Background())
+		var all sync.WaitGroup
+		all.Go(func() { r.Run(ctx) })
+		all.Go(func() { store.ServeWithin(ctx, ln, r, relay.Within(10)) })
+		stop = sync.OnceFunc(func() { end(); all.Wait() })
+		t.Cleanup(stop)
+		return stop
+	}
+	stop := begin()
+	t.Setenv("ROBINCART_RECORD", filepath.Join(dir, "no such program"))
+	a := newServer(t, says(200, "a"))
+	p := withServices(t, fmt.Sprintf("[record]\nstore = \"controllers:%s\"\nsnapshot = %q\n", at, filepath.Join(dir, "snap"))+service("first", a, 0.5, "")+route("a.example.org", "first"))
+	set := func(name, host string) {
+		m, err := up.Meta(t.Context())
+		require.NoError(t, err)
+		value, _ := json.Marshal(map[string]string{"toml": fmt.Sprintf("[[route]]\nname = %q\nhost = %q\nto = \"first\"\n", name, host)})
+		_, _, err = up.Write(t.Context(), m.Epoch, []record.Change{{Key: record.Key{Kind: record.Route, Name: name}, Expect: 0, By: "op", Mark: name, Value: value}})
+		require.NoError(t, err)
+	}
+	becomes := func(host string) {
+		t.Helper()
+		require.Eventually(t, func() bool { status, _ := p.asks(nil, "GET /find", "Host: "+host); return status == 200 }, 20*time.Second, 20*time.Millisecond, "%s", lateLog{p})
+	}
+	becomes("a.example.org")
+	set("b", "b.example.org")
+	becomes("b.example.org")
+	require.Eventually(t, func() bool {
+		s, found, err := keeper.PeekSnapshot(filepath.Join(dir, "snap"))
+		return err == nil && found && slices.ContainsFunc(s.Facts, func(f record.Fact) bool { return f.Kind == record.Route })
+	}, 20*time.Second, 5*time.Millisecond)
+	stop()
+	p.Kill()
+	require.NoError(t, p.Start(t.Context()))
+	becomes("b.example.org") // by its snapshot alone
+	set("c", "c.example.org")
+	begin()
+	becomes("c.example.org")
+}
+
 // Nodes and their store are killed at random under load; seeds are printed where it fails.
 func TestNothingIsLostWhenNodesAndTheirStoreDie(t *testing.T) {
 	helper := recordHelper(t)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -108,6 +108,9 @@
 	if err := c.Membership.Valid(); err != nil {
 		return nil, fmt.Errorf("membership: %w", err)
 	}
+	if c.Record != "" && c.Store == nil {
+		return nil, errors.New("the record can't be told to nodes: there is no store of it")
+	}
 	c.Fanout.Epoch = func(revision int64) int64 { return revision >> epochBits }
 	k := &Controller{c: c, log: log, begin: time.Now(), whole: make(chan struct{}), base: rand.Int63n(1 << (epochBits - 1)), state: membership.New(c.Membership, 0), synced: map[string]bool{}, lists: map[string]*fanout.List{},
 		names: map[string]string{}, conds: map[string][]core.PodCondition{}, bad: map[string]string{}, cut: map[string]*cut{}}
@@ -138,6 +141,9 @@
 
 // Run follows and serves until the context ends. The error is what kept it from starting.
 func (k *Controller) Run(ctx context.Context) error {
+	if k.c.Store != nil {
+		defer k.c.Store.Close()
+	}
 	var listeners []net.Listener
 	defer func() {
 		for _, ln := range listeners {
@@ -249,7 +255,6 @@
 		from(cache.NewListWatchFromClient(clients[group], resource, namespace, selection.Everything()), resource, example, s)
 	}
 	if k.c.Store != nil {
-		defer k.c.Store.Close()
 		b, err := newBook(k, k.c.Store)
 		if err != nil {
 			return err
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -22,6 +22,7 @@
 	"robincart/internal/fanout"
 	"robincart/internal/lab/apiserver"
 	"robincart/internal/membership"
+	"robincart/internal/store/sqlstore"
 )
 
 // story is a stand-in API, met by the real client library, and a replica of the controller.
@@ -357,3 +358,32 @@
 type probe struct{ k *Controller }
 
 func (p probe) String() string { return fmt.Sprintf("%+v", p.k.Status()) }
+
+// A port that another has taken ends the start with its name, and everything that was begun.
+func TestATakenPortEndsTheStart(t *testing.T) {
+	api, err := apiserver.Start("127.0.0.1:0", nil)
+	require.NoError(t, err)
+	t.Cleanup(api.Stop)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer taken.Close()
+	at := taken.Addr().String()
+	there, err := sqlstore.Open("sqlite:" + filepath.Join(t.TempDir(), "record.db"))
+	require.NoError(t, err)
+	_, err = New(Config{Record: at, Membership: membership.Defaults(), Fanout: fanout.Defaults()}, zap.NewNop())
+	assert.ErrorContains(t, err, "there is no store")
+	for _, c := range []Config{{Services: []Service{{Name: "s", Service: "s", Listen: at}}}, {Record: at, Store: there, Services: []Service{{Name: "s", Service: "s", Listen: free(t)}}}} {
+		c.API, c.Namespace, c.Identity, c.Lease, c.Hold = &rest.Config{Host: "http://" + api.Addr()}, "default", "one", "l", 2*time.Second
+		c.Membership, c.Fanout = membership.Defaults(), fanout.Defaults()
+		k, err := New(c, zap.NewNop())
+		require.NoError(t, err)
+		ended := make(chan error, 1)
+		go func() { ended <- k.Run(t.Context()) }()
+		select {
+		case err := <-ended:
+			assert.ErrorContains(t, err, at)
+		case <-time.After(20 * time.Second):
+			t.Fatal("it goes on without its list")
+		}
+	}
+}
--- a/internal/controller/wishes_test.go
+++ b/internal/controller/wishes_test.go
@@ -18,6 +18,7 @@
 	"robincart/internal/lab/apiserver"
 	"robincart/internal/membership"
 	"robincart/internal/record"
+	"robincart/internal/store"
 	"robincart/internal/store/sqlstore"
 )
 
@@ -39,7 +40,8 @@
 	list := free(t)
 	s, err := sqlstore.OpenThere(at)
 	require.NoError(t, err)
-	k, err := New(Config{API: &rest.Config{Host: "http://" + api.Addr()}, Namespace: "default", Identity: "one", Lease: "l", Hold: 2 * time.Second, Store: s,
+	told := free(t)
+	k, err := New(Config{API: &rest.Config{Host: "http://" + api.Addr()}, Namespace: "default", Identity: "one", Lease: "l", Hold: 2 * time.Second, Store: s, Record: told, Callers: 10,
 		Membership: membership.Defaults(), Fanout: fanout.Defaults(), Services: []Service{{Name: "front", Service: "s", Listen: list}}}, zap.NewNop())
 	require.NoError(t, err)
 	ctx, end := context.WithCancel(context.Background())
@@ -72,6 +74,13 @@
 	becomes("odd", "spec: ")
 	assert.Len(t, recorded(), 1)
 	assert.Contains(t, recorded()["service front"], "127.0.0.1:1")
+	through := store.Through([]string{told}, nil) // as a node is told it
+	t.Cleanup(func() { through.Close() })
+	require.Eventually(t, func() bool {
+		p, err := through.Since(t.Context(), 0, 100)
+		return err == nil && len(p.Facts) == 1 && p.Facts[0].Name == "front"
+	}, 20*time.Second, 5*time.Millisecond)
+	assert.Equal(t, 1, k.Status().Relay.Nodes)
 	node, err := net.Dial("tcp", list)
 	require.NoError(t, err)
 	defer node.Close()
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -37,6 +38,34 @@
 	assert.Equal(t, c.Limits, fresh.Limits)
 }
 
+func TestTheRecordThroughControllersIsChecked(t *testing.T) {
+	keyed := "[keys]\ncert = \"a\"\nkey = \"b\"\nca = \"c\"\n"
+	for store, want := range map[string]string{
+		"controllers:127.0.0.1:8600,[::1]:8600": "",
+		"controllers:10.0.0.5:8600":             "without [keys] a controller has to be at a loopback address, and 10.0.0.5:8600 is none",
+		"controllers:control.example.org:8600":  "without [keys]",
+		"controllers:":                          "is no address with a port",
+		"controllers:10.0.0.5:8600,10.0.0.5":    `"10.0.0.5" is no address with a port`,
+		"controller:10.0.0.5:8600":              "controllers:HOST:PORT",
+	} {
+		text := string(example(t)) + "\n[record]\nstore = \"" + store + "\"\n"
+		c, err := Parse([]byte(text))
+		if want == "" {
+			require.NoError(t, err, store)
+			assert.Equal(t, store, c.Record.Store)
+			continue
+		}
+		assert.ErrorContains(t, err, "record.store", store)
+		assert.ErrorContains(t, err, want, store)
+		if strings.HasPrefix(want, "without [keys]") {
+			_, err = Parse([]byte(text + keyed))
+			assert.NoError(t, err, store)
+		}
+	}
+	_, err := Parse([]byte(string(example(t)) + "\n[record]\nstore = \"controllers:127.0.0.1:8600\"\ntimeout = \"-1s\"\n"))
+	assert.ErrorContains(t, err, "record.timeout")
+}
+
 // Whatever the file says: an error with words, or a configuration whose every part is there.
 func FuzzParse(f *testing.F) {
 	f.Add(example(f))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -359,9 +359,9 @@
 
 // write takes what waits to the store, one batch after the other.
 func (r *Relay) write(ctx context.Context) {
-	for {
+	for most := r.c.Batch; ; {
 		r.mu.Lock()
-		batch := r.queue.Next(r.c.Batch)
+		batch := r.queue.Next(most)
 		r.mu.Unlock()
 		if len(batch) == 0 {
 			select {
@@ -371,7 +371,12 @@
 				continue
 			}
 		}
-		r.send(ctx, batch)
+		// A far store takes long for each change: a batch that never gets done in its time would be tried for ever, and hold the store's lock meanwhile.
+		if err := r.send(ctx, batch); errors.Is(err, context.DeadlineExceeded) {
+			most = max(len(batch)/2, 1)
+		} else if err == nil && len(batch) == most {
+			most = min(2*most, r.c.Batch)
+		}
 		r.mu.Lock()
 		r.queue.Ended(batch)
 		r.counts.Written += len(batch)
@@ -384,7 +389,7 @@
 }
 
 // send writes a batch in one transaction, or where one of it is refused each by itself, so that it costs no other.
-func (r *Relay) send(ctx context.Context, batch []*replica.Job) {
+func (r *Relay) send(ctx context.Context, batch []*replica.Job) error {
 	changes := make([]record.Change, len(batch))
 	for i, j := range batch {
 		changes[i] = j.Change
@@ -405,13 +410,14 @@
 				j.Fact = f[0]
 			}
 		}
-		return
+		return nil
 	}
 	for i, j := range batch {
 		if j.Err = err; err == nil {
 			j.Fact = facts[i]
 		}
 	}
+	return err
 }
 
 // Wait returns when the copy has changed, or after a while.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -421,6 +421,53 @@
 	assert.ErrorIs(t, err, record.ErrEpoch)
 }
 
+// far is a store to which each change takes a while, as over a long way.
+type far struct {
+	store.Store
+	each time.Duration
+}
+
+func (f *far) Write(ctx context.Context, epoch string, changes []record.Change) ([]record.Fact, record.Meta, error) {
+	select {
+	case <-ctx.Done():
+		return nil, record.Meta{}, ctx.Err()
+	case <-time.After(time.Duration(len(changes)) * f.each):
+	}
+	return f.Store.Write(ctx, epoch, changes)
+}
+
+// More waits than a far store can take in one call's time: it is written in smaller parts, drains before it.
+func TestAFarStoreIsWrittenInSmallerParts(t *testing.T) {
+	p := newPlace(t)
+	c := Defaults()
+	c.Gather, c.Timeout = time.Millisecond, 400*time.Millisecond
+	r := New(&far{p.db, 20 * time.Millisecond}, c, zap.NewNop())
+	ctx, end := context.WithCancel(t.Context())
+	var run sync.WaitGroup
+	run.Go(func() { r.Run(ctx) })
+	t.Cleanup(func() { end(); run.Wait() })
+	p.becomes("read", func() bool { _, err := r.Meta(ctx); return err == nil })
+	m, _ := r.Meta(ctx)
+	var changes []record.Change
+	for i := range 100 { // two seconds of them
+		changes = append(changes, record.Change{Key: record.Key{Kind: record.Server, Name: fmt.Sprint("s/", i)}, Expect: record.Any, By: "n", Mark: fmt.Sprint("m", i),
+			Value: json.RawMessage(`{"addr":"10.0.0.1:80","phase":"ready","start_ms":5,"listed":1}`)})
+	}
+	var all sync.WaitGroup
+	all.Go(func() { // as a node does: again until all of it is there
+		for ctx.Err() == nil {
+			if _, _, err := r.Write(ctx, m.Epoch, changes); err == nil {
+				return
+			}
+		}
+	})
+	p.becomes("the first part is tried", func() bool { return r.Status().Waiting > 0 || r.Status().Written > 0 })
+	_, _, err := r.Write(ctx, m.Epoch, []record.Change{{Key: record.Key{Kind: record.Drain, Name: "s/1"}, Expect: record.Any, By: "n", Mark: "d", Value: json.RawMessage(`{"start_ms":5,"since_ms":1,"by":"discovery"}`)}})
+	assert.NoError(t, err)
+	all.Wait()
+	assert.True(t, p.recorded(record.Server, "s/99"))
+}
+
 // With keys, who shows none is told nothing and writes nothing.
 func TestKeysAreAskedOfNodes(t *testing.T) {
 	p := newPlace(t)
@@ -449,3 +496,62 @@
 	assert.ErrorContains(t, err, "keys")
 	assert.Zero(t, r.Status().Nodes)
 }
+
+// What the store is asked does not grow with the fleet: connections, commits and notifications are those of the replicas, at four times the nodes, too.
+func TestTheStoreIsAskedByReplicasAndNotByNodes(t *testing.T) {
+	asked := map[int]pgstand.Counts{}
+	for _, n := range []int{6, 24} {
+		t.Run(fmt.Sprint(n, " nodes"), func(t *testing.T) {
+			p := newPlace(t)
+			var addrs []string
+			var replicas []*relayed
+			for range 3 {
+				r := p.relay("", nil)
+				addrs, replicas = append(addrs, r.addr), append(replicas, r)
+			}
+			var cores []*core
+			var sinks []*keeper.Sink
+			var nodes []*keeper.Keeper
+			for i := range n {
+				c := &core{}
+				k := p.node(fmt.Sprint("n", i), through(addrs[i%3], addrs[(i+1)%3]))
+				s := k.Sink("s", c)
+				s.Listed(list(decide.Ready, "a", "b", "c"), true)
+				nodes, cores, sinks = append(nodes, k), append(cores, c), append(sinks, s)
+			}
+			settled := func() bool {
+				for _, k := range nodes {
+					if k.Status().Waiting > 0 {
+						return false
+					}
+				}
+				return true
+			}
+			p.becomes("the first list is written", settled)
+			before := p.pg.Counts()
+			for i, s := range sinks { // a drain that discovery tells all of, each replica of it with its own numbers
+				e := list(decide.Draining, "a")
+				e[0].Listed = int64(1000 * (i%3 + 1))
+				go s.Listed(e, false)
+			}
+			p.write(record.Drain, "s/b", `{"start_ms":0,"since_ms":1,"by":"op"}`)
+			p.becomes("told to all", func() bool {
+				for _, c := range cores {
+					if !c.drained("a") || !c.drained("b") {
+						return false
+					}
+				}
+				return settled()
+			})
+			for _, r := range replicas {
+				assert.Equal(t, n/3, r.Status().Nodes)
+			}
+			c := p.pg.Counts()
+			assert.LessOrEqual(t, c.Most, 3*3+3, "three a replica, and people's")
+			assert.LessOrEqual(t, c.Commits-before.Commits, 3, "the operator's, and the fleet's once or twice")
+			assert.LessOrEqual(t, c.Notices-before.Notices, 9, "each replica hears of each")
+			asked[n] = c
+		})
+	}
+	assert.LessOrEqual(t, asked[24].Most, 12, "%+v", asked)
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -197,17 +197,28 @@
 	return err == nil && outcome != record.Write
 }
 
-// Next takes the next changes out, so many at most: of one epoch and each key once, in the order in which they came.
-func (q *Queue) Next(most int) (batch []*Job) {
+// Next takes the next changes out, so many at most: of one epoch and each key once, in the order in which they came. Drains go before all else and by
+// themselves: they wait for nothing that is large.
+func (q *Queue) Next(most int) []*Job {
+	if batch := q.next(most, true); len(batch) > 0 {
+		return batch
+	}
+	return q.next(most, false)
+}
+
+func (q *Queue) next(most int, drains bool) (batch []*Job) {
 	keys, left := map[record.Key]bool{}, q.jobs[:0:0]
 	for _, j := range q.jobs {
-		if len(batch) < most && !keys[j.Change.Key] && (len(batch) == 0 || j.Epoch == batch[0].Epoch) {
+		is := (j.Change.Kind == record.Drain) == drains
+		if is && len(batch) < most && !keys[j.Change.Key] && (len(batch) == 0 || j.Epoch == batch[0].Epoch) {
 			batch = append(batch, j)
 		} else {
 			left = append(left, j)
 		}
 		keys[j.Change.Key] = true // a later one of the same key waits for the earlier
 	}
-	q.jobs = left
+	if len(batch) > 0 {
+		q.jobs = left
+	}
 	return batch
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -154,6 +154,13 @@
 		assert.Equal(t, []*Job{want}, batch)
 		q.Ended(batch)
 	}
+	late := q.Add("e", sighting("s/z", "ready", 1))
+	drain := q.Add("f", record.Change{Key: record.Key{Kind: record.Drain, Name: "s/z"}, Expect: record.Any, Mark: "m", Value: json.RawMessage(`{"start_ms":1,"since_ms":1,"by":"discovery"}`)})
+	for _, want := range []*Job{drain, late} { // a drain goes first and by itself
+		batch = q.Next(9)
+		assert.Equal(t, []*Job{want}, batch)
+		q.Ended(batch)
+	}
 	for i := 0; q.Add("e", sighting(fmt.Sprint("s/", i), "ready", 1)) != nil; i++ {
 		require.Less(t, i, MostWaiting)
 	}
