--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -291,7 +291,7 @@
 // Write answers what the copy knows, and has the rest written once for all who ask for it. Unlike a store's it may do some of the changes and not others:
 // who tries the same again with the same marks loses nothing.
 func (r *Relay) Write(ctx context.Context, epoch string, changes []record.Change) ([]record.Fact, record.Meta, error) {
-	if err := replica.Allowed(changes); err != nil {
+	if err := replica.Allowed(epoch, changes); err != nil {
 		return nil, record.Meta{}, err
 	}
 	facts, jobs := make([]record.Fact, len(changes)), make([]*replica.Job, len(changes))
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -16,6 +16,7 @@
 	MostBytes   = 64 << 20 // of their names and values
 	MostWaiting = 10_000   // changes that wait for the store
 	MostChanges = 1000     // in one call of a node
+	MostValue   = 4 << 10  // bytes of one of them: sightings and drains are short
 )
 
 // ErrTooLarge is a record beyond the bounds; the copy before stays.
@@ -106,15 +107,21 @@
 }
 
 // Allowed tells what a node may not write. It writes what it was told of servers; services, routes and tenants are people's and the leader's.
-func Allowed(changes []record.Change) error {
+func Allowed(epoch string, changes []record.Change) error {
 	if len(changes) > MostChanges {
 		return fmt.Errorf("%d changes in one call are more than %d", len(changes), MostChanges)
 	}
+	if len(epoch) > record.MostName {
+		return record.ErrEpoch
+	}
 	for i := range changes {
 		c := &changes[i]
 		if err := c.Valid(); err != nil {
 			return err
 		}
+		if len(c.Value) > MostValue {
+			return fmt.Errorf("%s %s: %d bytes are more than %d", c.Kind, c.Name, len(c.Value), MostValue)
+		}
 		if c.Kind != record.Server && (c.Kind != record.Drain || c.Delete) {
 			return fmt.Errorf("%s %s: a node writes sightings of servers and drains, and nothing else", c.Kind, c.Name)
 		}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -87,19 +87,23 @@
 func TestANodeWritesWhatItWasToldOfServersAndNothingElse(t *testing.T) {
 	drain := record.Change{Key: record.Key{Kind: record.Drain, Name: "s/a"}, Expect: record.Any, By: "n", Mark: "m", Value: json.RawMessage(`{"start_ms":1,"since_ms":1,"by":"discovery"}`)}
 	prune := record.Change{Key: record.Key{Kind: record.Server, Name: "s/a"}, Expect: 4, Delete: true, By: "n", Mark: "m"}
-	assert.NoError(t, Allowed([]record.Change{drain, prune, sighting("s/b", "ready", 1)}))
+	assert.NoError(t, Allowed("e", []record.Change{drain, prune, sighting("s/b", "ready", 1)}))
 	undo := drain
 	undo.Delete = true
 	route := record.Change{Key: record.Key{Kind: record.Route, Name: "r"}, Expect: record.Any, Mark: "m", Value: json.RawMessage(`{"toml":""}`)}
 	service, tenant := route, route
 	service.Kind, tenant.Kind, tenant.Name = record.Service, record.Tenant, "s/t"
 	for _, c := range []record.Change{undo, route, service, tenant} {
-		assert.ErrorContains(t, Allowed([]record.Change{drain, c}), "and nothing else", "%s", c.Kind)
+		assert.ErrorContains(t, Allowed("e", []record.Change{drain, c}), "and nothing else", "%s", c.Kind)
 	}
 	bad := drain
 	bad.Value = json.RawMessage(`{`)
-	assert.ErrorContains(t, Allowed([]record.Change{bad}), "no JSON")
-	assert.ErrorContains(t, Allowed(make([]record.Change, MostChanges+1)), "more than")
+	assert.ErrorContains(t, Allowed("e", []record.Change{bad}), "no JSON")
+	assert.ErrorIs(t, Allowed(strings.Repeat("e", 1000), []record.Change{drain}), record.ErrEpoch)
+	long := sighting("s/a", "ready", 1)
+	long.Value = json.RawMessage(`{"phase":"ready","addr":"` + strings.Repeat("x", MostValue) + `"}`)
+	assert.ErrorContains(t, Allowed("e", []record.Change{long}), "more than 4096")
+	assert.ErrorContains(t, Allowed("e", make([]record.Change, MostChanges+1)), "more than")
 }
 
 func TestWhatTheCopyKnowsNeedNotBeWritten(t *testing.T) {
