--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -34,6 +34,10 @@
 	Begun func(*node.Core)
 	// Keys, if set before the first Apply, are shown to discovery, and ask for its own.
 	Keys *keys.Ring
+	// Dial, if set before the first Apply, reaches discovery in the place of the machine's own network.
+	Dial registry.Dial
+	// Heard, if set before the first Apply, stands between the news of a service's servers and its core.
+	Heard func(service string, core registry.Core) registry.Core
 
 	lot    *lot.Lot
 	clock  node.Clock
@@ -175,6 +179,9 @@
 		if s.Keys != nil {
 			p.watcher.Secure(s.Keys.Client)
 		}
+		if s.Dial != nil {
+			p.watcher.Through(s.Dial)
+		}
 		ask = p.watcher.Ask
 	}
 	p.core = node.New(x.Node, c.SeedOf(x.Name), s.clock, time.Now(), ask)
@@ -182,8 +189,11 @@
 		s.Begun(p.core)
 	}
 	var to registry.Core = p.core
+	if s.Heard != nil {
+		to = s.Heard(x.Name, to)
+	}
 	if s.Keeper != nil {
-		p.sink = s.Keeper.Sink(x.Name, p.core)
+		p.sink = s.Keeper.Sink(x.Name, to)
 		to = p.sink
 	}
 	if p.watcher != nil {
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -32,6 +32,7 @@
 	log    *zap.Logger
 	wake   chan struct{}
 	secure func(addr string) *tls.Config // nil: discovery speaks plain TCP
+	dial   Dial
 
 	mu    sync.Mutex
 	addr  string
@@ -52,9 +53,15 @@
 // New makes a Watcher; Run starts it.
 func New(addr string, zones []string, l limits.Limits, budget *limits.Budget, log *zap.Logger) *Watcher {
 	return &Watcher{addr: addr, at: addr, zones: zones, limits: l, budget: budget, log: log,
-		patience: l.ListFirst, wake: make(chan struct{}, 1), cut: func() {}}
+		patience: l.ListFirst, wake: make(chan struct{}, 1), cut: func() {}, dial: (&net.Dialer{KeepAlive: -1}).DialContext}
 }
 
+// Dial connects, as net.Dialer does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Through has discovery reached another way than by the machine's own network. It is told before Run.
+func (w *Watcher) Through(d Dial) { w.dial = d }
+
 // Secure has discovery reached over TLS, by a configuration for each connection. It is told before Run.
 func (w *Watcher) Secure(by func(addr string) *tls.Config) { w.secure = by }
 
@@ -167,8 +174,9 @@
 		return errNoDescriptor
 	}
 	defer w.budget.Give()
-	dialer := net.Dialer{Timeout: w.limits.ListConnect, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", w.at)
+	reach, reached := context.WithTimeout(ctx, w.limits.ListConnect)
+	c, err := w.dial(reach, "tcp", w.at)
+	reached()
 	if err != nil {
 		return fmt.Errorf("reaching discovery: %w", err)
 	}
--- a/internal/store/sqlstore/postgres.go
+++ b/internal/store/sqlstore/postgres.go
@@ -20,7 +20,7 @@
 
 // openPostgres prepares a pool of connections and, for Wait, one that listens. Statements are not prepared on the server,
 // so that a pooler in between may be.
-func openPostgres(address string) (store.Store, error) {
+func openPostgres(address string, dial pgconn.DialFunc) (store.Store, error) {
 	c, err := pgx.ParseConfig(address)
 	if err != nil {
 		var p *pgconn.ParseConfigError
@@ -30,6 +30,9 @@
 		return nil, fmt.Errorf("postgres: %w", err)
 	}
 	c.DefaultQueryExecMode = pgx.QueryExecModeExec
+	if dial != nil {
+		c.DialFunc = dial
+	}
 	if c.ConnectTimeout == 0 {
 		c.ConnectTimeout = 3 * time.Second
 	}
