--- a/internal/lab/fleet/hollow.go
+++ b/internal/lab/fleet/hollow.go
@@ -175,6 +175,14 @@
 		return err
 	}
 	log := zap.NewNop()
+	if number == s.First { // one of them tells its faults, into the process's log
+		c := zap.NewProductionConfig()
+		c.Level.SetLevel(zap.WarnLevel)
+		c.Sampling = nil
+		if log, err = c.Build(zap.Fields(zap.String("node", name))); err != nil {
+			return err
+		}
+	}
 	l := x.file.Limits
 	budget := limits.NewBudget(l.Descriptors, l.Refused, limits.NewBytes(l.Bytes))
 	x.set = pools.New(x.file, clock{time.Now()}, budget, log, x.lot)
--- a/internal/lab/fleet/plan.go
+++ b/internal/lab/fleet/plan.go
@@ -28,6 +28,7 @@
 	Real     int // nodes that are processes, beside the hollow ones
 	Record   *bool
 	Latency  struct{ Region, Zone, Rack Duration } // one way
+	Quiet    Duration                              // that the record's first writing is waited for
 	Settle   Duration                              // that a step's changes are waited for
 	Step     []Step
 	Expect   map[string]Bound
@@ -97,6 +98,7 @@
 	tomlfile.Default(&f.Record, &yes)
 	tomlfile.Default(&f.Seed, 1)
 	tomlfile.Default(&f.Settle, Duration(15*time.Second))
+	tomlfile.Default(&f.Quiet, Duration(30*time.Second))
 	tomlfile.Default(&f.Latency.Region, Duration(15*time.Millisecond))
 	tomlfile.Default(&f.Latency.Zone, Duration(500*time.Microsecond))
 	tomlfile.Default(&f.Latency.Rack, Duration(100*time.Microsecond))
@@ -121,6 +123,9 @@
 	for name, d := range map[string]Duration{"latency.region": f.Latency.Region, "latency.zone": f.Latency.Zone, "latency.rack": f.Latency.Rack} {
 		bad(d < 0 || d.Of() > time.Second, "%s: %v is not in 0s to 1s", name, d.Of())
 	}
+	for name, d := range map[string]Duration{"quiet": f.Quiet, "settle": f.Settle} {
+		bad(d < 0 || d.Of() > mostTime, "%s: %v is not in 0s to %v", name, d.Of(), mostTime)
+	}
 	bad(len(f.Step) == 0 || len(f.Step) > mostSteps, "step: %d are not in 1 to %d", len(f.Step), mostSteps)
 	names := map[string]bool{}
 	for i := range f.Step {
