Record: what the store has is not written again, and far stores get fewer changes at once

Each node went on with writes that change nothing: up to 200 in one transaction, a statement after another under the one lock, 30 ms each from the far region, so never done within the 2 s of a call, and the lock held for that long each time; an operator's drain stood in the same transaction. Now a page of the store takes out what it says already, drains go by themselves, and after a time-out half as many changes are tried. Tests: TestWhatTheStoreHasIsNotWrittenAgain and TestAFarStoreGetsFewerChangesAtOnceAndDrainsFirst, both seen to fail without it.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -48,6 +48,7 @@
 	facts  chan struct{} // services, routes or tenants have changed
 	all    sync.WaitGroup
 	end    context.CancelFunc
+	fits   int // changes of one transaction; run's alone
 
 	mu     sync.Mutex
 	view   *record.View
@@ -68,13 +69,13 @@
 // page is how many facts are read in one go.
 const page = 2000
 
-// batch is how many changes are written in one transaction.
+// batch is how many changes are written in one transaction, at most.
 const batch = 200
 
 // Open reads the snapshot and, where the store is required, the store. The error is what an operator has to mend.
 func Open(ctx context.Context, c Config, log *zap.Logger) (*Keeper, error) {
 	k := &Keeper{c: c, log: log, now: time.Now, notice: make(chan struct{}, 1), dirty: make(chan struct{}, 1), facts: make(chan struct{}, 1),
-		sinks: map[string]*Sink{}}
+		sinks: map[string]*Sink{}, fits: batch}
 	boot := strconv.FormatUint(rand.Uint64(), 36)
 	k.view = record.NewView(c.Name, c.Queue, func() string {
 		k.mark++
@@ -267,8 +268,14 @@
 func (k *Keeper) write(ctx context.Context) error {
 	for {
 		k.mu.Lock()
-		changes, epoch := k.view.Pending(batch), k.view.Meta.Epoch
+		changes, epoch := k.view.Pending(k.fits), k.view.Meta.Epoch
 		k.mu.Unlock()
+		for i := range changes { // drains do not wait for what comes with them
+			if changes[0].Kind == record.Drain && changes[i].Kind != record.Drain {
+				changes = changes[:i]
+				break
+			}
+		}
 		if len(changes) == 0 {
 			k.mu.Lock()
 			m, back := k.view.Meta, k.view.Standing == record.Back
@@ -293,6 +300,12 @@
 		}
 		call, cancel := context.WithTimeout(ctx, k.c.Timeout)
 		facts, _, err := k.store.Write(call, epoch, changes)
+		switch {
+		case err == nil:
+			k.fits = min(batch, k.fits+k.fits/8+1)
+		case call.Err() != nil && ctx.Err() == nil: // too much for one call, so far from the store
+			k.fits = max(1, len(changes)/2)
+		}
 		var stale *record.Stale
 		var lost *record.Conflict
 		if errors.As(err, &stale) || errors.As(err, &lost) { // one by one, so that it costs no other
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -337,3 +337,59 @@
 		})
 	}
 }
+
+// far is a store that is so far away that only a few changes fit into the time of one call.
+type far struct {
+	store.Store
+	fits int
+	mu   sync.Mutex
+	sent [][]record.Change
+}
+
+func (s *far) Write(ctx context.Context, epoch string, changes []record.Change) ([]record.Fact, record.Meta, error) {
+	s.mu.Lock()
+	s.sent = append(s.sent, changes)
+	s.mu.Unlock()
+	if len(changes) > s.fits {
+		<-ctx.Done()
+		return nil, record.Meta{}, ctx.Err()
+	}
+	return s.Store.Write(ctx, epoch, changes)
+}
+
+func TestAFarStoreGetsFewerChangesAtOnceAndDrainsFirst(t *testing.T) {
+	r := newRig(t)
+	r.c.Timeout = time.Second
+	r.c.Poll = 20 * time.Millisecond
+	s := &far{fits: 12}
+	open := r.c.Open
+	r.c.Open = func() (store.Store, error) {
+		var err error
+		s.Store, err = open()
+		return s, err
+	}
+	k := r.open()
+	defer k.Close()
+	c := &core{}
+	sink := k.Sink("s", c)
+	var ids []string
+	for i := range 40 {
+		ids = append(ids, fmt.Sprint("a", i))
+	}
+	sink.Listed(list(decide.Ready, ids...), true)
+	k.Drain("s/a7", record.Drained{Since: 1, By: "operator"})
+	require.Eventually(t, func() bool { return r.recorded("s/a7") }, 20*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return k.Status().Waiting == 0 }, 20*time.Second, 5*time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	drains := 0
+	for _, changes := range s.sent {
+		for _, x := range changes {
+			if x.Kind == record.Drain {
+				drains++
+				assert.Len(t, changes, 1, "a drain waits for nothing else")
+			}
+		}
+	}
+	assert.Positive(t, drains)
+}
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -341,3 +341,36 @@
 	assert.Equal(t, "draining", phase(a, "x", 6))
 	assert.Equal(t, "draining", phase(old, "x", 6))
 }
+
+// All nodes hear of a server; what another has recorded need not be written again.
+func TestWhatTheStoreHasIsNotWrittenAgain(t *testing.T) {
+	n := 0
+	v := NewView("n", 100, func() string { n++; return fmt.Sprint(n) })
+	v.Discovered("s", []Sighting{
+		{ID: "a", Addr: "a:1", Phase: "ready", Start: 5, Listed: 70},
+		{ID: "b", Addr: "b:1", Phase: "gone", Start: 5, Listed: 71},
+		{ID: "c", Addr: "c:1", Phase: "ready", Start: 6, Listed: 72},
+		{ID: "d", Addr: "d:1", Phase: "ready", Start: 6, Listed: 72},
+		{ID: "e", Addr: "e:1", Phase: "ready", Start: 6, Listed: 72},
+	}, true, 1)
+	assert.Equal(t, 5, v.Waiting())
+	has := func(id string, revision int64, s Sighting) Fact {
+		value, err := json.Marshal(s)
+		assert.NoError(t, err)
+		return Fact{Key: Key{Server, "s/" + id}, Revision: revision, Value: value}
+	}
+	gone := has("e", 5, Sighting{Addr: "e:1", Phase: "ready", Start: 6})
+	gone.Deleted = true
+	v.Store(Page{Meta: Meta{"x", 5}, Facts: []Fact{
+		has("a", 1, Sighting{Addr: "a:1", Phase: "ready", Start: 5, Listed: 9_000}), // by another replica's numbers
+		has("b", 2, Sighting{Addr: "b:1", Phase: "ready", Start: 5}),                // it has left since
+		has("c", 3, Sighting{Addr: "c:1", Phase: "gone", Start: 6}),                 // it is known here only later
+		has("d", 4, Sighting{Addr: "d:2", Phase: "ready", Start: 6}),                // elsewhere
+		gone,
+	}}, 2)
+	var waits []string
+	for _, c := range v.Pending(100) {
+		waits = append(waits, c.Name)
+	}
+	assert.Equal(t, []string{"s/b", "s/d", "s/e"}, waits)
+}
--- a/internal/record/view.go
+++ b/internal/record/view.go
@@ -130,6 +130,7 @@
 	told := map[Key]bool{}
 	for _, f := range p.Facts {
 		told[f.Key] = true
+		v.overtaken(f)
 	}
 	for name, f := range drains {
 		// What a whole page lacks the store has lost; a drain that was taken back stands in it as deleted.
@@ -163,6 +164,23 @@
 	v.At = now
 }
 
+// overtaken takes what waits to be written about a server out, if a fact that the store has says it already. All nodes hear of
+// a server at once and each would else write it, and of those far from the store a whole list of writes that change nothing may
+// never be done in the time of one call.
+func (v *View) overtaken(f Fact) {
+	c, waits := v.pending[f.Key]
+	var s Sighting
+	switch {
+	case !waits || f.Kind != Server:
+	case c.Delete:
+		if f.Deleted {
+			delete(v.pending, f.Key)
+		}
+	case json.Unmarshal(c.Value, &s) == nil && s.toldBy(f, c.Value):
+		delete(v.pending, f.Key)
+	}
+}
+
 // written tells whether a drain of this node has been recorded: then its absence is somebody's word.
 func (v *View) written(name string) bool {
 	_, waits := v.pending[Key{Drain, name}]
@@ -221,20 +239,24 @@
 	}
 }
 
+// toldBy tells whether a fact says all that a sighting does, whose value this is.
+func (s *Sighting) toldBy(f Fact, value []byte) bool {
+	var was Sighting
+	if f.Deleted || json.Unmarshal(f.Value, &was) != nil {
+		return false
+	}
+	same := was
+	same.Listed = s.Listed
+	b, _ := json.Marshal(same)
+	return string(b) == string(value) || s.Start < was.Start || s.Start == was.Start && rank(s.Phase) < rank(was.Phase)
+}
+
 // sight queues a sighting, if it says more than is recorded.
 func (v *View) sight(s Sighting) {
 	k := Key{Server, s.Service + "/" + s.ID}
 	value, _ := json.Marshal(s)
-	if f, ok := v.facts[k]; ok && !f.Deleted {
-		var was Sighting
-		if json.Unmarshal(f.Value, &was) == nil {
-			same := was
-			same.Listed = s.Listed
-			b, _ := json.Marshal(same)
-			if string(b) == string(value) || s.Start < was.Start || s.Start == was.Start && rank(s.Phase) < rank(was.Phase) {
-				return
-			}
-		}
+	if f, ok := v.facts[k]; ok && s.toldBy(f, value) {
+		return
 	}
 	if _, waits := v.pending[k]; !waits && len(v.pending) >= v.Most {
 		v.Dropped++ // the next list brings it again
