--- a/internal/lab/fleet/hollow.go
+++ b/internal/lab/fleet/hollow.go
@@ -77,7 +77,10 @@
 // cores with their modules and what shares them, wired as cmd/robincart does. What it lacks of a node: the process, the listeners
 // and callers, the snapshot on disk, and the helper process at the store, whose client runs in here.
 type Hollow struct {
-	Witnessed func(Event) // in the place of Events; set before Start
+	// Set before Start, if at all:
+	Witnessed func(Event)                                              // in the place of Events
+	Connect   func(ctx context.Context, addr string) (net.Conn, error) // in the place of TCP
+	Open      func(number int) (store.Store, error)                    // in the place of the client of Setup.Address
 
 	net    *Network
 	setup  Setup
@@ -145,6 +148,9 @@
 
 // Start begins nodes by their numbers.
 func (h *Hollow) Start(numbers []int) error {
+	if h.Connect != nil {
+		h.net.Connect = h.Connect
+	}
 	errs := make(chan error, len(numbers))
 	places := make(chan struct{}, 16)
 	for _, n := range numbers {
@@ -188,7 +194,7 @@
 	x.set = pools.New(x.file, clock{time.Now()}, budget, log, x.lot)
 	x.set.Dial, x.set.Heard = x.dial, x.heard
 	c := x.file
-	if s.Address != "" {
+	if s.Address != "" || h.Open != nil {
 		u, err := url.Parse(s.Address)
 		if err != nil {
 			return err
@@ -196,6 +202,9 @@
 		r := x.file.Record
 		x.keep, err = keeper.Open(x.life, keeper.Config{Name: name, Store: u.Redacted(), MostAge: time.Duration(*r.MostAge), Queue: r.Queue, Timeout: time.Duration(r.Timeout),
 			Poll: time.Duration(r.Poll), Open: func() (store.Store, error) {
+				if h.Open != nil {
+					return h.Open(number)
+				}
 				return sqlstore.OpenThrough(s.Address, func(ctx context.Context, _, _ string) (net.Conn, error) {
 					return h.net.Dial(ctx, x.place, s.Store.Place, s.Store.Addr, &h.record)
 				})
--- a/internal/lab/fleet/network.go
+++ b/internal/lab/fleet/network.go
@@ -85,6 +85,9 @@
 // carries nothing while that way is cut. What is written meanwhile goes on when the cut ends, as what TCP sends again does, and
 // the other side hears of an end only then.
 type Network struct {
+	// Connect, if set before the first Dial, reaches an address in the place of TCP.
+	Connect func(ctx context.Context, addr string) (net.Conn, error)
+
 	latency Latency
 
 	mu      sync.Mutex
@@ -186,8 +189,13 @@
 		t.Failed.Add(1)
 		return nil, ctx.Err()
 	}
-	d := net.Dialer{KeepAlive: -1}
-	c, err := d.DialContext(ctx, "tcp", addr)
+	connect := n.Connect
+	if connect == nil {
+		connect = func(ctx context.Context, addr string) (net.Conn, error) {
+			return (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+		}
+	}
+	c, err := connect(ctx, addr)
 	if err != nil {
 		t.Failed.Add(1)
 		return nil, err
