--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -72,10 +72,13 @@
 // batch is how many changes are written in one transaction, at most.
 const batch = 200
 
+// batchFirst is how many it begins with: a node does not know how far its store is, and one transaction keeps all others out.
+const batchFirst = 8
+
 // Open reads the snapshot and, where the store is required, the store. The error is what an operator has to mend.
 func Open(ctx context.Context, c Config, log *zap.Logger) (*Keeper, error) {
 	k := &Keeper{c: c, log: log, now: time.Now, notice: make(chan struct{}, 1), dirty: make(chan struct{}, 1), facts: make(chan struct{}, 1),
-		sinks: map[string]*Sink{}, fits: batch}
+		sinks: map[string]*Sink{}, fits: batchFirst}
 	boot := strconv.FormatUint(rand.Uint64(), 36)
 	k.view = record.NewView(c.Name, c.Queue, func() string {
 		k.mark++
@@ -302,7 +305,7 @@
 		facts, _, err := k.store.Write(call, epoch, changes)
 		switch {
 		case err == nil:
-			k.fits = min(batch, k.fits+k.fits/8+1)
+			k.fits = min(batch, 2*k.fits)
 		case call.Err() != nil && ctx.Err() == nil: // too much for one call, so far from the store
 			k.fits = max(1, len(changes)/2)
 		}
--- a/internal/lab/fleet/plan.go
+++ b/internal/lab/fleet/plan.go
@@ -27,6 +27,7 @@
 	Replicas int // of the controller
 	Real     int // nodes that are processes, beside the hollow ones
 	Record   *bool
+	Cold     bool                                  // the record is empty when all nodes start; else one node was there before
 	Latency  struct{ Region, Zone, Rack Duration } // one way
 	Quiet    Duration                              // that the record's first writing is waited for
 	Settle   Duration                              // that a step's changes are waited for
--- a/internal/lab/fleet/scale_test.go
+++ b/internal/lab/fleet/scale_test.go
@@ -74,6 +74,17 @@
 	wake  chan struct{}
 
 	writes, pages, sent int // calls that write, calls that read, facts sent
+
+	gather  int // so many writers are kept until all of them have come
+	waiting int
+	goOn    chan struct{}
+}
+
+// together keeps so many writers waiting until all have come: none of them has heard then of what another writes.
+func (s *shelf) together(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gather, s.waiting, s.goOn = n, 0, make(chan struct{})
 }
 
 func newShelf() *shelf {
@@ -102,6 +113,16 @@
 
 func (s *shelf) Write(_ context.Context, epoch string, changes []record.Change) (out []record.Fact, m record.Meta, err error) {
 	s.mu.Lock()
+	if s.gather > 0 {
+		goOn := s.goOn
+		if s.waiting++; s.waiting == s.gather {
+			s.gather = 0
+			close(goOn)
+		}
+		s.mu.Unlock()
+		<-goOn
+		s.mu.Lock()
+	}
 	defer s.mu.Unlock()
 	s.writes++
 	if epoch != s.meta.Epoch {
@@ -293,9 +314,11 @@
 			s.mu.Unlock()
 			const drains = 4
 			for n := range drains {
+				s.together(nodes)
 				f.lists[0].Tell([]fanout.Member{member(0, 20+n, Ready)})
 				f.all(member(0, 20+n, Ready).HostPort, Ready)
 				quiet()
+				s.together(nodes)
 				f.lists[0].Tell([]fanout.Member{member(0, 20+n, Draining)})
 				f.all(member(0, 20+n, Ready).HostPort, Draining)
 				quiet()
