--- a/cmd/robincart-controller/main.go
+++ b/cmd/robincart-controller/main.go
@@ -64,6 +64,9 @@
 	Service []struct{ Name, Service, Port, Listen string }
 }
 
+// mostServices is how many lists a controller tells: each has a listener and its watchers.
+const mostServices = 1000
+
 func main() {
 	signal.Ignore(syscall.SIGPIPE)
 	var path string
@@ -200,6 +203,9 @@
 	bad(f.Fanout.History < 0 || f.Fanout.Watchers < 0, "fanout: history and watchers must not be negative")
 	bad(c.Hold < time.Second, "leader.hold: %v is below 1s", c.Hold)
 	bad(len(f.Service) == 0, "service: there is none")
+	if len(f.Service) > mostServices {
+		return c, fmt.Errorf("%s:\nservice: %d are more than %d", path, len(f.Service), mostServices)
+	}
 	var names, listens, services []string
 	for i, s := range f.Service {
 		tomlfile.Default(&s.Service, s.Name)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -521,8 +521,14 @@
 		}
 		es = append(es, m)
 	}
+	k.apply(func(m *membership.State, now float64) []membership.Change {
+		changes := m.Slice(key, of, es, now)
+		if n := m.Refused(key); n > 0 {
+			why = fmt.Sprintf("%d endpoints are left out: the service has more than %d servers, those that left lately included", n, membership.MostServers)
+		}
+		return changes
+	})
 	k.skip("endpointslice "+key, why)
-	k.apply(func(m *membership.State, now float64) []membership.Change { return m.Slice(key, of, es, now) })
 }
 
 func portOf(s *discovery.EndpointSlice, want string) int32 {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -69,6 +69,16 @@
 // page is how many facts are read in one go.
 const page = 2000
 
+// What a copy may hold. Ten times the target's fleet, with all that left lately, is a tenth of it; a store that claims more is
+// not followed further, and the copy stays as it is.
+const (
+	mostFacts = 100_000
+	mostBytes = 64 << 20
+)
+
+// ErrCrowd is a record that is too large for a node.
+var ErrCrowd = fmt.Errorf("the record has more than %d facts or %d MB: a node takes no more", mostFacts, mostBytes>>20)
+
 // batch is how many changes are written in one transaction, at most.
 const batch = 200
 
@@ -230,6 +240,7 @@
 		return nil
 	}
 	p := record.Page{Whole: whole}
+	bytes := 0
 	for from := after; ; {
 		next, err := k.store.Since(ctx, from, page)
 		if err != nil {
@@ -240,12 +251,22 @@
 		}
 		p.Meta = next.Meta
 		p.Facts = append(p.Facts, next.Facts...)
+		for _, f := range next.Facts {
+			bytes += len(f.Name) + len(f.Value)
+		}
+		if len(p.Facts) > mostFacts || bytes > mostBytes {
+			return ErrCrowd
+		}
 		if len(next.Facts) < page {
 			break
 		}
 		from = next.Facts[page-1].Revision
 	}
 	k.mu.Lock()
+	if k.view.Size(p) > mostFacts {
+		k.mu.Unlock()
+		return ErrCrowd
+	}
 	was := k.view.Standing
 	k.view.Store(p, k.millis())
 	is := k.view.Standing
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -393,3 +394,47 @@
 	}
 	assert.Positive(t, drains)
 }
+
+// endless is a store that claims facts without end.
+type endless struct {
+	store.Store
+	at    int64
+	value string
+}
+
+func (s *endless) Meta(context.Context) (record.Meta, error) {
+	return record.Meta{Epoch: "e", Revision: 1 << 40}, nil
+}
+
+func (s *endless) Since(_ context.Context, after int64, most int) (record.Page, error) {
+	p := record.Page{Meta: record.Meta{Epoch: "e", Revision: after + int64(most)}}
+	for i := range most {
+		n := after + int64(i) + 1
+		p.Facts = append(p.Facts, record.Fact{Key: record.Key{Kind: record.Server, Name: fmt.Sprint("s/", n)}, Revision: n, Value: json.RawMessage(s.value)})
+	}
+	return p, nil
+}
+
+func (s *endless) Wait(ctx context.Context, most time.Duration) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (s *endless) Close() error { return nil }
+
+func TestARecordWithoutEndIsRefusedAndTheCopyStays(t *testing.T) {
+	for name, value := range map[string]string{"facts": `{}`, "bytes": `"` + strings.Repeat("x", 60_000) + `"`} {
+		t.Run(name, func(t *testing.T) {
+			c := Config{Name: "n", Open: func() (store.Store, error) { return &endless{value: value}, nil }, Required: true, Timeout: time.Minute, Poll: time.Second, Queue: 10}
+			_, err := Open(t.Context(), c, zap.NewNop())
+			assert.ErrorIs(t, err, ErrCrowd)
+			c.Required = false
+			k, err := Open(t.Context(), c, zap.NewNop())
+			require.NoError(t, err)
+			defer k.Close()
+			s := k.Status()
+			assert.Zero(t, s.Facts)
+			assert.Contains(t, s.Fault, "more than 100000 facts or 64 MB")
+		})
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -124,13 +124,20 @@
 	dirty    map[*server]bool
 	waits    map[*server]bool // for a time to pass
 	granted  map[string]float64
+	refused  map[string]int // by slice: endpoints beyond MostServers
 }
 
+// MostServers is how many servers of a service are kept, those that left lately included: nodes take no longer list.
+const MostServers = 20_000
+
+// Refused is how many endpoints of a slice were left out since its service has too many.
+func (s *State) Refused(key string) int { return s.refused[key] }
+
 // New starts with nothing known, at a revision: one that no earlier leader has reached.
 func New(c Config, revision int64) *State {
 	return &State{c: c, revision: revision, services: map[string]*service{}, slices: map[string]map[string]Endpoint{}, owner: map[string]string{},
 		pods: map[string]Pod{}, nodes: map[string]Node{}, byPod: map[string]map[*server]bool{}, byNode: map[string]map[*server]bool{},
-		ended: map[string]float64{}, dirty: map[*server]bool{}, waits: map[*server]bool{}, granted: map[string]float64{}}
+		ended: map[string]float64{}, dirty: map[*server]bool{}, waits: map[*server]bool{}, granted: map[string]float64{}, refused: map[string]int{}}
 }
 
 // Revision is the list's.
@@ -159,8 +166,13 @@
 		is[id(e)] = e
 	}
 	s.slices[key], s.owner[key] = is, of
+	delete(s.refused, key)
 	for k, e := range is {
 		x := v.servers[k]
+		if x == nil && len(v.servers) >= MostServers {
+			s.refused[key]++
+			continue
+		}
 		if x == nil {
 			x = &server{Member: Member{ID: k, Phase: Gone}, service: of, pod: e.Pod, slices: map[string]Endpoint{}}
 			v.servers[k] = x
@@ -186,6 +198,7 @@
 	}
 	delete(s.slices, key)
 	delete(s.owner, key)
+	delete(s.refused, key)
 	return s.settle()
 }
 
@@ -414,6 +427,7 @@
 
 // countVanished counts what vanishes now and has vanished lately, before anything is made of one of them.
 func (s *State) countVanished(all []*server) {
+	touched := map[*service]bool{}
 	for _, x := range all {
 		_, ended := s.ended[x.pod]
 		if len(x.slices) > 0 || !x.told || x.drained != "" || x.pod != "" && ended || x.kept != 0 {
@@ -430,6 +444,9 @@
 		}
 		v.vanished++
 		x.kept = max(s.now, 1e-9)
+		touched[v] = true
+	}
+	for v := range touched { // once: for each that vanished, a lost slice of thousands would take minutes
 		v.alive = 0
 		for _, y := range v.servers {
 			if _, ended := s.ended[y.pod]; len(y.slices) > 0 && y.drained == "" && !(y.pod != "" && ended) {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -283,3 +283,23 @@
 		}
 	})
 }
+
+func TestAServiceWithTooManyServersIsBoundedAndNamed(t *testing.T) {
+	s := New(Defaults(), 0)
+	var es []Endpoint
+	for i := range MostServers + 3 {
+		es = append(es, up(fmt.Sprint("p", i)))
+	}
+	s.Slice("a", "web", es, 1)
+	assert.Equal(t, 3, s.Refused("a"))
+	assert.Len(t, phases(s, "web"), MostServers)
+	s.Slice("b", "mail", es[:4400], 1) // ten times the target
+	assert.Zero(t, s.Refused("b"))
+	s.Slice("c", "web", es[:5], 2)
+	s.Slice("c", "web", []Endpoint{up("new")}, 2)
+	assert.Equal(t, 1, s.Refused("c"))
+	s.SliceGone("c", 3)
+	assert.Zero(t, s.Refused("c"))
+	s.Slice("a", "web", es[:10], 4)
+	assert.Zero(t, s.Refused("a"))
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -190,6 +190,15 @@
 
 const mostFile = 16 << 20
 
+// What a file, or a file with the record over it, may have.
+const (
+	mostServices = 1000
+	mostRoutes   = 50_000
+	mostServers  = 20_000 // of a service
+	mostMethods  = 1000
+	mostTenants  = 20_000
+)
+
 // Read reads a file. The error holds every mistake, a line each, with the line or the key that it is at.
 func Read(path string) (*Config, error) {
 	text, err := tomlfile.Read(path, mostFile)
@@ -397,6 +406,19 @@
 		all = append(all, err)
 	}
 	bad(len(c.Service) == 0, "service: there is none")
+	// Each service costs a core, a watch and its servers' records: a file with more than these is a mistake.
+	before := len(all)
+	bad(len(c.Service) > mostServices, "service: %d are more than %d", len(c.Service), mostServices)
+	bad(len(c.Route) > mostRoutes, "route: %d are more than %d", len(c.Route), mostRoutes)
+	for i := range c.Service {
+		s := &c.Service[i]
+		bad(len(s.Servers) > mostServers, "service[%d].servers: %d are more than %d", i+1, len(s.Servers), mostServers)
+		bad(len(s.Method) > mostMethods, "service[%d].method: %d are more than %d", i+1, len(s.Method), mostMethods)
+		bad(len(s.Tenant) > mostTenants, "service[%d].tenant: %d are more than %d", i+1, len(s.Tenant), mostTenants)
+	}
+	if len(all) > before {
+		return errors.Join(all...) // what is compiled below takes time by the square of some of these
+	}
 	names := map[string]int{}
 	var specs []shares.Spec
 	for i := range c.Service {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -1,7 +1,9 @@
 package operator
 
 import (
+	"fmt"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -61,3 +63,37 @@
 		}
 	})
 }
+
+// A file that claims more than any fleet has is refused with its numbers, and soon.
+func TestAFileThatClaimsTooMuchIsNamed(t *testing.T) {
+	service := func(name, more string) string {
+		return fmt.Sprintf("[[service]]\nname = %q\ndiscovery = \"127.0.0.1:1\"\n%s[[service.method]]\nname = \"m\"\nrepeat = \"idempotent\"\ntarget = \"1s\"\ndeadline = \"2s\"\n", name, more)
+	}
+	many := func(n int, f func(i int) string) string {
+		var b strings.Builder
+		for i := range n {
+			b.WriteString(f(i))
+		}
+		return b.String()
+	}
+	head := "listen = [\"127.0.0.1:2\"]\n[sharing]\noff = true\n"
+	for want, text := range map[string]string{
+		"service: 1001 are more than 1000":              many(1001, func(i int) string { return service(fmt.Sprint("s", i), "") }),
+		"route: 50001 are more than 50000":              service("s", "") + many(50_001, func(i int) string { return "[[route]]\nto = \"s\"\n" }),
+		"service[1].method: 1002 are more than 1000":    service("s", "") + many(1001, func(i int) string { return "[[service.method]]\nname = \"x\"\n" }),
+		"service[1].tenant: 20001 are more than 20000":  service("s", "") + many(20_001, func(i int) string { return "[[service.tenant]]\nname = \"x\"\n" }),
+		"service[1].servers: 20001 are more than 20000": service("s", "servers = ["+many(20_001, func(i int) string { return "\"x\"," })+"]\n"),
+	} {
+		_, err := Parse([]byte(head + text))
+		assert.ErrorContains(t, err, want)
+		if err != nil {
+			assert.Less(t, len(err.Error()), 1000)
+		}
+	}
+	// Ten times the target's services are taken.
+	c, err := Parse([]byte(head + many(300, func(i int) string {
+		return service(fmt.Sprint("s", i), "") + fmt.Sprintf("[[route]]\nname = \"r%d\"\nhost = \"h%d.example.org\"\nto = \"s%d\"\n", i, i, i)
+	})))
+	require.NoError(t, err)
+	assert.Len(t, c.Pools, 300)
+}
--- a/internal/record/view.go
+++ b/internal/record/view.go
@@ -352,6 +352,20 @@
 	return out
 }
 
+// Size is how many facts the view would hold with a page, deleted ones included.
+func (v *View) Size(p Page) int {
+	if p.Whole {
+		return len(p.Facts)
+	}
+	n := len(v.facts)
+	for _, f := range p.Facts {
+		if _, has := v.facts[f.Key]; !has {
+			n++
+		}
+	}
+	return n
+}
+
 // Facts are those of a kind, by name.
 func (v *View) Facts(k Kind) []Fact {
 	var out []Fact
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -36,12 +36,22 @@
 
 var phases = map[string]decide.State{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
 
+// MostMembers is how many entries a message may have, and a service servers. A fleet of the target's size has 440 in all; who
+// claims more than this has lost count, and each would cost the node a record.
+const MostMembers = 20_000
+
+// skippedTold is how many skipped entries of one message are logged each; of the rest only the number is.
+const skippedTold = 10
+
 // Parse reads one message.
 func Parse(text []byte) (*List, error) {
 	l := &List{}
 	if err := json.Unmarshal(text, l); err != nil {
 		return nil, fmt.Errorf("server list: %w", err)
 	}
+	if len(l.Members) > MostMembers {
+		return nil, fmt.Errorf("server list: %d entries, %d at most are taken", len(l.Members), MostMembers)
+	}
 	if l.Revision < 0 {
 		return nil, fmt.Errorf("server list: revision %d", l.Revision)
 	}
@@ -52,11 +62,14 @@
 // must not cost the others.
 func (l *List) Entries(zones []string, log *zap.Logger) []node.Entry {
 	out := make([]node.Entry, 0, len(l.Members))
+	skipped := 0
 	for _, text := range l.Members {
 		var m member
 		state, err := m.read(text)
 		if err != nil {
-			log.Warn("skipped an entry of the server list", zap.ByteString("entry", text), zap.Error(err))
+			if skipped++; skipped <= skippedTold {
+				log.Warn("skipped an entry of the server list", zap.ByteString("entry", text[:min(len(text), 1000)]), zap.Error(err))
+			}
 			continue
 		}
 		e := node.Entry{ID: m.ID, Addr: m.HostPort, State: state, Zone: slices.Index(zones, m.Locality),
@@ -69,6 +82,9 @@
 		}
 		out = append(out, e)
 	}
+	if skipped > skippedTold {
+		log.Warn("skipped entries of the server list", zap.Int("all", skipped), zap.Int("of", len(l.Members)))
+	}
 	return out
 }
 
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -44,6 +45,7 @@
 	core     Core
 	at       string        // where the last watch went
 	revision int64         // of the list held, in the numbers of that discovery
+	named    int           // entries since the last whole list, that list's included: the servers held are no more
 	told     bool          // the watch that lasts has brought news
 	failing  bool          // the last watch brought nothing, and that has been told
 	fresh    bool          // discovery has moved, and no watch of the new one has ended
@@ -221,6 +223,9 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if err := w.room(list); err != nil {
+			return err
+		}
 		w.take(list)
 		if !w.told {
 			w.told, w.failing, w.fresh = true, false, false
@@ -242,6 +247,27 @@
 	return status, stream, err
 }
 
+// errCrowd is a service of which changes have named more servers than there may be, many of them perhaps gone since.
+var errCrowd = fmt.Errorf("server list: changes named more than %d servers since the last whole list, which is asked for", MostMembers)
+
+// room keeps the number of servers bounded that changes can bring, a few at a time: the whole list has to tell then how many
+// there are.
+func (w *Watcher) room(l *List) error {
+	if l.Complete {
+		w.named = 0
+	}
+	for _, m := range l.Members {
+		if !bytes.Contains(m, []byte(`"gone"`)) {
+			w.named++
+		}
+	}
+	if w.named <= MostMembers || l.Complete {
+		return nil
+	}
+	w.revision, w.named = 0, 0
+	return errCrowd
+}
+
 // take passes news on. A change that is older than the list held would bring back what has left: of
 // that the core hears only that discovery has answered.
 func (w *Watcher) take(l *List) {
