--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -48,6 +48,7 @@
 	facts  chan struct{} // services, routes or tenants have changed
 	all    sync.WaitGroup
 	end    context.CancelFunc
+	fits   int // changes of one transaction; run's alone
 
 	mu     sync.Mutex
 	view   *record.View
@@ -68,13 +69,26 @@
 // page is how many facts are read in one go.
 const page = 2000
 
-// batch is how many changes are written in one transaction.
+// What a copy may hold. Ten times the target's fleet, with all that left lately, is a tenth of it; a store that claims more is
+// not followed further, and the copy stays as it is.
+const (
+	mostFacts = 100_000
+	mostBytes = 64 << 20
+)
+
+// ErrCrowd is a record that is too large for a node.
+var ErrCrowd = fmt.Errorf("the record has more than %d facts or %d MB: a node takes no more", mostFacts, mostBytes>>20)
+
+// batch is how many changes are written in one transaction, at most.
 const batch = 200
 
+// batchFirst is how many it begins with: a node does not know how far its store is, and one transaction keeps all others out.
+const batchFirst = 8
+
 // Open reads the snapshot and, where the store is required, the store. The error is what an operator has to mend.
 func Open(ctx context.Context, c Config, log *zap.Logger) (*Keeper, error) {
 	k := &Keeper{c: c, log: log, now: time.Now, notice: make(chan struct{}, 1), dirty: make(chan struct{}, 1), facts: make(chan struct{}, 1),
-		sinks: map[string]*Sink{}}
+		sinks: map[string]*Sink{}, fits: batchFirst}
 	boot := strconv.FormatUint(rand.Uint64(), 36)
 	k.view = record.NewView(c.Name, c.Queue, func() string {
 		k.mark++
@@ -251,6 +265,7 @@
 		return nil
 	}
 	p := record.Page{Whole: whole}
+	bytes := 0
 	for from := after; ; {
 		next, err := k.store.Since(ctx, from, page)
 		if err != nil {
@@ -261,12 +276,22 @@
 		}
 		p.Meta = next.Meta
 		p.Facts = append(p.Facts, next.Facts...)
+		for _, f := range next.Facts {
+			bytes += len(f.Name) + len(f.Value)
+		}
+		if len(p.Facts) > mostFacts || bytes > mostBytes {
+			return ErrCrowd
+		}
 		if len(next.Facts) < page {
 			break
 		}
 		from = next.Facts[page-1].Revision
 	}
 	k.mu.Lock()
+	if k.view.Size(p) > mostFacts {
+		k.mu.Unlock()
+		return ErrCrowd
+	}
 	was := k.view.Standing
 	k.view.Store(p, k.millis())
 	k.view.At = k.said()
@@ -294,8 +319,14 @@
 func (k *Keeper) write(ctx context.Context) error {
 	for {
 		k.mu.Lock()
-		changes, epoch := k.view.Pending(batch), k.view.Meta.Epoch
+		changes, epoch := k.view.Pending(k.fits), k.view.Meta.Epoch
 		k.mu.Unlock()
+		for i := range changes { // drains do not wait for what comes with them
+			if changes[0].Kind == record.Drain && changes[i].Kind != record.Drain {
+				changes = changes[:i]
+				break
+			}
+		}
 		if len(changes) == 0 {
 			k.mu.Lock()
 			m, back := k.view.Meta, k.view.Standing == record.Back
@@ -321,6 +352,12 @@
 		}
 		call, cancel := context.WithTimeout(ctx, k.c.Timeout)
 		facts, _, err := k.store.Write(call, epoch, changes)
+		switch {
+		case err == nil:
+			k.fits = min(batch, 2*k.fits)
+		case call.Err() != nil && ctx.Err() == nil: // too much for one call, so far from the store
+			k.fits = max(1, len(changes)/2)
+		}
 		var stale *record.Stale
 		var lost *record.Conflict
 		if errors.As(err, &stale) || errors.As(err, &lost) { // one by one, so that it costs no other
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -32,6 +33,7 @@
 	log    *zap.Logger
 	wake   chan struct{}
 	secure func(addr string) *tls.Config // nil: discovery speaks plain TCP
+	dial   Dial
 
 	mu    sync.Mutex
 	addr  string
@@ -43,6 +45,7 @@
 	core     Core
 	at       string        // where the last watch went
 	revision int64         // of the list held, in the numbers of that discovery
+	named    int           // entries since the last whole list, that list's included: the servers held are no more
 	told     bool          // the watch that lasts has brought news
 	failing  bool          // the last watch brought nothing, and that has been told
 	fresh    bool          // discovery has moved, and no watch of the new one has ended
@@ -52,9 +55,15 @@
 // New makes a Watcher; Run starts it.
 func New(addr string, zones []string, l limits.Limits, budget *limits.Budget, log *zap.Logger) *Watcher {
 	return &Watcher{addr: addr, at: addr, zones: zones, limits: l, budget: budget, log: log,
-		patience: l.ListFirst, wake: make(chan struct{}, 1), cut: func() {}}
+		patience: l.ListFirst, wake: make(chan struct{}, 1), cut: func() {}, dial: (&net.Dialer{KeepAlive: -1}).DialContext}
 }
 
+// Dial connects, as net.Dialer does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Through has discovery reached another way than by the machine's own network. It is told before Run.
+func (w *Watcher) Through(d Dial) { w.dial = d }
+
 // Secure has discovery reached over TLS, by a configuration for each connection. It is told before Run.
 func (w *Watcher) Secure(by func(addr string) *tls.Config) { w.secure = by }
 
@@ -167,8 +176,9 @@
 		return errNoDescriptor
 	}
 	defer w.budget.Give()
-	dialer := net.Dialer{Timeout: w.limits.ListConnect, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp", w.at)
+	reach, reached := context.WithTimeout(ctx, w.limits.ListConnect)
+	c, err := w.dial(reach, "tcp", w.at)
+	reached()
 	if err != nil {
 		return fmt.Errorf("reaching discovery: %w", err)
 	}
@@ -213,6 +223,9 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if err := w.room(list); err != nil {
+			return err
+		}
 		w.take(list)
 		if !w.told {
 			w.told, w.failing, w.fresh = true, false, false
@@ -234,6 +247,27 @@
 	return status, stream, err
 }
 
+// errCrowd is a service of which changes have named more servers than there may be, many of them perhaps gone since.
+var errCrowd = fmt.Errorf("server list: changes named more than %d servers since the last whole list, which is asked for", MostMembers)
+
+// room keeps the number of servers bounded that changes can bring, a few at a time: the whole list has to tell then how many
+// there are.
+func (w *Watcher) room(l *List) error {
+	if l.Complete {
+		w.named = 0
+	}
+	for _, m := range l.Members {
+		if !bytes.Contains(m, []byte(`"gone"`)) {
+			w.named++
+		}
+	}
+	if w.named <= MostMembers || l.Complete {
+		return nil
+	}
+	w.revision, w.named = 0, 0
+	return errCrowd
+}
+
 // take passes news on. A change that is older than the list held would bring back what has left: of
 // that the core hears only that discovery has answered.
 func (w *Watcher) take(l *List) {
