--- a/cmd/robinlab/fleet.go
+++ b/cmd/robinlab/fleet.go
@@ -16,7 +16,7 @@
 func fleetCommand() *cobra.Command {
 	var node, out string
 	var sizes []int
-	var asJSON, quiet, check bool
+	var asJSON, quiet, check, through bool
 	c := &cobra.Command{Use: "fleet FILE...", Short: "Play days of a whole fleet's control side, its nodes hollow; exits 0 if all kept to what they expect, 1 if not, 2 on bad input",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, paths []string) error {
@@ -26,6 +26,9 @@
 				if err != nil {
 					return err
 				}
+				if through {
+					f.Through = true
+				}
 				for _, n := range sizes {
 					if n < f.Zones || n > 2000 {
 						return fmt.Errorf("--nodes: %d is not in %d to 2000", n, f.Zones)
@@ -89,6 +92,7 @@
 			return nil
 		}}
 	c.Flags().IntSliceVar(&sizes, "nodes", nil, "other sizes than the file's")
+	c.Flags().BoolVar(&through, "through", false, "nodes are told the record by the controllers, whatever the files say")
 	c.Flags().StringVar(&node, "node", "", "the node's program (default: robincart beside this program, or bin/robincart); robincart-controller is taken from beside it")
 	c.Flags().StringVar(&out, "out", "", "where files and logs go (default: the system's place for temporary files)")
 	c.Flags().BoolVar(&asJSON, "json", false, "print the figures as JSON")
--- a/internal/lab/fleet/hollow.go
+++ b/internal/lab/fleet/hollow.go
@@ -43,6 +43,7 @@
 	Lists    [][]Endpoint // behind it: by service, by controller replica
 	Store    Endpoint     // empty: nodes keep no record
 	Address  string       // of the store, with user and password
+	Relays   []Endpoint   // of the controllers, where nodes are told the record by them; none: nodes read the store
 }
 
 // Phases of an Event.
@@ -205,6 +206,9 @@
 				if h.Open != nil {
 					return h.Open(number)
 				}
+				if len(s.Relays) > 0 {
+					return x.through(), nil
+				}
 				return sqlstore.OpenThrough(s.Address, func(ctx context.Context, _, _ string) (net.Conn, error) {
 					return h.net.Dial(ctx, x.place, s.Store.Place, s.Store.Addr, &h.record)
 				})
@@ -308,6 +312,23 @@
 	return nil, fmt.Errorf("%s is no door of the fleet", addr)
 }
 
+// through is the record by way of the controllers, those of the node's own region first.
+func (x *hollow) through() store.Store {
+	h := x.h
+	at := map[string]Place{}
+	var near, far []string
+	for _, t := range spread(h.setup.Relays, x.number) {
+		if at[t.addr] = t.place; t.place.Region == x.place.Region {
+			near = append(near, t.addr)
+		} else {
+			far = append(far, t.addr)
+		}
+	}
+	return store.ThroughBy(func(ctx context.Context, addr string) (net.Conn, error) {
+		return h.net.Dial(ctx, x.place, at[addr], addr, &h.record)
+	}, append(near, far...), nil)
+}
+
 // spread is the order in which replicas are tried.
 func spread(of []Endpoint, turn int) []target {
 	out := make([]target, len(of))
--- a/internal/lab/fleet/plan.go
+++ b/internal/lab/fleet/plan.go
@@ -27,6 +27,7 @@
 	Replicas int // of the controller
 	Real     int // nodes that are processes, beside the hollow ones
 	Record   *bool
+	Through  bool                                  // nodes are told the record by the controllers, instead of by the store
 	Cold     bool                                  // the record is empty when all nodes start; else one node was there before
 	Latency  struct{ Region, Zone, Rack Duration } // one way
 	Quiet    Duration                              // that the record's first writing is waited for
@@ -120,6 +121,7 @@
 	bad(f.Regions < 1 || f.Regions > 8 || f.Zones < f.Regions || f.Zones > 64 || f.Zones%max(f.Regions, 1) != 0, "zones: %d can't be parted over %d regions (8 regions, 64 zones at most)", f.Zones, f.Regions)
 	bad(f.Racks < 1 || f.Racks > 100, "racks: %d a zone", f.Racks)
 	bad(f.Replicas < 1 || f.Replicas > 9, "replicas: %d is not in 1 to 9", f.Replicas)
+	bad(f.Through && !*f.Record, "through: there is no store of record here")
 	bad(f.Real < 0 || f.Real > 20, "real: %d is not in 0 to 20", f.Real)
 	for name, d := range map[string]Duration{"latency.region": f.Latency.Region, "latency.zone": f.Latency.Zone, "latency.rack": f.Latency.Rack} {
 		bad(d < 0 || d.Of() > time.Second, "%s: %v is not in 0s to 1s", name, d.Of())
--- a/internal/lab/fleet/run.go
+++ b/internal/lab/fleet/run.go
@@ -386,6 +386,14 @@
 			return err
 		}
 		fmt.Fprintf(&b, "[record]\nstore = %q\n", address)
+		if r.f.Through {
+			at, err := r.address()
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(&b, "listen = %q\n", at)
+			r.setup.Relays = append(r.setup.Relays, Endpoint{r.sites[name], at})
+		}
 	}
 	var lists []string
 	for _, s := range r.setup.Services {
@@ -428,6 +436,17 @@
 		if err != nil {
 			return err
 		}
+		if r.f.Through {
+			var all []string
+			for c, e := range r.setup.Relays {
+				x, err := r.relay(fmt.Sprint("real ", i, " record ", c), r.setup.Places[0], func() []target { return []target{{e.Place, e.Addr}} })
+				if err != nil {
+					return err
+				}
+				all = append(all, x.Addr())
+			}
+			address = "controllers:" + strings.Join(all, ",")
+		}
 		more = fmt.Sprintf("[record]\nstore = %q\n", address)
 	}
 	n := &standin.Node{Name: fmt.Sprint("real", i), Addr: addr, Program: r.o.Node, Dir: r.o.Dir, Text: NodeFile(&r.setup, fmt.Sprint("real", i), addr, 0, 440, more)}
--- a/internal/store/controllers.go
+++ b/internal/store/controllers.go
@@ -58,6 +58,7 @@
 
 type through struct {
 	addrs  []string
+	reach  func(ctx context.Context, addr string) (net.Conn, error)
 	secure func(addr string) *tls.Config
 	end    context.CancelFunc
 	all    sync.WaitGroup
@@ -75,8 +76,14 @@
 
 // Through is the record as the first of the controller's replicas has it that can be reached and is not behind. Secure, if set, makes the keys for a connection.
 func Through(addrs []string, secure func(addr string) *tls.Config) Store {
+	d := net.Dialer{KeepAlive: -1}
+	return ThroughBy(func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }, addrs, secure)
+}
+
+// ThroughBy is Through over connections that are made elsewhere.
+func ThroughBy(reach func(ctx context.Context, addr string) (net.Conn, error), addrs []string, secure func(addr string) *tls.Config) Store {
 	ctx, end := context.WithCancel(context.Background())
-	s := &through{addrs: addrs, secure: secure, end: end, news: make(chan struct{}, 1), changed: make(chan struct{}), why: errors.New("not reached yet")}
+	s := &through{addrs: addrs, reach: reach, secure: secure, end: end, news: make(chan struct{}, 1), changed: make(chan struct{}), why: errors.New("not reached yet")}
 	s.all.Go(func() { s.run(ctx) })
 	return s
 }
@@ -121,14 +128,13 @@
 }
 
 func (s *through) dial(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialFor, KeepAlive: -1}
-	c, err := d.DialContext(ctx, "tcp", addr)
+	ctx, cancel := context.WithTimeout(ctx, dialFor)
+	defer cancel()
+	c, err := s.reach(ctx, addr)
 	if err != nil || s.secure == nil {
 		return c, err
 	}
 	t := tls.Client(c, s.secure(addr))
-	ctx, cancel := context.WithTimeout(ctx, dialFor)
-	defer cancel()
 	if err := t.HandshakeContext(ctx); err != nil {
 		c.Close()
 		return nil, fmt.Errorf("keys: %w", err)
