--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -38,6 +38,7 @@
 	"robincart/internal/fanout"
 	"robincart/internal/keys"
 	"robincart/internal/membership"
+	"robincart/internal/relay"
 	"robincart/internal/store"
 )
 
@@ -70,6 +71,9 @@
 	Keys       keys.Files // towards nodes; none: plain TCP
 	// Store, if set, is the record that the settings of the API go into. Run closes it.
 	Store store.Store
+	// Record is the address at which nodes are told the record by this replica, so that they need not ask the store; "": nowhere.
+	Record  string
+	Callers int // nodes there, at most
 }
 
 // Controller is one replica.
@@ -95,7 +99,8 @@
 	bad    map[string]string // objects that were skipped, and why
 	cut    map[string]*cut   // kinds that are not followed
 	gates  int
-	book   *book // nil without a record
+	book   *book        // nil without a record
+	relay  *relay.Relay // nil where nodes are not told the record
 }
 
 // New prepares one.
@@ -103,6 +108,9 @@
 	if err := c.Membership.Valid(); err != nil {
 		return nil, fmt.Errorf("membership: %w", err)
 	}
+	if c.Record != "" && c.Store == nil {
+		return nil, errors.New("the record can't be told to nodes: there is no store of it")
+	}
 	c.Fanout.Epoch = func(revision int64) int64 { return revision >> epochBits }
 	k := &Controller{c: c, log: log, begin: time.Now(), whole: make(chan struct{}), base: rand.Int63n(1 << (epochBits - 1)), state: membership.New(c.Membership, 0), synced: map[string]bool{}, lists: map[string]*fanout.List{},
 		names: map[string]string{}, conds: map[string][]core.PodCondition{}, bad: map[string]string{}, cut: map[string]*cut{}}
@@ -133,6 +141,9 @@
 
 // Run follows and serves until the context ends. The error is what kept it from starting.
 func (k *Controller) Run(ctx context.Context) error {
+	if k.c.Store != nil {
+		defer k.c.Store.Close()
+	}
 	var listeners []net.Listener
 	defer func() {
 		for _, ln := range listeners {
@@ -168,10 +179,20 @@
 			return err
 		}
 	}
-	ctx, end := context.WithCancel(ctx)
-	defer end()
+	var told net.Listener
+	if k.c.Record != "" {
+		if told, err = net.Listen("tcp", k.c.Record); err != nil {
+			return fmt.Errorf("record.listen: %w", err)
+		}
+		listeners = append(listeners, told)
+		if ring != nil {
+			told = tls.NewListener(told, ring.Server())
+		}
+	}
 	var all sync.WaitGroup
 	defer all.Wait()
+	ctx, end := context.WithCancel(ctx)
+	defer end() // before the wait: what is waited for ends by it
 	if ring != nil {
 		all.Go(func() { ring.Run(ctx) })
 	}
@@ -222,11 +243,18 @@
 			}
 		})
 	}
+	if k.c.Store != nil && told != nil {
+		r := relay.New(k.c.Store, relay.Defaults(), k.log)
+		k.mu.Lock()
+		k.relay = r
+		k.mu.Unlock()
+		all.Go(func() { r.Run(ctx) })
+		all.Go(func() { store.ServeWithin(ctx, told, r, relay.Within(k.c.Callers)) })
+	}
 	follow := func(group, resource, namespace string, example any, s sink) {
 		from(cache.NewListWatchFromClient(clients[group], resource, namespace, selection.Everything()), resource, example, s)
 	}
 	if k.c.Store != nil {
-		defer k.c.Store.Close()
 		b, err := newBook(k, k.c.Store)
 		if err != nil {
 			return err
@@ -521,8 +549,14 @@
 		}
 		es = append(es, m)
 	}
+	k.apply(func(m *membership.State, now float64) []membership.Change {
+		changes := m.Slice(key, of, es, now)
+		if n := m.Refused(key); n > 0 {
+			why = fmt.Sprintf("%d endpoints are left out: the service has more than %d servers, those that left lately included", n, membership.MostServers)
+		}
+		return changes
+	})
 	k.skip("endpointslice "+key, why)
-	k.apply(func(m *membership.State, now float64) []membership.Change { return m.Slice(key, of, es, now) })
 }
 
 func portOf(s *discovery.EndpointSlice, want string) int32 {
@@ -677,6 +711,7 @@
 	Skipped  map[string]string        `json:"skipped"`
 	Gates    int                      `json:"gates_opened"`
 	Record   string                   `json:"record,omitempty"` // what keeps it from following the settings
+	Relay    *relay.Status            `json:"relay,omitempty"`  // the record as nodes are told it here
 	Services map[string]fanout.Status `json:"services"`
 }
 
@@ -689,6 +724,10 @@
 	if k.book != nil {
 		s.Record = k.book.fault
 	}
+	if k.relay != nil {
+		r := k.relay.Status()
+		s.Relay = &r
+	}
 	for kind, c := range k.cut {
 		s.Cut[kind] = time.Since(c.since).Seconds()
 	}
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -337,3 +338,103 @@
 		})
 	}
 }
+
+// far is a store that is so far away that only a few changes fit into the time of one call.
+type far struct {
+	store.Store
+	fits int
+	mu   sync.Mutex
+	sent [][]record.Change
+}
+
+func (s *far) Write(ctx context.Context, epoch string, changes []record.Change) ([]record.Fact, record.Meta, error) {
+	s.mu.Lock()
+	s.sent = append(s.sent, changes)
+	s.mu.Unlock()
+	if len(changes) > s.fits {
+		<-ctx.Done()
+		return nil, record.Meta{}, ctx.Err()
+	}
+	return s.Store.Write(ctx, epoch, changes)
+}
+
+func TestAFarStoreGetsFewerChangesAtOnceAndDrainsFirst(t *testing.T) {
+	r := newRig(t)
+	r.c.Timeout = time.Second
+	r.c.Poll = 20 * time.Millisecond
+	s := &far{fits: 12}
+	open := r.c.Open
+	r.c.Open = func() (store.Store, error) {
+		var err error
+		s.Store, err = open()
+		return s, err
+	}
+	k := r.open()
+	defer k.Close()
+	c := &core{}
+	sink := k.Sink("s", c)
+	var ids []string
+	for i := range 40 {
+		ids = append(ids, fmt.Sprint("a", i))
+	}
+	sink.Listed(list(decide.Ready, ids...), true)
+	k.Drain("s/a7", record.Drained{Since: 1, By: "operator"})
+	require.Eventually(t, func() bool { return r.recorded("s/a7") }, 20*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return k.Status().Waiting == 0 }, 20*time.Second, 5*time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	drains := 0
+	for _, changes := range s.sent {
+		for _, x := range changes {
+			if x.Kind == record.Drain {
+				drains++
+				assert.Len(t, changes, 1, "a drain waits for nothing else")
+			}
+		}
+	}
+	assert.Positive(t, drains)
+}
+
+// endless is a store that claims facts without end.
+type endless struct {
+	store.Store
+	at    int64
+	value string
+}
+
+func (s *endless) Meta(context.Context) (record.Meta, error) {
+	return record.Meta{Epoch: "e", Revision: 1 << 40}, nil
+}
+
+func (s *endless) Since(_ context.Context, after int64, most int) (record.Page, error) {
+	p := record.Page{Meta: record.Meta{Epoch: "e", Revision: after + int64(most)}}
+	for i := range most {
+		n := after + int64(i) + 1
+		p.Facts = append(p.Facts, record.Fact{Key: record.Key{Kind: record.Server, Name: fmt.Sprint("s/", n)}, Revision: n, Value: json.RawMessage(s.value)})
+	}
+	return p, nil
+}
+
+func (s *endless) Wait(ctx context.Context, most time.Duration) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (s *endless) Close() error { return nil }
+
+func TestARecordWithoutEndIsRefusedAndTheCopyStays(t *testing.T) {
+	for name, value := range map[string]string{"facts": `{}`, "bytes": `"` + strings.Repeat("x", 60_000) + `"`} {
+		t.Run(name, func(t *testing.T) {
+			c := Config{Name: "n", Open: func() (store.Store, error) { return &endless{value: value}, nil }, Required: true, Timeout: time.Minute, Poll: time.Second, Queue: 10}
+			_, err := Open(t.Context(), c, zap.NewNop())
+			assert.ErrorIs(t, err, ErrCrowd)
+			c.Required = false
+			k, err := Open(t.Context(), c, zap.NewNop())
+			require.NoError(t, err)
+			defer k.Close()
+			s := k.Status()
+			assert.Zero(t, s.Facts)
+			assert.Contains(t, s.Fault, "more than 100000 facts or 64 MB")
+		})
+	}
+}
--- a/internal/lab/pgstand/pgstand.go
+++ b/internal/lab/pgstand/pgstand.go
@@ -15,6 +15,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	_ "modernc.org/sqlite" // keeps the rows
+
+	"robincart/internal/lab/traffic"
 )
 
 // CommitFault is what becomes of the next commit.
@@ -32,7 +34,7 @@
 	User, Password string
 
 	path string
-	ln   net.Listener
+	ln   *traffic.Listener
 	done sync.WaitGroup
 	lock chan struct{} // the one advisory lock
 
@@ -47,6 +49,7 @@
 	codes   int
 	cutIn   int // statements until a connection is cut; 0: none is
 	Commits int
+	counts  Counts
 }
 
 // Start listens; the rows lie in a file, which outlasts the server.
@@ -56,10 +59,12 @@
 	if s.db, err = sql.Open("sqlite", "file:"+path+"?_pragma=journal_mode(WAL)&_pragma=busy_timeout(5000)&_pragma=synchronous(OFF)"); err != nil {
 		return nil, err
 	}
-	if s.ln, err = net.Listen("tcp", addr); err != nil {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
 		s.db.Close()
 		return nil, err
 	}
+	s.ln = traffic.Listen(ln)
 	s.done.Go(s.accept)
 	return s, nil
 }
@@ -288,6 +293,7 @@
 func (c *conn) run(text string, args []any, describe bool) (ok, alive bool) {
 	s := c.s
 	s.mu.Lock()
+	s.counts.Statements++
 	stalled, code := s.stalled, ""
 	if s.codes > 0 {
 		s.codes--
@@ -511,6 +517,7 @@
 		}
 	}
 	s.Commits++
+	s.counts.Notices += len(to) * len(notes)
 	s.mu.Unlock()
 	for _, c := range to {
 		for _, n := range notes {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -1,7 +1,9 @@
 package operator
 
 import (
+	"fmt"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -38,6 +40,34 @@
 	assert.Equal(t, c.Limits, fresh.Limits)
 }
 
+func TestTheRecordThroughControllersIsChecked(t *testing.T) {
+	keyed := "[keys]\ncert = \"a\"\nkey = \"b\"\nca = \"c\"\n"
+	for store, want := range map[string]string{
+		"controllers:127.0.0.1:8600,[::1]:8600": "",
+		"controllers:10.0.0.5:8600":             "without [keys] a controller has to be at a loopback address, and 10.0.0.5:8600 is none",
+		"controllers:control.example.org:8600":  "without [keys]",
+		"controllers:":                          "is no address with a port",
+		"controllers:10.0.0.5:8600,10.0.0.5":    `"10.0.0.5" is no address with a port`,
+		"controller:10.0.0.5:8600":              "controllers:HOST:PORT",
+	} {
+		text := string(example(t)) + "\n[record]\nstore = \"" + store + "\"\n"
+		c, err := Parse([]byte(text), 0)
+		if want == "" {
+			require.NoError(t, err, store)
+			assert.Equal(t, store, c.Record.Store)
+			continue
+		}
+		assert.ErrorContains(t, err, "record.store", store)
+		assert.ErrorContains(t, err, want, store)
+		if strings.HasPrefix(want, "without [keys]") {
+			_, err = Parse([]byte(text+keyed), 0)
+			assert.NoError(t, err, store)
+		}
+	}
+	_, err := Parse([]byte(string(example(t))+"\n[record]\nstore = \"controllers:127.0.0.1:8600\"\ntimeout = \"-1s\"\n"), 0)
+	assert.ErrorContains(t, err, "record.timeout")
+}
+
 // Whatever the file says: an error with words, or a configuration whose every part is there.
 func FuzzParse(f *testing.F) {
 	f.Add(example(f))
@@ -62,3 +92,37 @@
 		}
 	})
 }
+
+// A file that claims more than any fleet has is refused with its numbers, and soon.
+func TestAFileThatClaimsTooMuchIsNamed(t *testing.T) {
+	service := func(name, more string) string {
+		return fmt.Sprintf("[[service]]\nname = %q\ndiscovery = \"127.0.0.1:1\"\n%s[[service.method]]\nname = \"m\"\nrepeat = \"idempotent\"\ntarget = \"1s\"\ndeadline = \"2s\"\n", name, more)
+	}
+	many := func(n int, f func(i int) string) string {
+		var b strings.Builder
+		for i := range n {
+			b.WriteString(f(i))
+		}
+		return b.String()
+	}
+	head := "listen = [\"127.0.0.1:2\"]\n[sharing]\noff = true\n"
+	for want, text := range map[string]string{
+		"service: 1001 are more than 1000":              many(1001, func(i int) string { return service(fmt.Sprint("s", i), "") }),
+		"route: 50001 are more than 50000":              service("s", "") + many(50_001, func(i int) string { return "[[route]]\nto = \"s\"\n" }),
+		"service[1].method: 1002 are more than 1000":    service("s", "") + many(1001, func(i int) string { return "[[service.method]]\nname = \"x\"\n" }),
+		"service[1].tenant: 20001 are more than 20000":  service("s", "") + many(20_001, func(i int) string { return "[[service.tenant]]\nname = \"x\"\n" }),
+		"service[1].servers: 20001 are more than 20000": service("s", "servers = ["+many(20_001, func(i int) string { return "\"x\"," })+"]\n"),
+	} {
+		_, err := Parse([]byte(head+text), 0)
+		assert.ErrorContains(t, err, want)
+		if err != nil {
+			assert.Less(t, len(err.Error()), 1000)
+		}
+	}
+	// Ten times the target's services are taken.
+	c, err := Parse([]byte(head+many(300, func(i int) string {
+		return service(fmt.Sprint("s", i), "") + fmt.Sprintf("[[route]]\nname = \"r%d\"\nhost = \"h%d.example.org\"\nto = \"s%d\"\n", i, i, i)
+	})), 0)
+	require.NoError(t, err)
+	assert.Len(t, c.Pools, 300)
+}
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -341,3 +341,112 @@
 	assert.Equal(t, "draining", phase(a, "x", 6))
 	assert.Equal(t, "draining", phase(old, "x", 6))
 }
+
+// All nodes hear of a server; what another has recorded need not be written again.
+func TestWhatTheStoreHasIsNotWrittenAgain(t *testing.T) {
+	n := 0
+	v := NewView("n", 100, func() string { n++; return fmt.Sprint(n) })
+	v.Discovered("s", []Sighting{
+		{ID: "a", Addr: "a:1", Phase: "ready", Start: 5, Listed: 70},
+		{ID: "b", Addr: "b:1", Phase: "gone", Start: 5, Listed: 71},
+		{ID: "c", Addr: "c:1", Phase: "ready", Start: 6, Listed: 72},
+		{ID: "d", Addr: "d:1", Phase: "ready", Start: 6, Listed: 72},
+		{ID: "e", Addr: "e:1", Phase: "ready", Start: 6, Listed: 72},
+	}, true, 1)
+	assert.Equal(t, 5, v.Waiting())
+	has := func(id string, revision int64, s Sighting) Fact {
+		value, err := json.Marshal(s)
+		assert.NoError(t, err)
+		return Fact{Key: Key{Server, "s/" + id}, Revision: revision, Value: value}
+	}
+	gone := has("e", 5, Sighting{Addr: "e:1", Phase: "ready", Start: 6})
+	gone.Deleted = true
+	v.Store(Page{Meta: Meta{"x", 5}, Facts: []Fact{
+		has("a", 1, Sighting{Addr: "a:1", Phase: "ready", Start: 5, Listed: 9_000}), // by another replica's numbers
+		has("b", 2, Sighting{Addr: "b:1", Phase: "ready", Start: 5}),                // it has left since
+		has("c", 3, Sighting{Addr: "c:1", Phase: "gone", Start: 6}),                 // it is known here only later
+		has("d", 4, Sighting{Addr: "d:2", Phase: "ready", Start: 6}),                // elsewhere
+		gone,
+	}}, 2)
+	var waits []string
+	for _, c := range v.Pending(100) {
+		waits = append(waits, c.Name)
+	}
+	assert.Equal(t, []string{"s/b", "s/d", "s/e"}, waits)
+}
+
+// All nodes of a fleet are told the same, each at its own time and many by a replica of discovery that numbers its lists by itself. The first
+// of them writes it; where each wrote its own form of it, each of those would be told to all.
+func TestWhatAllNodesAreToldIsWrittenOnce(t *testing.T) {
+	s := &shelf{meta: Meta{Epoch: "e"}, facts: map[Key]Fact{}}
+	var views []*View
+	for i := range 9 {
+		v := view(fmt.Sprint("n", i))
+		v.Store(s.page(0, true), 1)
+		views = append(views, v)
+	}
+	say := func(phase string, now int64) int64 {
+		before := s.meta.Revision
+		for i, v := range views {
+			v.Discovered("s", []Sighting{{ID: "a", Addr: "10.0.0.1:80", Phase: phase, Start: 5, Listed: int64(1000 * (i%3 + 1))}}, true, now+int64(i))
+		}
+		for _, v := range views { // none has heard of the others' writes
+			for _, c := range v.Pending(100) {
+				f, err := s.write(c)
+				assert.NoError(t, err)
+				v.Written(c, f)
+			}
+		}
+		for _, v := range views {
+			v.Store(s.page(v.Meta.Revision, false), now+50)
+			assert.Zero(t, v.Waiting())
+		}
+		return s.meta.Revision - before
+	}
+	assert.EqualValues(t, 1, say("ready", 100), "one sighting")
+	assert.EqualValues(t, 2, say("draining", 200), "one sighting and one drain")
+	for _, v := range views {
+		assert.Equal(t, "draining", phase(v, "a", 300))
+	}
+	// What does say something else is written: another end, another process, a new word after an end.
+	put := func(expect int64, d Drained) {
+		before := s.meta.Revision
+		text, _ := json.Marshal(d)
+		_, err := s.write(Change{Key: Key{Drain, "s/a"}, Expect: expect, By: "op", Mark: fmt.Sprint("m", s.meta.Revision), Value: text})
+		assert.NoError(t, err)
+		assert.Equal(t, before+1, s.meta.Revision, "%+v", d)
+	}
+	put(Any, Drained{Start: 6, Since: 7, By: "op", Until: 900})
+	put(Any, Drained{Start: 6, Since: 8, By: "op", Until: 950})
+	put(s.meta.Revision, Drained{Start: 6, Since: 8, By: "op", Until: 950, Ended: true, Over: s.meta.Revision}) // as robincart record undrain does
+	put(Any, Drained{Start: 6, Since: 9, By: "op", Until: 950, Over: s.meta.Revision})
+}
+
+// A store that goes back to just where a node had read last, behind what that node wrote since, has lost that: it is seen, and written again.
+func TestAStoreThatWentBackBehindAWriteIsSeen(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		s := &shelf{meta: Meta{Epoch: "e", Revision: 2}, facts: map[Key]Fact{}}
+		v := view("n")
+		v.Store(s.page(0, true), 1)
+		backup := s.copy()
+		v.Drain("s/a", Drained{Start: 5, Since: 1, By: "op"}, 2)
+		for _, c := range v.Pending(9) {
+			f, err := s.write(c)
+			assert.NoError(t, err)
+			v.Written(c, f)
+		}
+		assert.Equal(t, Meta{Epoch: "e", Revision: 3}, v.Stands())
+		if restarted { // from a snapshot that was taken before the write was read
+			snap := v.Snapshot()
+			v = view("n")
+			v.Restore(snap, 3)
+		}
+		_, whole := v.Wants(backup.meta)
+		assert.True(t, whole)
+		v.sync(backup, 4)
+		assert.Contains(t, backup.facts, Key{Drain, "s/a"}, "restarted %v", restarted)
+		v.sync(backup, 5)
+		assert.Equal(t, Follows, v.Standing)
+		assert.Equal(t, backup.meta, v.Meta)
+	}
+}
--- a/internal/record/view.go
+++ b/internal/record/view.go
@@ -39,6 +39,7 @@
 	Clock    int64 // the latest time heard: the machine's may be set back
 
 	facts      map[Key]Fact
+	wrote      int64                          // the highest revision of what this node wrote: the store stood there, whether or not it was read since
 	discovered map[string]map[string]Sighting // by service
 	heard      map[string]bool                // services whose discovery has spoken since the start
 	own        map[string]Drained             // drains that this node was told, by name
@@ -79,6 +80,7 @@
 	v.Meta, v.At, v.Clock, v.Standing = s.Meta, s.At, max(s.Clock, now), Never
 	for _, f := range s.Facts {
 		v.facts[f.Key] = f
+		v.wrote = max(v.wrote, f.Revision)
 	}
 	for name, d := range s.Drains {
 		v.tell(name, d)
@@ -92,9 +94,12 @@
 	Facts []Fact
 }
 
+// Stands is where this copy stands: as far as it has read, or has written.
+func (v *View) Stands() Meta { return Meta{v.Meta.Epoch, max(v.Meta.Revision, v.wrote)} }
+
 // Wants is what to ask the store for next, given where it stands: all of it, or what came after a revision.
 func (v *View) Wants(m Meta) (after int64, whole bool) {
-	if m.Epoch != v.Meta.Epoch || m.Revision < v.Meta.Revision {
+	if s := v.Stands(); m.Epoch != s.Epoch || m.Revision < s.Revision {
 		return 0, true
 	}
 	return v.Meta.Revision, false
@@ -105,7 +110,7 @@
 func (v *View) Store(p Page, now int64) {
 	v.tick(now)
 	switch {
-	case v.Meta.Epoch == "" || p.Meta.Epoch == v.Meta.Epoch && p.Meta.Revision >= v.Meta.Revision:
+	case v.Meta.Epoch == "" || p.Meta.Epoch == v.Meta.Epoch && p.Meta.Revision >= v.Stands().Revision:
 		v.Standing = Follows
 	case p.Meta.Epoch == v.Meta.Epoch:
 		v.Standing = Back
@@ -130,6 +135,7 @@
 	told := map[Key]bool{}
 	for _, f := range p.Facts {
 		told[f.Key] = true
+		v.overtaken(f)
 	}
 	for name, f := range drains {
 		// What a whole page lacks the store has lost; a drain that was taken back stands in it as deleted.
@@ -158,11 +164,28 @@
 		v.queueDrain(name, d)
 	}
 	if v.Standing != Back {
-		v.Meta = p.Meta
+		v.Meta, v.wrote = p.Meta, 0
 	}
 	v.At = now
 }
 
+// overtaken takes what waits to be written about a server out, if a fact that the store has says it already. All nodes hear of
+// a server at once and each would else write it, and of those far from the store a whole list of writes that change nothing may
+// never be done in the time of one call.
+func (v *View) overtaken(f Fact) {
+	c, waits := v.pending[f.Key]
+	var s Sighting
+	switch {
+	case !waits || f.Kind != Server:
+	case c.Delete:
+		if f.Deleted {
+			delete(v.pending, f.Key)
+		}
+	case json.Unmarshal(c.Value, &s) == nil && s.toldBy(f, c.Value):
+		delete(v.pending, f.Key)
+	}
+}
+
 // written tells whether a drain of this node has been recorded: then its absence is somebody's word.
 func (v *View) written(name string) bool {
 	_, waits := v.pending[Key{Drain, name}]
@@ -172,7 +195,7 @@
 // Settled ends a Back or Other once what was lacking has been written: from there the store is followed.
 func (v *View) Settled(m Meta) {
 	if len(v.pending) == 0 || m.Revision >= v.Meta.Revision {
-		v.Meta, v.Standing = m, Follows
+		v.Meta, v.wrote, v.Standing = m, 0, Follows
 	}
 }
 
@@ -221,20 +244,24 @@
 	}
 }
 
+// toldBy tells whether a fact says all that a sighting does, whose value this is.
+func (s *Sighting) toldBy(f Fact, value []byte) bool {
+	var was Sighting
+	if f.Deleted || json.Unmarshal(f.Value, &was) != nil {
+		return false
+	}
+	same := was
+	same.Listed = s.Listed
+	b, _ := json.Marshal(same)
+	return string(b) == string(value) || s.Start < was.Start || s.Start == was.Start && rank(s.Phase) < rank(was.Phase)
+}
+
 // sight queues a sighting, if it says more than is recorded.
 func (v *View) sight(s Sighting) {
 	k := Key{Server, s.Service + "/" + s.ID}
 	value, _ := json.Marshal(s)
-	if f, ok := v.facts[k]; ok && !f.Deleted {
-		var was Sighting
-		if json.Unmarshal(f.Value, &was) == nil {
-			same := was
-			same.Listed = s.Listed
-			b, _ := json.Marshal(same)
-			if string(b) == string(value) || s.Start < was.Start || s.Start == was.Start && rank(s.Phase) < rank(was.Phase) {
-				return
-			}
-		}
+	if f, ok := v.facts[k]; ok && s.toldBy(f, value) {
+		return
 	}
 	if _, waits := v.pending[k]; !waits && len(v.pending) >= v.Most {
 		v.Dropped++ // the next list brings it again
@@ -330,6 +357,20 @@
 	return out
 }
 
+// Size is how many facts the view would hold with a page, deleted ones included.
+func (v *View) Size(p Page) int {
+	if p.Whole {
+		return len(p.Facts)
+	}
+	n := len(v.facts)
+	for _, f := range p.Facts {
+		if _, has := v.facts[f.Key]; !has {
+			n++
+		}
+	}
+	return n
+}
+
 // Facts are those of a kind, by name.
 func (v *View) Facts(k Kind) []Fact {
 	var out []Fact
@@ -393,6 +434,7 @@
 		delete(v.pending, c.Key)
 	}
 	if f.Revision > 0 {
+		v.wrote = max(v.wrote, f.Revision)
 		if was, ok := v.facts[f.Key]; !ok || was.Revision < f.Revision {
 			v.facts[f.Key] = f
 		}
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -36,7 +37,7 @@
 	log    *zap.Logger
 	wake   chan struct{}
 	secure func(addr string) *tls.Config // nil: discovery speaks plain TCP
-	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	dial   Dial
 	core   Core
 
 	mu       sync.Mutex
@@ -48,6 +49,7 @@
 	revision int64   // of the list held, in the numbers of that discovery
 	failing  bool    // the last call or watch has failed, and that has been told
 	fresh    bool    // discovery has moved, and no call to the new one has failed
+	named    int     // entries since the last whole list, that list's included: the servers held are no more
 
 	// Descriptors: what is held, one of them from watch to watch, and what calls use.
 	held, used int
@@ -82,6 +84,12 @@
 		wake: make(chan struct{}, 1), dial: (&net.Dialer{KeepAlive: -1}).DialContext}
 }
 
+// Dial connects, as net.Dialer does.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Through has discovery reached another way than by the machine's own network. It is told before Run.
+func (w *Watcher) Through(d Dial) { w.dial = d }
+
 // Secure has discovery reached over TLS, by a configuration for each connection. It is told before Run.
 func (w *Watcher) Secure(by func(addr string) *tls.Config) { w.secure = by }
 
@@ -398,6 +406,9 @@
 		if !w.wins(own) {
 			return errDropped
 		}
+		if err := w.room(list); err != nil {
+			return err
+		}
 		w.take(list)
 		if !own.told {
 			own.told = true
@@ -422,6 +433,29 @@
 	return status, stream, err
 }
 
+// errCrowd is a service of which changes have named more servers than there may be, many of them perhaps gone since.
+var errCrowd = fmt.Errorf("server list: changes named more than %d servers since the last whole list, which is asked for", MostMembers)
+
+// room keeps the number of servers bounded that changes can bring, a few at a time: the whole list has to tell then how many
+// there are.
+func (w *Watcher) room(l *List) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if l.Complete {
+		w.named = 0
+	}
+	for _, m := range l.Members {
+		if !bytes.Contains(m, []byte(`"gone"`)) {
+			w.named++
+		}
+	}
+	if w.named <= MostMembers || l.Complete {
+		return nil
+	}
+	w.revision, w.named = 0, 0
+	return errCrowd
+}
+
 // take passes news on. A change that is older than the list held would bring back what has left: of
 // that the core hears only that discovery has answered.
 func (w *Watcher) take(l *List) {
