--- a/internal/lab/fleet/plan_test.go
+++ b/internal/lab/fleet/plan_test.go
@@ -135,6 +135,7 @@
 	for n := range 8 {
 		r.phase[n] = map[string]string{}
 	}
+	r.take(Event{1, 7, "a", Ready})
 	r.leaves(&Pod{Addr: "a"})
 	at := r.all[0].at
 	for n := range 7 {
@@ -149,6 +150,9 @@
 	assert.Equal(t, 1, r.disagree())
 	r.take(Event{at + 9e9, 3, "a", Ready})
 	assert.Equal(t, []string{fmt.Sprintf("node 3: a is ready %.2f s after its drain", float64(at+9e9-r.drained["a"])/1e9)}, r.cameBack)
+	assert.Equal(t, 1, r.disagree(), "nodes 3 and 7 would send there")
 	r.take(Event{at + 10e9, 7, "a", Gone})
+	r.take(Event{at + 10e9, 3, "a", Draining})
+	assert.Zero(t, r.disagree(), "draining is gone for who would send")
 	assert.Zero(t, r.told(0, true).NotTold, "gone is as good as draining")
 }
