Replica: nothing is written that was not read before, and a record that went back is told as that

Cause: the relay wrote beside its reading. A store restored between a drain and what was written next gave the drain's number to the next change; to nodes it looked as if nothing had happened, and the drain was never written again. TestABackupLosesNoDrainThroughAReplica failed by it in two of three runs of the whole package under load, not alone. Ruled out: an answer that came twice (marks), a copy that kept the drain (it is read whole where its store stands behind what it has read or written). Change: one turn reads, writes a batch, reads again, as a node's keeper does; the copy counts what was written for where the store stood; a copy that goes back ends its nodes' calls with that word, by which they compare all of it. What waits is refused at once while the store can't be read. TestACallToAReplicaIsBounded read 64 MB under the race detector and ran out of its 20 s: the bound is a field now.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -48,7 +48,8 @@
 	facts  chan struct{} // services, routes or tenants have changed
 	all    sync.WaitGroup
 	end    context.CancelFunc
-	fits   int // changes of one transaction; run's alone
+	back   bool // the store's copy went back, and all of it was not read since; run's alone
+	fits   int  // changes of one transaction; run's alone
 
 	mu     sync.Mutex
 	view   *record.View
@@ -226,6 +227,7 @@
 type copied interface {
 	At(record.Meta)
 	Age() time.Duration
+	Back() bool
 }
 
 // stands tells it.
@@ -254,8 +256,14 @@
 	if err != nil {
 		return err
 	}
+	if c, is := k.store.(copied); is && c.Back() {
+		k.back = true
+	}
 	k.mu.Lock()
 	after, whole := k.view.Wants(m)
+	if k.back {
+		after, whole = 0, true
+	}
 	same := !whole && after == m.Revision && k.view.Standing == record.Follows
 	if same {
 		k.view.At = k.said()
@@ -302,6 +310,7 @@
 	}
 	waits := k.view.Waiting()
 	k.mu.Unlock()
+	k.back = false
 	k.stands()
 	if is != was && is != record.Follows {
 		k.log.Warn("the store stands elsewhere than this copy", zap.Stringer("standing", is), zap.String("epoch", p.Meta.Epoch),
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -265,6 +265,10 @@
 // ErrEpoch is a write meant for another epoch of the record than the store's: it was restored or made anew meanwhile.
 var ErrEpoch = errors.New("the record has another epoch")
 
+// ErrBack is said to those who follow a copy when its store went back, or was made anew: all of it has to be read again, also where numbers that were given
+// anew have passed those known before.
+var ErrBack = errors.New("the record went back, or has another epoch: all of it is to be read again")
+
 // ErrBehind is said by a replica's copy to one who stands further, while the store that would know better can't be asked.
 var ErrBehind = errors.New("this copy of the record is older than the caller's, and the store can't be asked")
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,7 +44,7 @@
 	up   store.Store
 	log  *zap.Logger
 	look chan struct{} // the store is to be read
-	put  chan struct{} // and to be written
+	put  chan struct{} // and written
 
 	mu      sync.Mutex
 	copy    replica.Copy
@@ -94,30 +94,58 @@
 			ring(r.look)
 		}
 	})
-	all.Go(func() { r.write(ctx) })
 	ring(r.look)
-	for pause := r.c.Gather; ; {
+	last, most := r.c.Gather, r.c.Batch
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.look:
+		case <-r.put:
+		}
+		// Nothing is written that was not read before: a store that went back would hide that behind new numbers.
+		err := r.turn(ctx)
+		for err == nil && r.write(ctx, &most) {
+			err = r.turn(ctx)
 		}
-		r.mu.Lock()
-		r.rounds++
-		r.mu.Unlock()
-		err := r.read(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if r.ended(err); err == nil {
-			pause = r.c.Gather
-		} else { // a store that comes back must not meet all replicas at once
-			pause = min(2*pause, 2*time.Second)
+		pause := r.c.Gather
+		if err != nil { // a store that comes back must not meet all replicas at once
+			r.refuse(err)
+			pause = min(2*last, 2*time.Second)
 		}
+		last = pause
 		sleep(ctx, pause/2+time.Duration(rand.Int63n(int64(pause)/2+1)))
 	}
 }
 
+// turn is one reading, whose end is told.
+func (r *Relay) turn(ctx context.Context) error {
+	r.mu.Lock()
+	r.rounds++
+	r.mu.Unlock()
+	err := r.read(ctx)
+	if ctx.Err() == nil {
+		r.ended(err)
+	}
+	return err
+}
+
+// refuse tells those who wait that the store can't be used: they try again in their own time.
+func (r *Relay) refuse(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for batch := r.queue.Next(replica.MostWaiting); len(batch) > 0; batch = r.queue.Next(replica.MostWaiting) {
+		for _, j := range batch {
+			j.Err = err
+			close(j.Done)
+		}
+		r.queue.Ended(batch)
+	}
+}
+
 // read is one reading of what the store has and the copy has not.
 func (r *Relay) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, r.c.Timeout)
@@ -253,7 +281,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-back:
-			return errors.New("the record went back, or has another epoch: ask anew")
+			return record.ErrBack
 		case <-tick.C:
 		case <-news:
 		}
@@ -357,35 +385,31 @@
 	}
 }
 
-// write takes what waits to the store, one batch after the other.
-func (r *Relay) write(ctx context.Context) {
-	for most := r.c.Batch; ; {
-		r.mu.Lock()
-		batch := r.queue.Next(most)
-		r.mu.Unlock()
-		if len(batch) == 0 {
-			select {
-			case <-ctx.Done():
-				return
-			case <-r.put:
-				continue
-			}
-		}
-		// A far store takes long for each change: a batch that never gets done in its time would be tried for ever, and hold the store's lock meanwhile.
-		if err := r.send(ctx, batch); errors.Is(err, context.DeadlineExceeded) {
-			most = max(len(batch)/2, 1)
-		} else if err == nil && len(batch) == most {
-			most = min(2*most, r.c.Batch)
-		}
-		r.mu.Lock()
-		r.queue.Ended(batch)
-		r.counts.Written += len(batch)
-		r.mu.Unlock()
-		for _, j := range batch {
-			close(j.Done)
+// write takes the next of what waits to the store, most of it at once, and tells whether there was any.
+func (r *Relay) write(ctx context.Context, most *int) bool {
+	r.mu.Lock()
+	batch := r.queue.Next(*most)
+	r.mu.Unlock()
+	if len(batch) == 0 {
+		return false
+	}
+	// A far store takes long for each change: a batch that never gets done in its time would be tried for ever, and hold the store's lock meanwhile.
+	if err := r.send(ctx, batch); errors.Is(err, context.DeadlineExceeded) {
+		*most = max(len(batch)/2, 1)
+	} else if err == nil && len(batch) == *most {
+		*most = min(2**most, r.c.Batch)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.queue.Ended(batch)
+	r.counts.Written += len(batch)
+	for _, j := range batch {
+		if r.copy.Meta().Epoch == j.Epoch {
+			r.copy.Wrote(j.Fact)
 		}
-		ring(r.look)
+		close(j.Done)
 	}
+	return true
 }
 
 // send writes a batch in one transaction, or where one of it is refused each by itself, so that it costs no other.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -25,6 +25,7 @@
 // Copy is the record as it was last read. It is not safe for concurrent use.
 type Copy struct {
 	meta  record.Meta
+	wrote int64 // the highest revision that was written and not read yet: the store stood there
 	facts map[record.Key]record.Fact
 	order []record.Fact // by revision; nil: to be made again
 	bytes int
@@ -39,10 +40,10 @@
 // Wants is what to ask the store for, given where that stands: nothing, what came after a revision, or with whole all of it.
 func (c *Copy) Wants(m record.Meta) (after int64, whole, any bool) {
 	switch {
+	case m.Epoch != c.meta.Epoch || m.Revision < max(c.meta.Revision, c.wrote):
+		return 0, true, true
 	case m == c.meta:
 		return 0, false, false
-	case m.Epoch != c.meta.Epoch || m.Revision < c.meta.Revision:
-		return 0, true, true
 	}
 	return c.meta.Revision, false, true
 }
@@ -76,11 +77,14 @@
 			return false, ErrTooLarge
 		}
 	}
-	back = c.meta.Epoch != "" && (p.Meta.Epoch != c.meta.Epoch || p.Meta.Revision < c.meta.Revision)
-	c.meta, c.facts, c.order, c.bytes = p.Meta, facts, nil, bytes
+	back = c.meta.Epoch != "" && (p.Meta.Epoch != c.meta.Epoch || p.Meta.Revision < max(c.meta.Revision, c.wrote))
+	c.meta, c.wrote, c.facts, c.order, c.bytes = p.Meta, 0, facts, nil, bytes
 	return back, nil
 }
 
+// Wrote notes what the store has answered to a write.
+func (c *Copy) Wrote(f record.Fact) { c.wrote = max(c.wrote, f.Revision) }
+
 func size(f record.Fact) int { return len(f.Name) + len(f.Value) + len(f.By) + len(f.Mark) }
 
 // Knows tells whether the copy can answer one who stands there. One who stands further, or in another epoch, was told so by somebody who may know more.
--- a/internal/store/controllers.go
+++ b/internal/store/controllers.go
@@ -60,6 +60,7 @@
 	addrs  []string
 	reach  func(ctx context.Context, addr string) (net.Conn, error)
 	secure func(addr string) *tls.Config
+	most   int64 // bytes of an answer
 	end    context.CancelFunc
 	all    sync.WaitGroup
 	news   chan struct{}
@@ -71,6 +72,7 @@
 	known   record.Meta   // where the caller stands
 	why     error         // none tells
 	turn    int           // counts connections that told
+	back    bool          // one said that the record went back
 	changed chan struct{} // closed when any of that changes
 }
 
@@ -83,7 +85,7 @@
 // ThroughBy is Through over connections that are made elsewhere.
 func ThroughBy(reach func(ctx context.Context, addr string) (net.Conn, error), addrs []string, secure func(addr string) *tls.Config) Store {
 	ctx, end := context.WithCancel(context.Background())
-	s := &through{addrs: addrs, reach: reach, secure: secure, end: end, news: make(chan struct{}, 1), changed: make(chan struct{}), why: errors.New("not reached yet")}
+	s := &through{addrs: addrs, reach: reach, secure: secure, most: mostReply, end: end, news: make(chan struct{}, 1), changed: make(chan struct{}), why: errors.New("not reached yet")}
 	s.all.Go(func() { s.run(ctx) })
 	return s
 }
@@ -99,6 +101,7 @@
 		}
 		s.mu.Lock()
 		s.at, s.why = "", err
+		s.back = s.back || errors.Is(err, record.ErrBack)
 		s.stir()
 		s.mu.Unlock()
 		if time.Since(begun) > silence {
@@ -255,6 +258,15 @@
 	s.known = m
 }
 
+// Back tells, once, that the record went back: what was read before has to be compared with all of it.
+func (s *through) Back() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	back := s.back
+	s.back = false
+	return back
+}
+
 // Age is how long ago the store itself said where it stands.
 func (s *through) Age() time.Duration {
 	s.mu.Lock()
@@ -293,7 +305,7 @@
 		return r, fmt.Errorf("the controller at %s: %w", addr, err)
 	}
 	c.At = &known
-	if r, err = ask(ctx, conn, c, mostReply, "the controller at "+addr); err == nil {
+	if r, err = ask(ctx, conn, c, s.most, "the controller at "+addr); err == nil {
 		s.hears(turn, r.Meta)
 		s.hears(turn, r.Page.Meta)
 	}
--- a/internal/store/controllers_test.go
+++ b/internal/store/controllers_test.go
@@ -114,6 +114,7 @@
 	m, _ = s.Meta(ctx)
 	assert.EqualValues(t, 8, m.Revision, "and never takes it back")
 	more = "endless"
+	s.(*through).most = 2 << 20
 	_, err = s.Since(ctx, 1, 10)
 	assert.ErrorContains(t, err, addr)
 	assert.NoError(t, ctx.Err(), "it ended by the bound on its size")
--- a/internal/store/remote.go
+++ b/internal/store/remote.go
@@ -43,7 +43,7 @@
 }
 
 var faults = map[string]error{"foreign": ErrForeign, "newer": ErrNewer, "older": ErrOlder, "none": ErrNone, "damaged": ErrDamaged, "denied": ErrDenied,
-	"unknown": ErrUnknown, "full": ErrFull, "busy": ErrBusy, "read only": ErrReadOnly, "epoch": record.ErrEpoch, "behind": record.ErrBehind}
+	"unknown": ErrUnknown, "full": ErrFull, "busy": ErrBusy, "read only": ErrReadOnly, "epoch": record.ErrEpoch, "behind": record.ErrBehind, "back": record.ErrBack}
 
 func (r *reply) fail(err error) {
 	if err == nil {
