--- a/internal/lab/fleet/hollow.go
+++ b/internal/lab/fleet/hollow.go
@@ -182,7 +182,7 @@
 	if h.Patient {
 		for i := range x.file.Pools {
 			l := &x.file.Pools[i].Timeout
-			l.ListConnect, l.ListFirst, l.ListAnswer, l.ListSilence = time.Hour, time.Hour, time.Hour, time.Hour
+			l.ListConnect, l.ListFirst, l.ListTold, l.ListSilence = time.Hour, time.Hour, time.Hour, time.Hour
 		}
 	}
 	if x.lot, err = lot.New(); err != nil {
