--- a/cmd/robinlab/cost.go
+++ b/cmd/robinlab/cost.go
@@ -35,7 +35,9 @@
 	var servers, cores, callers []int
 	var seconds time.Duration
 	var churn, rounds, mb int
-	c := &cobra.Command{Use: "cost", Short: "CPU and memory of a node an RPC, by servers, cores and callers, several programs in turns",
+	var rates []int
+	var seed uint64
+	c := &cobra.Command{Use: "cost", Short: "CPU and memory of a node an RPC, by servers, cores and callers, several programs in turns; latency added at given rates",
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 			names, paths, err := programs(given)
 			if err != nil {
@@ -52,6 +54,22 @@
 				}
 			}
 			run.RaiseDescriptors()
+			if len(rates) > 0 {
+				one := func(flag string, list []int, otherwise int) int {
+					if !c.Flags().Changed(flag) {
+						return otherwise
+					}
+					return list[0]
+				}
+				for _, list := range [][]int{servers, cores, callers} {
+					if len(list) == 0 {
+						return fmt.Errorf("--servers, --cores and --callers need a number")
+					}
+				}
+				r := &cost.Rate{Names: names, Paths: paths, Rates: rates, Callers: one("callers", callers, 64), For: seconds, Rounds: rounds, Seed: seed,
+					Shape: cost.Shape{Servers: one("servers", servers, 15), Cores: one("cores", cores, 1), MemoryMB: mb, Sockets: 16000, Churn: churn}}
+				return playRate(c, r)
+			}
 			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', tabwriter.AlignRight)
 			fmt.Fprint(t, "program\tservers\tcores\tcallers\tok/s\tCPU µs/RPC\tpushed back\tfailed\tp50\tp99\tidle MB\tbusy MB\tmost MB\t\n")
 			for _, k := range cores {
@@ -82,6 +100,8 @@
 	c.Flags().IntVar(&churn, "churn", 0, "servers that leave and come a second")
 	c.Flags().IntVar(&rounds, "rounds", 1, "times that each is measured, the programs in turns")
 	c.Flags().IntVar(&mb, "memory", 64, "memory_mb of the node")
+	c.Flags().IntSliceVar(&rates, "rate", nil, "calls a second, open loop, beside callers straight to 15 servers and a relay that only copies bytes; 0: as many as the callers get through")
+	c.Flags().Uint64Var(&seed, "seed", 1, "of the plan, with --rate")
 	return c
 }
 
--- a/internal/lab/cost/rig.go
+++ b/internal/lab/cost/rig.go
@@ -18,10 +18,16 @@
 	"robincart/internal/lab/standin"
 )
 
+// method is the one that all callers ask for.
+const method = "find"
+
 const body = "ok"
 
 var answer = []byte("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\n" + body)
 
+// fine answers any request.
+func fine([]byte) []byte { return answer }
+
 // servers answers for as many trivial servers as there are loopback addresses, all on one listener.
 type servers struct {
 	ln   net.Listener
@@ -29,15 +35,17 @@
 	mu   sync.Mutex
 	open map[net.Conn]struct{}
 	done sync.WaitGroup
+
+	answer func(head []byte) []byte // to a request
 }
 
-func newServers() (*servers, error) {
+func newServers(answer func(head []byte) []byte) (*servers, error) {
 	ln, err := net.Listen("tcp4", "0.0.0.0:0") // loopback peers only, below
 	if err != nil {
 		return nil, err
 	}
 	_, port, _ := net.SplitHostPort(ln.Addr().String())
-	s := &servers{ln: ln, port: port, open: map[net.Conn]struct{}{}}
+	s := &servers{ln: ln, port: port, open: map[net.Conn]struct{}{}, answer: answer}
 	s.done.Go(func() {
 		for {
 			c, err := ln.Accept()
@@ -76,7 +84,7 @@
 			if end < 0 {
 				break
 			}
-			if _, err := c.Write(answer); err != nil {
+			if _, err := c.Write(s.answer(buf[:end+4])); err != nil {
 				return
 			}
 			n = copy(buf, buf[end+4:n])
@@ -104,6 +112,7 @@
 // Rig is servers, discovery and a node, for one measurement.
 type Rig struct {
 	servers *servers
+	owned   bool // and no other rig's
 	disc    *standin.Discovery
 	node    *standin.Node
 	members []standin.Member
@@ -119,9 +128,14 @@
 	Cores    int
 	MemoryMB int
 	Sockets  int
-	Churn    int      // servers that leave and come a second
-	More     string   // of the operator's file, if the node is to have one: tables beside the usual
-	Env      []string // beside this process's own
+	Churn    int           // servers that leave and come a second
+	More     string        // of the operator's file, if the node is to have one: tables beside the usual
+	Env      []string      // beside this process's own
+	Picks    int           // of an RPC at most; 0: 3
+	Deadline time.Duration // of the method, its latency target half of it; 0: 6 s and 2.5 s
+	NoCopies bool          // no second pick while the first is out
+
+	from *servers // another rig's; nil: its own
 }
 
 // NewRig starts one.
@@ -135,8 +149,11 @@
 	if r.dir, err = os.MkdirTemp("", "cost"); err != nil {
 		return nil, err
 	}
-	if r.servers, err = newServers(); err != nil {
-		return nil, err
+	if r.servers = s.from; r.servers == nil {
+		if r.servers, err = newServers(fine); err != nil {
+			return nil, err
+		}
+		r.owned = true
 	}
 	r.disc = standin.NewDiscovery(&judge.Log{}, time.Now())
 	for i := range s.Servers {
@@ -152,15 +169,7 @@
 		return nil, err
 	}
 	revision, members := r.disc.List()
-	r.node = &standin.Node{Name: "n1", Addr: addr, Program: s.Program, Dir: r.dir, Env: s.Env, Config: map[string]any{
-		"discovery": door.Addr(), "seed": "1", "limits": map[string]any{"cores": s.Cores, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
-		"known": map[string]any{"revision": revision, "complete": true, "members": members},
-		"settings": map[string]any{
-			"Classes": []map[string]any{{"Name": "find", "AimMs": 2500, "DeadlineMs": 6000, "Credit": 1, "Repeat": "repeatable"}},
-			"Tenants": []any{}, "Zones": []string{"z1"}, "MyZone": 0, "Stage": 0, "Instances": 1, "RegistryMode": "subscribe",
-			"Limits": map[string]any{"MaxAttempts": 3, "MayCancel": true, "RetryAfter": true, "SecondCopies": true, "MaxRetryAfterMs": 2000,
-				"ConnectTimeoutMs": 1000, "ConnIdleMs": 60000},
-			"Rules": map[string]any{"MustAskInMs": 10000, "StopSendingWithinMs": 400}}}}
+	r.node = &standin.Node{Name: "n1", Addr: addr, Program: s.Program, Dir: r.dir, Env: s.Env, Config: platform(s, 0, door.Addr(), revision, members)}
 	if s.More != "" {
 		r.node.Text = fmt.Sprintf("name = \"n1\"\nlisten = [%q]\n[machine]\ncores = %d\nmemory_mb = %d\nsockets = %d\n%s\n"+
 			"[[service]]\nname = \"find\"\ndiscovery = %q\nguarantee = 1\n[[service.method]]\nname = \"find\"\nrepeat = \"idempotent\"\n"+
@@ -175,6 +184,26 @@
 	return r, nil
 }
 
+// platform is a node's configuration in the platform's words, but for where it listens and its name.
+func platform(s Shape, stage int, discovery string, revision int64, members []standin.Member) map[string]any {
+	picks, target, deadline := 3, 2500*time.Millisecond, 6*time.Second
+	if s.Picks > 0 {
+		picks = s.Picks
+	}
+	if s.Deadline > 0 {
+		target, deadline = s.Deadline/2, s.Deadline
+	}
+	return map[string]any{
+		"discovery": discovery, "seed": strconv.Itoa(1 + stage), "limits": map[string]any{"cores": s.Cores, "memory_mb": s.MemoryMB, "sockets": s.Sockets},
+		"known": map[string]any{"revision": revision, "complete": true, "members": members},
+		"settings": map[string]any{
+			"Classes": []map[string]any{{"Name": method, "AimMs": target.Milliseconds(), "DeadlineMs": deadline.Milliseconds(), "Credit": 1, "Repeat": "repeatable"}},
+			"Tenants": []any{}, "Zones": []string{"z1"}, "MyZone": 0, "Stage": stage, "Instances": 1, "RegistryMode": "subscribe",
+			"Limits": map[string]any{"MaxAttempts": picks, "MayCancel": true, "RetryAfter": true, "SecondCopies": !s.NoCopies, "MaxRetryAfterMs": 2000,
+				"ConnectTimeoutMs": 1000, "ConnIdleMs": 60000},
+			"Rules": map[string]any{"MustAskInMs": 10000, "StopSendingWithinMs": 400}}}
+}
+
 // churn lets servers leave and others come in their places.
 func (r *Rig) churn(perSecond int) {
 	tick := time.NewTicker(time.Second / time.Duration(perSecond))
@@ -203,7 +232,7 @@
 	if r.disc != nil {
 		r.disc.Stop()
 	}
-	if r.servers != nil {
+	if r.owned {
 		r.servers.close()
 	}
 	os.RemoveAll(r.dir)
@@ -249,7 +278,12 @@
 // ask sends one RPC and returns its answer's status.
 func (c *caller) ask() (int, error) {
 	c.id++
-	c.out = fmt.Appendf(c.out[:0], "GET /find HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %016x\r\nX-Qos: find\r\nX-Expires-In-Ms: 5000\r\n\r\n", c.id)
+	return c.askFor(method, 5*time.Second)
+}
+
+// askFor does it under the id that is set.
+func (c *caller) askFor(path string, left time.Duration) (int, error) {
+	c.out = fmt.Appendf(c.out[:0], "GET /%s HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %016x\r\nX-Qos: %s\r\nX-Expires-In-Ms: %d\r\n\r\n", path, c.id, method, max(1, left.Milliseconds()))
 	if _, err := c.Write(c.out); err != nil {
 		return 0, err
 	}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -67,6 +67,7 @@
 	WarmTo      []Dest
 	Slack       time.Duration // that a caller waits past its deadline, to see a late answer
 	Seed        uint64
+	First       uint32 // number of the first call: plays before the same nodes must not repeat their ids
 }
 
 // Counts is the load so far, for a line of progress.
@@ -267,7 +268,7 @@
 		}
 		m := &l.e.Methods[a.Method]
 		f := &flight{a: a, lane: l}
-		f.Call, f.Method, f.Tenant, f.Planned, f.Until = uint32(i), a.Method, a.Tenant, a.At, a.At+m.Deadline
+		f.Call, f.Method, f.Tenant, f.Planned, f.Until = l.e.First+uint32(i), a.Method, a.Tenant, a.At, a.At+m.Deadline
 		f.Handed = l.e.now()
 		l.e.out.Add(1)
 		l.dispatch(f)
