--- a/internal/lab/cost/chain.go
+++ b/internal/lab/cost/chain.go
@@ -101,8 +101,7 @@
 		if err != nil {
 			return k, err
 		}
-		// Not on the address that connections go out from: one of them could take the port before the node does.
-		addr, err := standin.FreeAddress(fmt.Sprintf("127.99.0.%d", 1+n))
+		addr, err := standin.FreeAddress("127.0.0.1")
 		if err != nil {
 			return k, err
 		}
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -38,14 +39,36 @@
 	rss     int64
 }
 
-// FreeAddress finds a port on a loopback address that nobody listens on now.
+// FreeAddress finds a port on a loopback address that nobody listens on now. It lies below those that the kernel gives to
+// connections and to listeners that name none: of those one could be taken before the node listens, by a connection that
+// goes out or by a listener on all addresses.
 func FreeAddress(host string) (string, error) {
-	ln, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return "", err
+	for range 50 {
+		port := 0
+		if first := firstGiven(); first > 12_000 {
+			port = first - 1 - rand.IntN(min(20_000, first-10_000))
+		}
+		ln, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(port)))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		defer ln.Close()
+		return ln.Addr().String(), nil
+	}
+	return "", fmt.Errorf("no free port on %s", host)
+}
+
+// firstGiven is the least port that the kernel gives by itself; 0: not known.
+func firstGiven() int {
+	text, _ := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	if f := strings.Fields(string(text)); len(f) == 2 {
+		first, _ := strconv.Atoi(f[0])
+		return first
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return 0
 }
 
 // Write writes the configuration, as a whole or not at all.
--- /dev/null
+++ b/internal/lab/standin/node_test.go
@@ -0,0 +1,25 @@
+package standin
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Between the finding and the listening, other listeners and connections come and go: none of theirs is the one found.
+func TestAFreeAddressIsNoneThatTheKernelGivesToOthers(t *testing.T) {
+	first := firstGiven()
+	if first <= 12_000 {
+		t.Skipf("the kernel gives ports from %d on: there is no room below", first)
+	}
+	for range 50 {
+		addr, err := FreeAddress("127.0.0.1")
+		require.NoError(t, err)
+		at, err := net.ResolveTCPAddr("tcp", addr)
+		require.NoError(t, err)
+		assert.Less(t, at.Port, first)
+		assert.Greater(t, at.Port, 1023)
+	}
+}
