--- a/internal/lab/fleet/run.go
+++ b/internal/lab/fleet/run.go
@@ -291,17 +291,18 @@
 	return r.knownBy(ctx, r.nodes, r.nodes, 120*time.Second)
 }
 
-// address is a loopback address of this run's own. Ports lie below those that the kernel gives to connections, and none is
-// given twice: one of a hundred lists would else come to stand at another's.
+// address is one of this run's own: a loopback address by the process, so that another run beside it can't take the place of a
+// controller that is down, and a port below those that the kernel gives to connections, each once.
 func (r *run) address() (string, error) {
 	if r.port == 0 {
-		r.port = 10_000 + os.Getpid()*131%20_000
+		r.port = 10_000
 	}
+	pid := os.Getpid()
 	for range 5000 {
 		if r.port++; r.port > 32_000 {
-			r.port = 10_000
+			break
 		}
-		addr := fmt.Sprint("127.0.0.1:", r.port)
+		addr := fmt.Sprintf("127.%d.%d.1:%d", 64+pid/250%128, pid%250, r.port)
 		if ln, err := net.Listen("tcp", addr); err == nil {
 			ln.Close()
 			return addr, nil
