--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,6 +40,12 @@
 	rss     int64
 }
 
+// nextPort goes through the ports that FreeAddress names, from somewhere on: a process names none twice in a row, since many
+// may be named before the first node listens.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32()) }
+
 // FreeAddress finds a port on a loopback address that nobody listens on now. It lies below those that the kernel gives to
 // connections and to listeners that name none: of those one could be taken before the node listens, by a connection that
 // goes out or by a listener on all addresses.
@@ -46,7 +53,7 @@
 	for range 50 {
 		port := 0
 		if first := firstGiven(); first > 12_000 {
-			port = first - 1 - rand.IntN(min(20_000, first-10_000))
+			port = first - 1 - int(nextPort.Add(1)%uint32(min(20_000, first-10_000)))
 		}
 		ln, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(port)))
 		if errors.Is(err, syscall.EADDRINUSE) {
--- a/internal/lab/standin/node_test.go
+++ b/internal/lab/standin/node_test.go
@@ -14,12 +14,15 @@
 	if first <= 12_000 {
 		t.Skipf("the kernel gives ports from %d on: there is no room below", first)
 	}
-	for range 50 {
+	seen := map[int]bool{}
+	for range 2000 {
 		addr, err := FreeAddress("127.0.0.1")
 		require.NoError(t, err)
 		at, err := net.ResolveTCPAddr("tcp", addr)
 		require.NoError(t, err)
 		assert.Less(t, at.Port, first)
 		assert.Greater(t, at.Port, 1023)
+		assert.False(t, seen[at.Port], "named twice while nobody listened")
+		seen[at.Port] = true
 	}
 }
