--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -360,7 +360,7 @@
 	backup := filepath.Join(t.TempDir(), "backup")
 	up := &restored{Store: p.db, back: func() { assert.NoError(t, p.pg.Restore(backup)) }}
 	c := Defaults()
-	c.Poll, c.Gather = 50*time.Millisecond, time.Millisecond
+	c.Poll, c.Gather, c.Check = 50*time.Millisecond, time.Millisecond, 100*time.Millisecond // the node's call ends well in its time
 	r := New(up, c, zap.NewNop())
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
