Watch: a call that discovery refuses at once is made again by even pauses

Discovery works 0.34 s for a call, lets one wait some 0.65 s and answers 503 to any further within 9 ms. 18 nodes whose watches fall silent together need 6.1 s of it. Refused nodes asked after pauses that doubled from 0.25 s to 3.25 s: 26 to 32 refusals first kept it busy (some 0.02 s each), then it stood idle for up to 2 s while the last one or two nodes waited out pauses (node n5: refused at 16.3 and 18.9 s, next call at 22.06 s; the change of 16.05 s bound from 22.05 s on).

Change: a call that discovery answers with something else than a list is a RefusedError. The pause after one lies between a third and the whole of ListRefused (2.25 s: four calls in the mean fit into the 6 s); where refusals last longer than those 6 s pauses grow to ListEvery as before, so that a discovery whom refusals cost much is not kept busy by them.

The new test fails on all four without the mend.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -325,14 +325,14 @@
 
 // ListFailed asks again, later each time while failures say that the list is overrun. Anew says that this
 // one does not: there had been news for a while, or discovery had no call that it could fail. What discovery
-// had meanwhile binds in time: no pause is over most.
-func (b *Balancer) ListFailed(anew bool, most float64) {
+// had meanwhile binds in time: no pause is over most. Least keeps a fleet from asking a busy one too soon.
+func (b *Balancer) ListFailed(anew bool, least, most float64) {
 	if anew {
 		b.watchBackoff = 0
 	}
 	b.watchBackoff = min(max(0.25, b.watchBackoff*2), 4)
 	b.watchTurn++
-	b.host.After(min(1.5*b.watchBackoff, most)*(1+2*b.rng.Float64())/3, watchAgain{b.watchTurn})
+	b.host.After(min(max(1.5*b.watchBackoff, least), most)*(1+2*b.rng.Float64())/3, watchAgain{b.watchTurn})
 }
 
 // Arrived takes a new RPC.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -75,16 +75,16 @@
 	h, _ := story(1, func(s *Settings) { s.MustWatch, s.MustAskIn = true, 10 })
 	h.until(103)
 	assert.Equal(t, 1, h.watches)
-	h.b.ListFailed(false, math.Inf(1))
+	h.b.ListFailed(false, 0, math.Inf(1))
 	h.until(106)
 	assert.Equal(t, 2, h.watches)
 	for range 6 {
 		h.b.Listed(nil, false) // and lists that come in between change nothing
-		h.b.ListFailed(false, math.Inf(1))
+		h.b.ListFailed(false, 0, math.Inf(1))
 	}
 	h.until(107)
 	assert.Equal(t, 2, h.watches, "an overrun discovery is spared")
-	h.b.ListFailed(true, math.Inf(1))
+	h.b.ListFailed(true, 0, math.Inf(1))
 	h.until(107.5)
 	assert.Equal(t, 3, h.watches, "a silent one, or one that has had no call yet, is not waited for")
 	h.until(130)
@@ -96,7 +96,7 @@
 	asked := func(seed int64, most float64) float64 {
 		h, _ := seeded(seed, 1, nil)
 		for range 9 {
-			h.b.ListFailed(false, most)
+			h.b.ListFailed(false, 0, most)
 		}
 		from, next := h.now, h.watches+1
 		for h.watches < next {
--- a/internal/keeper/fleet_test.go
+++ b/internal/keeper/fleet_test.go
@@ -139,7 +139,7 @@
 		}
 	}
 }
-func (c *waits) ListFailed(bool, time.Duration) {}
+func (c *waits) ListFailed(node.ListFailure) {}
 
 // BenchmarkFleet is what a fleet's nodes ask of the store of record, each by itself or through three replicas of the controller: at their start, at rest, for a
 // drain that an operator records, for one that discovery tells all nodes, and for an operator's while discovery tells of a zone's end. Bytes a node are
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -521,7 +521,7 @@
 }
 
 // ListFailed passes it on.
-func (s *Sink) ListFailed(anew bool, most time.Duration) { s.core.ListFailed(anew, most) }
+func (s *Sink) ListFailed(f node.ListFailure) { s.core.ListFailed(f) }
 
 // pass gives cores their lists anew, if they have changed.
 func (k *Keeper) pass(service string) {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -87,7 +87,7 @@
 		c.state[e.ID] = e.State
 	}
 }
-func (c *core) ListFailed(bool, time.Duration) {}
+func (c *core) ListFailed(node.ListFailure) {}
 
 func (c *core) is(id string) (decide.State, bool) {
 	c.mu.Lock()
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -128,8 +128,8 @@
 
 type lists chan []node.Entry
 
-func (l lists) Listed(e []node.Entry, _ bool)  { l <- e }
-func (l lists) ListFailed(bool, time.Duration) {}
+func (l lists) Listed(e []node.Entry, _ bool) { l <- e }
+func (l lists) ListFailed(node.ListFailure)   {}
 
 // A node follows a list over keys, and goes on with new ones on both sides.
 func TestANodeFollowsItsControllerOverKeys(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -256,12 +256,20 @@
 	return out
 }
 
-// ListFailed tells that a watch has ended or never began; anew, that this is no sign of a discovery that is overrun. The
-// module asks again within most.
-func (c *Core) ListFailed(anew bool, most time.Duration) {
+// ListFailure tells how a call for the server list, or its watch, has failed, in terms of when the next call is due.
+type ListFailure struct {
+	// ResetBackoff says that the failure is no sign of an overloaded discovery: pauses begin with the shortest again.
+	ResetBackoff bool
+	// The pause before the next call is drawn from a third to the whole of a span that grows with each failure and lies
+	// between these two.
+	MinPause, MaxPause time.Duration
+}
+
+// ListFailed tells that a watch has ended or never began. The module asks again in its own time, within the failure's bounds.
+func (c *Core) ListFailed(f ListFailure) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.balancer.ListFailed(anew, seconds(most))
+	c.balancer.ListFailed(f.ResetBackoff, seconds(f.MinPause), seconds(f.MaxPause))
 	c.arm()
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -284,7 +284,7 @@
 	assert.Equal(t, 1, s.watches)
 	for range 3 {
 		n := s.watches
-		s.ListFailed(false, time.Hour)
+		s.ListFailed(ListFailure{MaxPause: time.Hour})
 		s.clock.until(s.clock.now + 7*time.Second)
 		assert.Equal(t, n+1, s.watches)
 	}
--- a/internal/registry/moves_test.go
+++ b/internal/registry/moves_test.go
@@ -66,9 +66,9 @@
 	told chan bool
 }
 
-func (c toldCore) ListFailed(anew bool, most time.Duration) {
-	c.Core.ListFailed(anew, most)
-	c.told <- anew
+func (c toldCore) ListFailed(f node.ListFailure) {
+	c.Core.ListFailed(f)
+	c.told <- f.ResetBackoff
 }
 
 // The watcher tells each move's failure; the module still has one call to make, not one for each.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -33,8 +33,8 @@
 
 type fakeCore chan news
 
-func (c fakeCore) Listed(e []node.Entry, full bool)      { c <- news{entries: e, full: full} }
-func (c fakeCore) ListFailed(anew bool, _ time.Duration) { c <- news{failed: true, anew: anew} }
+func (c fakeCore) Listed(e []node.Entry, full bool) { c <- news{entries: e, full: full} }
+func (c fakeCore) ListFailed(f node.ListFailure)    { c <- news{failed: true, anew: f.ResetBackoff} }
 
 func (c fakeCore) next(t *testing.T) news {
 	t.Helper()
--- a/internal/registry/told_test.go
+++ b/internal/registry/told_test.go
@@ -43,6 +43,8 @@
 	each  time.Duration // for one call
 	most  time.Duration // that a call waits
 	blind bool          // who has left is worked for all the same
+	// Where a call would wait longer than busy, it is refused at once, which costs the worker refusal. 0: none is.
+	busy, refusal time.Duration
 
 	mu      sync.Mutex
 	trouble trouble
@@ -55,6 +57,8 @@
 	longest int               // the queue
 	failed  int               // for they had waited too long
 	vain    int               // turns for callers that had left
+	refused int               // at once
+	free    time.Time         // when the worker will have done all that it has
 }
 
 type waiting struct {
@@ -159,6 +163,19 @@
 		c.Close()
 		return
 	}
+	if now := time.Now(); d.busy > 0 {
+		if d.free.Before(now) {
+			d.free = now
+		}
+		if d.free.Sub(now) > d.busy {
+			d.free = d.free.Add(d.refusal)
+			d.refused++
+			d.mu.Unlock()
+			d.refuse(c)
+			return
+		}
+		d.free = d.free.Add(d.each)
+	}
 	d.queue = append(d.queue, w)
 	d.longest = max(d.longest, len(d.queue))
 	d.mu.Unlock()
@@ -215,7 +232,13 @@
 			}
 			continue
 		}
-		time.Sleep(d.each)
+		d.mu.Lock()
+		rest := d.each
+		if d.busy > 0 {
+			rest = max(rest, time.Until(d.free)-time.Duration(len(d.queue))*d.each)
+		}
+		d.mu.Unlock()
+		time.Sleep(rest)
 		go d.watched(w.c)
 	}
 }
@@ -410,6 +433,66 @@
 // queued is how long a discovery that works takes here for a call: STANDING.md leaves a call that waits as much.
 const queued = 2 * time.Second
 
+// A discovery that can just tell the whole fleet in time, but refuses at once whoever would have to wait, must neither stand idle
+// while the last nodes wait out long pauses nor be kept busy with refusals. The watches fall silent together, as on the operators'
+// days on which this failed: a third of a second for a call, 18 nodes, and two thirds of a second that a call may wait.
+func TestABusyDiscoveryThatRefusesAtOnceIsAskedAgainInTime(t *testing.T) {
+	for _, x := range []struct {
+		name          string
+		nodes         int
+		each, refusal time.Duration
+		last          time.Duration // in the mean over the plays, from the silence on
+		calls         float64       // a node, in the mean
+	}{
+		{"just able", 18, 340 * time.Millisecond, 20 * time.Millisecond, 8 * time.Second, 2.55},
+		{"with some to spare", 18, 250 * time.Millisecond, 20 * time.Millisecond, 6050 * time.Millisecond, 1.9},
+		{"large fleet", 300, 18 * time.Millisecond, time.Millisecond, 7 * time.Second, 2.15},
+		{"refusals cost a third of a call", 18, 250 * time.Millisecond, 80 * time.Millisecond, 8400 * time.Millisecond, 2.9},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			const plays = 20
+			total, worst, calls := time.Duration(0), time.Duration(0), 0
+			for play := range plays {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, end := context.WithCancel(context.Background())
+					var all sync.WaitGroup
+					d := newTurns(time.Millisecond, time.Hour)
+					all.Go(func() { d.work(ctx) })
+					var fleet []*follower
+					for i := range x.nodes {
+						fleet = append(fleet, started(t, ctx, &all, d, int64(1000*play+i), x.nodes))
+					}
+					time.Sleep(30 * time.Second)
+					d.mu.Lock()
+					d.each, d.refusal, d.busy, d.calls = x.each, x.refusal, 650*time.Millisecond, 0
+					d.mu.Unlock()
+					silent := time.Now()
+					d.fall(true)
+					for _, f := range fleet {
+						for !f.heard(silent) && time.Since(silent) < time.Minute {
+							time.Sleep(10 * time.Millisecond)
+						}
+					}
+					took := time.Since(silent)
+					total += took
+					worst = max(worst, took)
+					d.mu.Lock()
+					calls += d.calls
+					d.mu.Unlock()
+					end()
+					d.end()
+					all.Wait()
+					time.Sleep(time.Hour) // timers
+				})
+			}
+			mean, each := total/plays, float64(calls)/float64(plays*x.nodes)
+			t.Logf("the last node %.2f s after the silence in the mean, %.2f s at most; %.2f calls a node", mean.Seconds(), worst.Seconds(), each)
+			assert.LessOrEqual(t, mean, x.last)
+			assert.LessOrEqual(t, each, x.calls)
+		})
+	}
+}
+
 func TestAChangeIsToldInTimeWhateverCameBefore(t *testing.T) {
 	become := func(all ...trouble) func(*turns, *follower, *rand.Rand, time.Duration) {
 		return func(d *turns, _ *follower, _ *rand.Rand, lasts time.Duration) {
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -23,9 +23,8 @@
 // Core takes the news.
 type Core interface {
 	Listed(entries []node.Entry, full bool)
-	// ListFailed tells that a watch has ended, never began, or has not begun for so long that another call is wanted beside it. Anew
-	// says that this is no sign of a discovery that is overrun. The next call has to begin within most.
-	ListFailed(anew bool, most time.Duration)
+	// ListFailed tells that a watch has ended, never began, or has not begun for so long that another call is wanted beside it.
+	ListFailed(node.ListFailure)
 }
 
 // Watcher keeps one watch at discovery, whenever the module asks for it and as soon as discovery has moved. A call that is not
@@ -49,7 +48,9 @@
 	revision int64   // of the list held, in the numbers of that discovery
 	failing  bool    // the last call or watch has failed, and that has been told
 	fresh    bool    // discovery has moved, and no call to the new one has failed
-	named    int     // entries since the last whole list, that list's included: the servers held are no more
+
+	refusedSince time.Time // the first of the calls refused in a row; zero: the last one was not
+	named        int       // entries since the last whole list, that list's included: the servers held are no more
 
 	// Descriptors: what is held, one of them from watch to watch, and what calls use.
 	held, used int
@@ -203,17 +204,40 @@
 	}
 	anew := lasted || w.fresh || errors.Is(err, os.ErrDeadlineExceeded) || err == errMute || err == errNoDescriptor
 	first, revision := !w.failing, w.revision
-	most := w.limits.ListEvery - time.Since(c.word)
+	failure := node.ListFailure{ResetBackoff: anew, MaxPause: w.limits.ListEvery - time.Since(c.word)}
 	if c.told { // a watch that ends may do so instead of telling
-		most = min(most, w.limits.ListAgain)
+		failure.MaxPause = min(failure.MaxPause, w.limits.ListAgain)
 	}
+	w.refused(err, &failure)
 	w.failing, w.fresh = true, false
 	w.mu.Unlock()
 	if first {
 		w.log.Warn("no watch of the server list; the list stays", zap.Error(err),
 			zap.String("discovery", c.at), zap.Int64("revision", revision))
 	}
-	w.core.ListFailed(anew, max(0, most))
+	failure.MaxPause = max(0, failure.MaxPause)
+	w.core.ListFailed(failure)
+}
+
+// refused sets the pause after a call that discovery refused: it lives, and can't be told from one that will answer the next call.
+// A busy one that refuses at once would stand idle while the last few nodes wait out long pauses, and much asked by all at once it
+// would only refuse. So the pause is about the same each time, and several calls fit into the time in which a change binds. One
+// that refuses for longer than that can't answer the whole fleet in time: from then on pauses grow, or the refusals alone could
+// keep it busy. The lock is held.
+func (w *Watcher) refused(err error, failure *node.ListFailure) {
+	var refusal *RefusedError
+	if !errors.As(err, &refusal) {
+		w.refusedSince = time.Time{}
+		return
+	}
+	now := time.Now()
+	if w.refusedSince.IsZero() {
+		w.refusedSince = now
+	}
+	failure.MinPause = w.limits.ListRefused
+	if now.Sub(w.refusedSince) < w.limits.ListTold {
+		failure.MaxPause = min(failure.MaxPause, w.limits.ListRefused)
+	}
 }
 
 // begin opens a call, if the module or a move wants one.
@@ -244,7 +268,7 @@
 	w.mu.Lock()
 	if w.at != w.addr {
 		// Another discovery may number otherwise: by the old one's numbers its news would look old.
-		w.at, w.revision, w.failing, w.fresh = w.addr, 0, false, true
+		w.at, w.revision, w.failing, w.fresh, w.refusedSince = w.addr, 0, false, true, time.Time{}
 		w.log.Info("discovery has moved", zap.String("discovery", w.at))
 	}
 	c.at, c.since = w.at, w.revision
@@ -386,7 +410,7 @@
 		return err
 	}
 	if status != 200 {
-		return fmt.Errorf("discovery answered %d", status)
+		return &RefusedError{Status: status}
 	}
 	// A discovery that was cut off says nothing; one that lives sends an empty line every other second.
 	messages := feed{from: stream, most: w.limits.ListBytes, chunk: make([]byte, w.limits.Wire.Buffer),
@@ -414,6 +438,7 @@
 			own.told = true
 			w.mu.Lock()
 			w.failing, w.fresh = false, false
+			w.refusedSince = time.Time{}
 			w.mu.Unlock()
 			w.log.Info("watching the server list", zap.String("discovery", own.at),
 				zap.Bool("whole", list.Complete), zap.Int64("revision", list.Revision))
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -117,7 +117,7 @@
 		c.state[e.ID] = e.State
 	}
 }
-func (c *core) ListFailed(bool, time.Duration) {}
+func (c *core) ListFailed(node.ListFailure) {}
 
 func (c *core) drained(id string) bool {
 	c.mu.Lock()
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -118,7 +118,7 @@
 		return err
 	}
 	if kind == "FAILED" {
-		in.balancer.ListFailed(in.told, math.Inf(1)) // its rules name no time for that
+		in.balancer.ListFailed(in.told, 0, math.Inf(1)) // its rules name no time for that
 		in.told = false
 		return nil
 	}
