Watch: pauses after refusals fall as the fleet's calls get through

The longest pause now falls from ListEvery to half of it over the 6 s since the first refusal in a row, stays there for as long as a call may wait, and is ListEvery again after that, since a discovery that refuses for so long is down or can't answer the fleet at all.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -64,7 +64,6 @@
 	ListTold    time.Duration
 	ListFirst   time.Duration // for the first word of a watch, before another call is opened beside it
 	ListEvery   time.Duration // from the last word, or a call's begin, to the begin of the next call, at most
-	ListRefused time.Duration // the longest pause after a call that discovery refused
 	ListAgain   time.Duration // from the end of a watch to the begin of the next call, at most
 	ListSilence time.Duration // between messages: an empty line comes every 2 s
 
@@ -88,8 +87,6 @@
 	listSpare = 250 * time.Millisecond // for clocks, connects and the list itself
 	// A watch may end instead of telling a change: that binds so long after its end, and half of it is for the call that brings it.
 	listEnded = 2 * time.Second
-	// So many calls in the mean fit into the time in which a change binds, where discovery refuses each at once.
-	listCalls = 4
 )
 
 // Fill makes the limits of a node from its machine and its settings.
@@ -152,7 +149,6 @@
 	l.ListFirst = l.ListSilence
 	l.ListEvery = l.ListTold - l.ListFirst - listSpare
 	l.ListAgain = listEnded / 2
-	l.ListRefused = l.ListTold / listCalls * 3 / 2 // pauses are two thirds of the longest in the mean
 	// Every RPC needs a connection on either side, a second copy one more and discovery one: callers get
 	// under a half.
 	l.Refused = min(refusedMax, l.Descriptors/8)
--- /dev/null
+++ b/internal/registry/refusal.go
@@ -0,0 +1,35 @@
+package registry
+
+import (
+	"fmt"
+	"time"
+
+	"robincart/internal/limits"
+)
+
+// RefusedError is a call for the server list that discovery answered with something else than a list.
+type RefusedError struct {
+	Status int // of HTTP
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("discovery answered %d: the list held stays and the call is made again; if this lasts, look at discovery's load "+
+		"and at the number of nodes that call it", e.Status)
+}
+
+// queueTime is how long a call may wait at a discovery that works.
+const queueTime = 2 * time.Second
+
+// longestPause is the longest pause after a call that was refused, by the time since the first of the refusals in a row.
+//
+// A discovery that is asked by a whole fleet at once refuses whoever would have to wait. At first nearly all nodes are refused, and
+// short pauses would only keep it busy with refusals; when few are left, long ones would let it stand idle while these wait. Their
+// number falls with time, so the pauses do, down to a half of what is allowed between calls. A discovery that still refuses when
+// all changes from before are overdue is down, or can't answer the fleet in time: it is spared again.
+func longestPause(l limits.Limits, since time.Duration) time.Duration {
+	if since >= l.ListTold+queueTime {
+		return l.ListEvery
+	}
+	fallen := min(1, float64(since)/float64(l.ListTold))
+	return l.ListEvery - time.Duration(fallen*float64(l.ListEvery)/2)
+}
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -219,11 +219,7 @@
 	w.core.ListFailed(failure)
 }
 
-// refused sets the pause after a call that discovery refused: it lives, and can't be told from one that will answer the next call.
-// A busy one that refuses at once would stand idle while the last few nodes wait out long pauses, and much asked by all at once it
-// would only refuse. So the pause is about the same each time, and several calls fit into the time in which a change binds. One
-// that refuses for longer than that can't answer the whole fleet in time: from then on pauses grow, or the refusals alone could
-// keep it busy. The lock is held.
+// refused sets the pause after a call that discovery refused. The lock is held.
 func (w *Watcher) refused(err error, failure *node.ListFailure) {
 	var refusal *RefusedError
 	if !errors.As(err, &refusal) {
@@ -234,10 +230,8 @@
 	if w.refusedSince.IsZero() {
 		w.refusedSince = now
 	}
-	failure.MinPause = w.limits.ListRefused
-	if now.Sub(w.refusedSince) < w.limits.ListTold {
-		failure.MaxPause = min(failure.MaxPause, w.limits.ListRefused)
-	}
+	longest := longestPause(w.limits, now.Sub(w.refusedSince))
+	failure.MinPause, failure.MaxPause = longest, min(failure.MaxPause, longest)
 }
 
 // begin opens a call, if the module or a move wants one.
