Lab: servers that leave, over twenty real nodes, with faults at discovery and at the nodes

Discovery's stand-in tells of changes in three ways (a watch streams, waits, or ends right behind its list), works through calls in turn and refuses who would wait too long, makes watches fall silent or resets them; what it had and could be reached for 6 s counts as told to every node in the ledger, told or not. An experiment names that in fleet.discovery, and may have servers that answer on while they drain, and faults on a share of the nodes. Its caps are 1,024 nodes and servers (64 and 400 before).

--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -15,6 +15,7 @@
 
 	"robincart/internal/lab/judge"
 	"robincart/internal/lab/plan"
+	"robincart/internal/lab/standin"
 	"robincart/internal/lab/trace"
 	"robincart/internal/tomlfile"
 )
@@ -55,6 +56,17 @@
 	NoCopies bool `toml:"no_second_copies"`
 	Program  string
 	Tier     []Tier
+
+	Discovery Discovery
+}
+
+// Discovery is how the list of servers is told.
+type Discovery struct {
+	Watch    string   // "streams" (if not told), "waits" or "ends-with-list"
+	Wait     Duration // of "waits": how long a watch lasts at most
+	CallWork Duration `toml:"call_work"` // for one call, one after another; 0: none
+	CallMost Duration `toml:"call_most"` // a call whose answer would take longer is refused at once
+	Bound    Duration // from when discovery had a change and could be reached until it counts as told to each node
 }
 
 // Tier is one row of servers.
@@ -142,6 +154,7 @@
 	Factor  float64 // of slow
 	By      Duration
 	NewID   bool `toml:"new_id"`
+	Answers bool // of drain: the server goes on answering what comes all the same
 	Keep    bool // its length stays where the run is shortened
 }
 
@@ -161,15 +174,20 @@
 // Bounds on what a file may ask for.
 const (
 	MostDuration = 30 * time.Minute
-	MostServers  = 400
-	MostNodes    = 64
+	MostServers  = 1024
+	MostNodes    = 1024
 	mostFile     = 1 << 20
 )
 
 // Faults by kind, with what each may be on.
 var faults = map[string]string{"freeze": "server", "slow": "server", "silent": "server", "fail": "server", "reset-before": "server",
 	"reset-after": "server", "die-mid": "server", "spoil": "server", "refuse": "server", "drain": "server", "restart": "server",
-	"roll": "server", "kill": "node", "stop": "node", "reload": "node", "gone": "discovery", "late": "discovery", "replay": "discovery"}
+	"roll": "server", "kill": "node", "stop": "node", "reload": "node", "gone": "discovery", "late": "discovery", "replay": "discovery", "silence": "discovery", "reset-watches": "discovery",
+	"busy": "discovery"}
+
+// Watches are the ways in which discovery tells of changes.
+var Watches = map[string]standin.Watch{"streams": standin.WatchStreams, "waits": standin.WatchWaits,
+	"ends-with-list": standin.WatchEndsWithList}
 
 var repeats = map[string]judge.Repeat{"idempotent": judge.Idempotent, "deduplicated": judge.Deduplicated,
 	"non-idempotent": judge.NonIdempotent}
@@ -213,6 +231,10 @@
 	tomlfile.Default(&e.Fleet.MemoryMB, 192)
 	tomlfile.Default(&e.Fleet.Sockets, 1024)
 	tomlfile.Default(&e.Fleet.MaxPicks, 5)
+	tomlfile.Default(&e.Fleet.Discovery.Watch, "streams")
+	tomlfile.Default(&e.Fleet.Discovery.Wait, Duration(time.Second))
+	tomlfile.Default(&e.Fleet.Discovery.CallMost, Duration(time.Second))
+	tomlfile.Default(&e.Fleet.Discovery.Bound, Duration(6*time.Second))
 	if len(e.Fleet.Zones) == 0 {
 		e.Fleet.Zones = []string{"a"}
 	}
@@ -284,6 +306,10 @@
 			e.Fleet.Listen)
 	}
 	bad(e.Fleet.Nodes < 1 || e.Fleet.Nodes > MostNodes, "fleet.nodes: %d is not in 1 to %d", e.Fleet.Nodes, MostNodes)
+	d := e.Fleet.Discovery
+	_, known := Watches[d.Watch]
+	bad(!known, "fleet.discovery.watch: %q is none of streams, waits, ends-with-list", d.Watch)
+	bad(d.Wait <= 0 || d.CallWork < 0 || d.CallMost <= 0 || d.Bound <= 0, "fleet.discovery: a time is not above 0")
 	bad(len(e.Fleet.Tier) == 0 || len(e.Fleet.Tier) > 4, "fleet.tier: %d tiers, 1 to 4 are wanted", len(e.Fleet.Tier))
 	bad(e.Fleet.Sockets < 64 || e.Fleet.Sockets > 20000, "fleet.sockets: %d is not in 64 to 20000", e.Fleet.Sockets)
 	bad(e.Fleet.MemoryMB < 16, "fleet.memory_mb: %d is below 16", e.Fleet.MemoryMB)
@@ -361,7 +387,9 @@
 		bad(!known, "%s.kind: %q is not known", at, f.Kind)
 		bad(f.At < 0 || f.For < 0 || f.At > e.Duration, "%s: at and for lie inside the run", at)
 		bad(outside(f.Share, 0, 1) || outside(f.Factor, 0.01, 1000), "%s: share in 0 to 1, factor in 0.01 to 1000", at)
+		bad(f.Answers && f.Kind != "drain", "%s.answers: only a drain has it", at)
 		bad(f.Kind == "late" && f.By <= 0, "%s.by: how late?", at)
+		bad(f.Kind == "busy" && f.By <= 0, "%s.by: how long for a call?", at)
 		if known {
 			s, err := ParseOn(f.On)
 			switch {
@@ -417,7 +445,7 @@
 // figure of the first arm over that of another.
 var Metrics = []string{"goodput", "goodput_calm", "goodput_faults", "goodput_after", "worst_second", "ok_share", "p50_ms", "p99_ms",
 	"p999_ms", "service_p50_ms", "service_p99_ms", "schedule_p99_us", "schedule_worst", "unsent", "rules_broken", "retries",
-	"picks_per_call", "late_work_share", "effects", "calls", "node_cpu_us", "node_rss_mb", "crashes", "drain_last_ms"}
+	"picks_per_call", "late_work_share", "effects", "calls", "node_cpu_us", "node_rss_mb", "crashes", "drain_last_ms", "drain_p999_ms", "list_calls_refused"}
 
 func (e *Experiment) checkMetric(name string) error {
 	rest := name
@@ -461,7 +489,7 @@
 }
 
 // ParseOn reads "server:3", "servers:0.1", "zone:b", "all", each with "tier:2/" before it for another tier than the
-// first; "node:1", "nodes", "discovery".
+// first; "node:1", "nodes", "nodes:0.3", "discovery".
 func ParseOn(text string) (On, error) {
 	s := On{What: "server", Index: -1, Part: 1}
 	rest := text
@@ -492,6 +520,12 @@
 		s.Zone = arg
 	case "nodes":
 		s.What = "node"
+		if arg == "" {
+			break
+		}
+		if s.Part, err = strconv.ParseFloat(arg, 64); err != nil || !(s.Part > 0 && s.Part <= 1) {
+			return s, fmt.Errorf("%q is no share", arg)
+		}
 	case "discovery":
 		s.What = "discovery"
 	default:
--- a/internal/lab/judge/log.go
+++ b/internal/lab/judge/log.go
@@ -3,6 +3,7 @@
 package judge
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -162,3 +163,10 @@
 		s.mu.Unlock()
 	}
 }
+
+// Words are the news noted so far.
+func (l *Log) Words() []Word {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.words)
+}
--- a/internal/lab/run/faults.go
+++ b/internal/lab/run/faults.go
@@ -59,10 +59,8 @@
 		return
 	case "node":
 		var all sync.WaitGroup
-		for i, n := range f.nodes {
-			if on.Index < 0 || on.Index == i {
-				all.Go(func() { f.node(ctx, x, n, f.Front, f.dests[i].ID) })
-			}
+		for _, i := range f.nodesOn(on) {
+			all.Go(func() { f.node(ctx, x, f.nodes[i], f.Front, f.dests[i].ID) })
 		}
 		all.Wait()
 		return
@@ -95,7 +93,9 @@
 	case "drain":
 		each(func(p *place) {
 			f.phase(p, "draining")
-			p.now().Drain(time.Now().Add(time.Second))
+			if !x.Answers {
+				p.now().Drain(time.Now().Add(time.Second))
+			}
 		})
 		sleep(ctx, lasts)
 		each(func(p *place) {
@@ -139,6 +139,14 @@
 		d.Gone(true)
 		sleep(ctx, time.Duration(x.For))
 		d.Gone(false)
+	case "silence":
+		d.Silence()
+	case "reset-watches":
+		d.EndWatches()
+	case "busy":
+		d.Queue(x.By.Of(), f.e.Fleet.Discovery.CallMost.Of())
+		sleep(ctx, time.Duration(x.For))
+		d.Queue(f.e.Fleet.Discovery.CallWork.Of(), f.e.Fleet.Discovery.CallMost.Of())
 	case "late":
 		d.Late(time.Duration(x.By))
 		sleep(ctx, time.Duration(x.For))
@@ -173,6 +181,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	n.Knows(f.Discovery().Known())
 	if err := n.Start(ctx); err != nil {
 		f.crash(err)
 		return
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -72,7 +72,9 @@
 	}()
 	draw := plan.Source(e.Seed, "fleet")
 	for range e.Fleet.Tier {
-		f.disc = append(f.disc, standin.NewDiscovery(log, begin))
+		d := standin.NewDiscovery(log, begin)
+		d.Watch, d.Wait, d.Bound = experiment.Watches[e.Fleet.Discovery.Watch], e.Fleet.Discovery.Wait.Of(), e.Fleet.Discovery.Bound.Of()
+		f.disc = append(f.disc, d)
 		marks := map[string]*standin.Marks{}
 		for _, m := range e.Method {
 			if m.RepeatOf() == judge.Deduplicated {
@@ -288,6 +290,15 @@
 	return list
 }
 
+// nodesOn finds the front nodes that a fault meets, by number. A share is the same nodes for the same seed.
+func (f *Fleet) nodesOn(s experiment.On) []int {
+	if s.Index >= 0 {
+		return []int{s.Index}
+	}
+	all := plan.Source(f.e.Seed, "node faults").Perm(len(f.nodes))
+	return all[:max(1, int(s.Part*float64(len(all))+0.5))]
+}
+
 func (p *place) now() *standin.Server {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -165,6 +165,9 @@
 	}
 	// The watches are to stand before the load begins: that a fresh node may act on an old list is another experiment.
 	f.settle(ctx)
+	for _, d := range f.disc {
+		d.Queue(e.Fleet.Discovery.CallWork.Of(), e.Fleet.Discovery.CallMost.Of())
+	}
 	ahead := time.Since(begin) + 300*time.Millisecond
 	moved := slices.Clone(arrivals)
 	if name == "robincart-alone" {
@@ -222,6 +225,9 @@
 		arm.Metrics["node_cpu_us"] = float64((cpu1 - cpu0).Microseconds()) / float64(v.All.Calls)
 	}
 	arm.Metrics["node_rss_mb"] = float64(rss) / (1 << 20)
+	for _, d := range f.disc {
+		arm.Metrics["list_calls_refused"] += float64(d.Refused())
+	}
 	for what, n := range eng.Faults() {
 		r.Invalid = append(r.Invalid, fmt.Sprintf("arm %s: the generator was %s %d times", name, what, n))
 	}
@@ -320,7 +326,8 @@
 		"schedule_p99_us": float64(v.Schedule.P99.Microseconds()), "schedule_worst": v.Schedule.Worst,
 		"unsent": float64(v.Ends[judge.Unsent.String()]), "rules_broken": float64(v.Breaches()), "retries": float64(v.Retries),
 		"picks_per_call": share(float64(v.Picks), float64(v.All.Calls)), "late_work_share": share(v.LateWork.Seconds(), v.AllWork.Seconds()),
-		"effects": float64(v.Effects), "calls": float64(v.All.Calls), "drain_last_ms": float64(v.WordCalls.Max()) / 1000}
+		"effects": float64(v.Effects), "calls": float64(v.All.Calls), "drain_last_ms": float64(v.WordCalls.Max()) / 1000,
+		"drain_p999_ms": ms(judge.At(v.WordCalls, 99.9))}
 	for i, p := range v.Methods {
 		a.Metrics["method."+p.Name+".goodput"] = p.Goodput()
 		a.Metrics["method."+p.Name+".p50_ms"] = ms(judge.At(v.ByMethod[i], 50))
--- /dev/null
+++ b/internal/lab/standin/door.go
@@ -0,0 +1,233 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"robincart/internal/lab/judge"
+	"robincart/internal/lab/wire"
+)
+
+// Door is where one node asks.
+type Door struct {
+	d       *Discovery
+	node    int32
+	addr    string
+	ln      net.Listener
+	conns   map[net.Conn]connState
+	watches int
+}
+
+// connState is how far a connection has come.
+type connState int
+
+const (
+	calling  connState = iota
+	watching           // a watch that tells
+	silent             // a watch that tells nothing any more and stays open
+)
+
+// Door opens one for a node.
+func (d *Discovery) Door(node int32, addr string) (*Door, error) {
+	door := &Door{d: d, node: node, addr: addr, conns: map[net.Conn]connState{}}
+	if err := door.open(); err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	d.doors = append(d.doors, door)
+	d.mu.Unlock()
+	return door, nil
+}
+
+// Addr is where the door is.
+func (o *Door) Addr() string { return o.addr }
+
+// Watches counts the watches that were begun here, and those that last.
+func (o *Door) Watches() (begun, last int) {
+	o.d.mu.Lock()
+	defer o.d.mu.Unlock()
+	for _, state := range o.conns {
+		if state == watching {
+			last++
+		}
+	}
+	return o.watches, last
+}
+
+func (o *Door) open() error {
+	ln, err := net.Listen("tcp", o.addr)
+	if err != nil {
+		return err
+	}
+	o.d.mu.Lock()
+	o.ln, o.addr = ln, ln.Addr().String()
+	o.d.mu.Unlock()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			o.d.mu.Lock()
+			gone := o.d.gone
+			if !gone {
+				o.conns[c] = calling
+			}
+			o.d.mu.Unlock()
+			if gone {
+				reset(c)
+				continue
+			}
+			go o.serve(c)
+		}
+	}()
+	return nil
+}
+
+func message(revision int64, complete bool, members []Member) []byte {
+	if members == nil {
+		members = []Member{}
+	}
+	text, _ := json.Marshal(map[string]any{"revision": revision, "complete": complete, "members": members})
+	return append(text, '\n')
+}
+
+func chunk(c net.Conn, text []byte) error {
+	_, err := c.Write(append(append(strconv.AppendInt(nil, int64(len(text)), 16), "\r\n"...), append(text, "\r\n"...)...))
+	return err
+}
+
+func (o *Door) serve(c net.Conn) {
+	d := o.d
+	defer func() {
+		c.Close()
+		d.mu.Lock()
+		delete(o.conns, c)
+		d.mu.Unlock()
+	}()
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	q, err := wire.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	c.SetReadDeadline(time.Time{})
+	if q.Path != "/registry/instances" || q.Verb != "GET" {
+		c.Write(wire.Answer(nil, 404, "Connection: close\r\n", nil))
+		return
+	}
+	d.mu.Lock()
+	delay := d.delay
+	wait, taken := d.queue.take(time.Now())
+	d.mu.Unlock()
+	if !taken {
+		c.Write(wire.Answer(nil, 503, "Connection: close\r\n", nil))
+		return
+	}
+	time.Sleep(delay + wait)
+	if q.Query("follow") != "1" {
+		d.mu.Lock()
+		revision, members := d.list()
+		o.told(members, true)
+		d.mu.Unlock()
+		c.Write(wire.Answer(nil, 200, "Connection: close\r\nContent-Type: application/json\r\n", message(revision, true, members)))
+		return
+	}
+	fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
+	left := make(chan struct{})
+	go func() { // the watcher's farewell ends the watch at once
+		c.Read(make([]byte, 1))
+		c.Close()
+		close(left)
+	}()
+	defer func() { c.Close(); <-left }()
+	since, _ := strconv.ParseInt(q.Query("since"), 10, 64)
+	d.mu.Lock()
+	o.conns[c] = watching
+	o.watches++
+	d.mu.Unlock()
+	ends := time.Now().Add(d.Wait)
+	for first := true; ; first = false {
+		d.mu.Lock()
+		if o.conns[c] == silent {
+			d.mu.Unlock()
+			<-left
+			return
+		}
+		wake, delay := d.wake, d.delay
+		changed := d.revision > since
+		d.mu.Unlock()
+		if changed || first {
+			time.Sleep(delay)
+			// What is said is said under the lock, so that the ledger's order is that of the socket.
+			d.mu.Lock()
+			if o.conns[c] == silent {
+				d.mu.Unlock()
+				continue
+			}
+			var text []byte
+			revision, members := d.list()
+			if complete := since == 0 || since > revision || len(d.changes) == 0 || d.changes[0].revision > since+1; complete {
+				text = message(revision, true, members)
+				o.told(members, true)
+			} else {
+				var news []Member
+				for _, ch := range d.changes {
+					if ch.revision > since {
+						news = append(news, ch.member)
+					}
+				}
+				text = message(revision, false, news)
+				o.told(news, false)
+			}
+			since = revision
+			c.SetWriteDeadline(time.Now().Add(2 * time.Second))
+			err := chunk(c, text)
+			d.mu.Unlock()
+			if err != nil || d.Watch == WatchEndsWithList || d.Watch == WatchWaits && !first {
+				return
+			}
+			continue
+		}
+		quiet := d.Every
+		if d.Watch == WatchWaits {
+			if time.Now().After(ends) {
+				return
+			}
+			quiet = min(quiet, time.Until(ends)+time.Millisecond)
+		}
+		select {
+		case <-wake:
+		case <-left:
+			return
+		case <-time.After(quiet):
+			c.SetWriteDeadline(time.Now().Add(2 * time.Second))
+			if chunk(c, []byte("\n")) != nil {
+				return
+			}
+		}
+	}
+}
+
+// told notes in the ledger what a node has been told, under the lock. A server that a whole list lacks is gone.
+func (o *Door) told(members []Member, whole bool) {
+	d := o.d
+	if d.Log == nil {
+		return
+	}
+	at := time.Since(d.Begin)
+	for _, m := range members {
+		d.Log.Word(judge.Word{Node: o.node, Server: m.Index, State: states[m.Phase], At: at})
+	}
+	if !whole {
+		return
+	}
+	for _, ch := range d.changes {
+		if _, listed := d.members[ch.member.ID]; !listed {
+			d.Log.Word(judge.Word{Node: o.node, Server: ch.member.Index, State: judge.Gone, At: at})
+		}
+	}
+}
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -78,6 +78,15 @@
 	return 0
 }
 
+// Knows sets the servers that the next process has from before its start.
+func (n *Node) Knows(members []Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.Text == "" {
+		n.Config["known"] = map[string]any{"revision": 0, "complete": true, "members": members}
+	}
+}
+
 // Write writes the configuration, as a whole or not at all.
 func (n *Node) Write() error {
 	n.mu.Lock()
