Watch: pauses after refusals go by the age of the list

The node, n1, had had no list since its start: refused from 0.2 s on, then by the discovery that it was moved to at 13.25 s, until 19.44 s, while 16 others whose lists were fresh moved there within 4 s and were served before it. Its pauses began with the longest again, as theirs did.

Change: the pauses fall by the age of the list, from when a watch would be taken for silent, instead of by the time since the first refusal; and down to a third of ListEvery, no longer a half. A node whose list is older asks up to three times as often.

--- a/internal/registry/refusal.go
+++ b/internal/registry/refusal.go
@@ -20,16 +20,18 @@
 // queueTime is how long a call may wait at a discovery that works.
 const queueTime = 2 * time.Second
 
-// longestPause is the longest pause after a call that was refused, by the time since the first of the refusals in a row.
+// longestPause is the longest pause after a call that was refused, by how old the list is and how long all calls have been refused.
 //
 // A discovery that is asked by a whole fleet at once refuses whoever would have to wait. At first nearly all nodes are refused, and
 // short pauses would only keep it busy with refusals; when few are left, long ones would let it stand idle while these wait. Their
-// number falls with time, so the pauses do, down to a half of what is allowed between calls. A discovery that still refuses when
-// all changes from before are overdue is down, or can't answer the fleet in time: it is spared again.
-func longestPause(l limits.Limits, since time.Duration) time.Duration {
-	if since >= l.ListTold+queueTime {
+// number falls as their lists grow old, so the pauses do, down to a third of what is allowed between calls; and a node whose list is
+// older than those of the others gets ahead of them. A discovery that still refuses when all changes from before are overdue is down,
+// or can't answer the fleet in time: it is spared again, until there is another one.
+func longestPause(l limits.Limits, age, refused time.Duration) time.Duration {
+	if refused >= l.ListTold+queueTime {
 		return l.ListEvery
 	}
-	fallen := min(1, float64(since)/float64(l.ListTold))
-	return l.ListEvery - time.Duration(fallen*float64(l.ListEvery)/2)
+	// A watch that stands is quiet for as long as ListSilence: until then a list is not old.
+	aged := min(1, max(0, float64(age-l.ListSilence))/float64(l.ListTold))
+	return l.ListEvery - time.Duration(aged*float64(l.ListEvery)*2/3)
 }
--- a/internal/registry/told_test.go
+++ b/internal/registry/told_test.go
@@ -317,10 +317,10 @@
 
 func started(t *testing.T, ctx context.Context, all *sync.WaitGroup, d *turns, seed int64, instances int) *follower {
 	t.Helper()
-	return startedWith(t, ctx, all, d, seed, instances, limits.NewBudget(2, 0, nil))
+	return startedWith(t, ctx, all, d.dial, seed, instances, limits.NewBudget(2, 0, nil))
 }
 
-func startedWith(t *testing.T, ctx context.Context, all *sync.WaitGroup, d *turns, seed int64, instances int, budget *limits.Budget) *follower {
+func startedWith(t *testing.T, ctx context.Context, all *sync.WaitGroup, dial Dial, seed int64, instances int, budget *limits.Budget) *follower {
 	t.Helper()
 	s, err := settings.Parse(fmt.Appendf(nil, `{"Classes":[{"Name":"a","AimMs":1,"DeadlineMs":1,"Repeat":"repeatable"}],"Instances":%d,`+
 		`"RegistryMode":"subscribe","Rules":{"MustAskInMs":60000}}`, instances))
@@ -330,7 +330,7 @@
 	s.AskWithin = l.ListEvery.Seconds()
 	m := &follower{budget: budget}
 	m.w = New("127.0.0.1:1", nil, l, m.budget, zap.NewNop())
-	m.w.dial = d.dial
+	m.w.dial = dial
 	m.Core = node.New(s, seed, bubbleClock{time.Now()}, time.Now(), m.w.Ask)
 	m.w.Follow(m)
 	all.Go(func() { m.w.Run(ctx); m.Close() })
@@ -494,6 +494,83 @@
 	}
 }
 
+// Where all move to another discovery, which refuses many of them, a node that has heard nothing for long has to get ahead.
+func TestANodeWhoseListIsOlderGetsAheadOfOthersAtABusyDiscovery(t *testing.T) {
+	const nodes, plays = 18, 100
+	var old, others time.Duration
+	for play := range plays {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, end := context.WithCancel(context.Background())
+			var all sync.WaitGroup
+			before, refuses, next := newTurns(time.Millisecond, time.Hour), newTurns(0, time.Hour), newTurns(370*time.Millisecond, time.Hour)
+			refuses.become(refusing)
+			next.busy, next.refusal = 630*time.Millisecond, 20*time.Millisecond
+			for _, d := range []*turns{before, refuses, next} {
+				all.Go(func() { d.work(ctx) })
+			}
+			var fleet []*follower
+			for i := range nodes {
+				first := before
+				if i == 0 {
+					first = refuses
+				}
+				dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+					if addr == "127.0.0.1:2" {
+						return next.dial(ctx, network, addr)
+					}
+					return first.dial(ctx, network, addr)
+				}
+				fleet = append(fleet, startedWith(t, ctx, &all, dial, int64(1000*play+i), nodes, limits.NewBudget(2, 0, nil)))
+			}
+			time.Sleep(13 * time.Second)
+			moved := make([]time.Time, nodes)
+			for _, i := range rand.New(rand.NewSource(int64(play))).Perm(nodes) {
+				moved[i] = time.Now()
+				fleet[i].w.Move("127.0.0.1:2")
+				time.Sleep(100 * time.Millisecond)
+			}
+			// The lists of before were heard before the move, so a later one is of the new discovery.
+			for i, f := range fleet {
+				for !f.heard(moved[i].Add(time.Millisecond)) && time.Since(moved[i]) < time.Minute {
+					time.Sleep(10 * time.Millisecond)
+				}
+				f.mu.Lock()
+				took := f.last.Sub(moved[i])
+				f.mu.Unlock()
+				if i == 0 {
+					old += took
+				} else {
+					others += took
+				}
+			}
+			end()
+			for _, d := range []*turns{before, refuses, next} {
+				d.end()
+			}
+			all.Wait()
+			time.Sleep(time.Hour) // timers
+		})
+	}
+	old, others = old/plays, others/(plays*(nodes-1))
+	t.Logf("the old list is renewed %.2f s after the move in the mean, the others %.2f s", old.Seconds(), others.Seconds())
+	assert.Less(t, old, others*7/10)
+}
+
+func TestPausesAfterRefusalsFallWhileTheListGrowsOld(t *testing.T) {
+	l := limits.Limits{ListEvery: 3 * time.Second, ListTold: 6 * time.Second, ListSilence: 2 * time.Second}
+	for _, x := range []struct{ age, refused, longest time.Duration }{
+		{0, 0, 3 * time.Second},
+		{2 * time.Second, 0, 3 * time.Second},
+		{5 * time.Second, 2 * time.Second, 2 * time.Second},
+		{8 * time.Second, 5 * time.Second, time.Second},
+		{time.Hour, 0, time.Second},
+		{time.Hour, 7999 * time.Millisecond, time.Second},
+		{time.Hour, 8 * time.Second, 3 * time.Second},
+	} {
+		assert.Equal(t, x.longest, longestPause(l, x.age, x.refused), "%+v", x)
+	}
+}
+
 func TestAChangeIsToldInTimeWhateverCameBefore(t *testing.T) {
 	become := func(all ...trouble) func(*turns, *follower, *rand.Rand, time.Duration) {
 		return func(d *turns, _ *follower, _ *rand.Rand, lasts time.Duration) {
@@ -557,7 +634,7 @@
 				if name == "a new process without a descriptor" {
 					budget := limits.NewBudget(2, 0, nil)
 					assert.True(t, budget.Take() && budget.Take())
-					f = startedWith(t, ctx, &all, d, int64(n), 300, budget)
+					f = startedWith(t, ctx, &all, d.dial, int64(n), 300, budget)
 					time.Sleep(lasts)
 					budget.Give()
 					budget.Give()
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -50,6 +50,7 @@
 	fresh    bool    // discovery has moved, and no call to the new one has failed
 
 	refusedSince time.Time // the first of the calls refused in a row; zero: the last one was not
+	heard        time.Time // when a watch last brought something, or the process began
 	named        int       // entries since the last whole list, that list's included: the servers held are no more
 
 	// Descriptors: what is held, one of them from watch to watch, and what calls use.
@@ -82,7 +83,7 @@
 // New makes a Watcher; Run starts it.
 func New(addr string, zones []string, l limits.Limits, budget *limits.Budget, log *zap.Logger) *Watcher {
 	return &Watcher{addr: addr, at: addr, zones: zones, limits: l, budget: budget, log: log,
-		wake: make(chan struct{}, 1), dial: (&net.Dialer{KeepAlive: -1}).DialContext}
+		heard: time.Now(), wake: make(chan struct{}, 1), dial: (&net.Dialer{KeepAlive: -1}).DialContext}
 }
 
 // Dial connects, as net.Dialer does.
@@ -230,7 +231,7 @@
 	if w.refusedSince.IsZero() {
 		w.refusedSince = now
 	}
-	longest := longestPause(w.limits, now.Sub(w.refusedSince))
+	longest := longestPause(w.limits, now.Sub(w.heard), now.Sub(w.refusedSince))
 	failure.MinPause, failure.MaxPause = longest, min(failure.MaxPause, longest)
 }
 
@@ -325,6 +326,7 @@
 		return false
 	}
 	c.word = time.Now()
+	w.heard = c.word
 	if w.watch == c {
 		return true
 	}
