Registry: a file for each job, errors of their own types, a list that contradicts itself

Errors of lists are types and say what an operator can do: RefusedError, EntryLimitError, ConflictError, MessageError, TurnoverError. New with them: a whole list that names one server in two phases is refused, and the list held stays; before, the later entry won silently, so that a server could be ready that was also announced as leaving. Changes may name a server as often as it changed.

Tests: registry with its cases for a watch that ends by such a list, cmd/robincart; all passed.

--- a/internal/registry/crowd_test.go
+++ b/internal/registry/crowd_test.go
@@ -23,7 +23,7 @@
 }
 
 func TestAListThatClaimsMoreServersThanThereMayBeIsRefused(t *testing.T) {
-	_, err := Parse(crowd(MostMembers+1, func(int) string { return "7" }))
+	_, err := Parse(crowd(MaxMembers+1, func(int) string { return "7" }))
 	assert.ErrorContains(t, err, "20001 entries, 20000 at most")
 	l, err := Parse(crowd(10*440, func(i int) string { return member1(fmt.Sprint("a", i), "ready") })) // ten times the target
 	require.NoError(t, err)
@@ -35,9 +35,37 @@
 	require.NoError(t, err)
 	core, logs := observer.New(zapcore.WarnLevel)
 	assert.Empty(t, l.Entries(nil, zap.New(core)))
-	require.Len(t, logs.All(), skippedTold+1)
+	require.Len(t, logs.All(), maxSkippedLogged+1)
 	assert.Len(t, logs.All()[0].ContextMap()["entry"], 1000)
-	assert.EqualValues(t, 5000, logs.All()[skippedTold].ContextMap()["all"])
+	assert.EqualValues(t, 5000, logs.All()[maxSkippedLogged].ContextMap()["all"])
+}
+
+// One name in two phases is no list that can be acted on; changes may name a server as often as it changed.
+func TestAWholeListThatNamesAServerInTwoPhasesIsRefused(t *testing.T) {
+	twice := func(complete bool, phases ...string) error {
+		entries := []string{member1("a", "ready")}
+		for _, phase := range phases {
+			entries = append(entries, member1("b", phase))
+		}
+		_, err := Parse(fmt.Appendf(nil, `{"revision":9,"complete":%v,"members":[%s]}`, complete, strings.Join(entries, ",")))
+		return err
+	}
+	var conflict *ConflictError
+	require.ErrorAs(t, twice(true, "ready", "draining"), &conflict)
+	assert.Equal(t, ConflictError{ID: "b", First: "ready", Then: "draining"}, *conflict)
+	assert.ErrorContains(t, conflict, "take one out")
+	assert.NoError(t, twice(true, "draining", "draining"))
+	assert.NoError(t, twice(false, "draining", "gone", "ready"))
+	var limit *EntryLimitError
+	_, err := Parse(crowd(100_000, func(int) string { return "{}" }))
+	require.ErrorAs(t, err, &limit)
+	assert.Equal(t, 100_000, limit.Entries)
+	var message *MessageError
+	_, err = Parse([]byte(`{"revision":-1}`))
+	require.ErrorAs(t, err, &message)
+	_, err = Parse([]byte(`[`))
+	require.ErrorAs(t, err, &message)
+	assert.Error(t, message.Unwrap())
 }
 
 // Changes can't bring more servers than a list may have: then the whole list is asked for.
@@ -57,8 +85,9 @@
 	for err = w.room(ready); err == nil; err = w.room(ready) {
 		n++
 	}
-	assert.ErrorIs(t, err, errCrowd)
-	assert.Equal(t, MostMembers/1000-1, n)
+	var turnover *TurnoverError
+	assert.ErrorAs(t, err, &turnover)
+	assert.Equal(t, MaxMembers/1000-1, n)
 	assert.Zero(t, w.revision, "the next watch is told all of it")
 	require.NoError(t, w.room(ready), "and begins to count anew")
 }
--- /dev/null
+++ b/internal/registry/errors.go
@@ -0,0 +1,64 @@
+package registry
+
+import (
+	"errors"
+	"fmt"
+)
+
+// RefusedError is a call for the server list that discovery answered with something else than a list.
+type RefusedError struct {
+	Status int // of HTTP
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("discovery answered %d: the list held stays and the call is made again; if this lasts, look at discovery's load "+
+		"and at the number of nodes that call it", e.Status)
+}
+
+// EntryLimitError is a message or a service with more servers than are taken. The list held stays.
+type EntryLimitError struct {
+	Entries int
+}
+
+func (e *EntryLimitError) Error() string {
+	return fmt.Sprintf("server list: %d entries, %d at most are taken: whoever fills discovery has lost count; take out what is not there, "+
+		"or split the service", e.Entries, MaxMembers)
+}
+
+// ConflictError is a whole list that names a server twice, in two phases. The list held stays.
+type ConflictError struct {
+	ID    string
+	First string // phase
+	Then  string
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("server list: %.100q is named as %s and as %s in one whole list: two processes have one name, or discovery holds an old "+
+		"entry; take one out", e.ID, e.First, e.Then)
+}
+
+// MessageError is a message that can't be read as one of the list. The list held stays.
+type MessageError struct {
+	Cause error
+}
+
+func (e *MessageError) Error() string {
+	return fmt.Sprintf("server list: %v: what answers there is no discovery, or one of another version", e.Cause)
+}
+
+func (e *MessageError) Unwrap() error { return e.Cause }
+
+// TurnoverError is a watch whose changes have named more servers since the last whole list than a service may have. Many may have
+// left since, so the whole list is asked for.
+type TurnoverError struct{}
+
+func (e *TurnoverError) Error() string {
+	return fmt.Sprintf("server list: changes named more than %d servers since the last whole list, which is asked for; if this lasts, see "+
+		"what makes servers come and go", MaxMembers)
+}
+
+var (
+	errNoDescriptor = errors.New("no descriptor left for discovery: raise the process's limit or limits.sockets")
+	errUnanswered   = errors.New("discovery has not answered yet")
+	errDropped      = errors.New("another call was answered")
+)
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -36,28 +36,54 @@
 
 var phases = map[string]decide.State{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
 
-// MostMembers is how many entries a message may have, and a service servers. A fleet of the target's size has 440 in all; who
+// MaxMembers is how many entries a message may have, and a service servers. A fleet of the target's size has 440 in all; who
 // claims more than this has lost count, and each would cost the node a record.
-const MostMembers = 20_000
+const MaxMembers = 20_000
 
-// skippedTold is how many skipped entries of one message are logged each; of the rest only the number is.
-const skippedTold = 10
+// maxSkippedLogged is how many skipped entries of one message are logged each; of the rest only the number is.
+const maxSkippedLogged = 10
 
 // Parse reads one message.
 func Parse(text []byte) (*List, error) {
 	l := &List{}
 	if err := json.Unmarshal(text, l); err != nil {
-		return nil, fmt.Errorf("server list: %w", err)
+		return nil, &MessageError{Cause: err}
 	}
-	if len(l.Members) > MostMembers {
-		return nil, fmt.Errorf("server list: %d entries, %d at most are taken", len(l.Members), MostMembers)
+	if len(l.Members) > MaxMembers {
+		return nil, &EntryLimitError{Entries: len(l.Members)}
 	}
 	if l.Revision < 0 {
-		return nil, fmt.Errorf("server list: revision %d", l.Revision)
+		return nil, &MessageError{Cause: fmt.Errorf("revision %d", l.Revision)}
+	}
+	if !l.Complete {
+		return l, nil
+	}
+	if err := l.conflict(); err != nil {
+		return nil, err
 	}
 	return l, nil
 }
 
+// conflict finds a server that a whole list names in two phases. Changes may: each tells of what followed the one before. Entries
+// that can't be read are left out later, each by itself.
+func (l *List) conflict() error {
+	phaseOf := make(map[string]string, len(l.Members))
+	for _, text := range l.Members {
+		var m struct {
+			ID    string `json:"id"`
+			Phase string `json:"phase"`
+		}
+		if json.Unmarshal(text, &m) != nil || m.ID == "" {
+			continue
+		}
+		if phase, named := phaseOf[m.ID]; named && phase != m.Phase {
+			return &ConflictError{ID: m.ID, First: phase, Then: m.Phase}
+		}
+		phaseOf[m.ID] = m.Phase
+	}
+	return nil
+}
+
 // Entries turns a message into the core's words. A line that can't be used is left out and told: one bad line
 // must not cost the others.
 func (l *List) Entries(zones []string, log *zap.Logger) []node.Entry {
@@ -67,7 +93,7 @@
 		var m member
 		state, err := m.read(text)
 		if err != nil {
-			if skipped++; skipped <= skippedTold {
+			if skipped++; skipped <= maxSkippedLogged {
 				log.Warn("skipped an entry of the server list", zap.ByteString("entry", text[:min(len(text), 1000)]), zap.Error(err))
 			}
 			continue
@@ -82,7 +108,7 @@
 		}
 		out = append(out, e)
 	}
-	if skipped > skippedTold {
+	if skipped > maxSkippedLogged {
 		log.Warn("skipped entries of the server list", zap.Int("all", skipped), zap.Int("of", len(l.Members)))
 	}
 	return out
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -154,6 +154,7 @@
 		"silence":        say(head, chunk("\n")),
 		"no message":     say(head, chunk("null\n")),
 		"no end":         say(head, chunk("{\"members\":[\""), strings.Repeat(chunk(strings.Repeat("x", 4096)), 20)),
+		"two phases":     say(head, line(42, true, member1("b", "ready"), member1("b", "draining"))),
 		"half a message": say(head, line(41, false), chunk("{\"revision\":42,")),
 	} {
 		core, w, asked := watch(t, nothing, call, say(head, line(50, true, member1("a", "ready"))))
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"slices"
@@ -14,10 +13,8 @@
 
 	"go.uber.org/zap"
 
-	"robincart/internal/httpwire"
 	"robincart/internal/limits"
 	"robincart/internal/node"
-	"robincart/internal/socket"
 )
 
 // Core takes the news.
@@ -39,15 +36,15 @@
 	dial   Dial
 	core   Core
 
-	mu       sync.Mutex
-	addr     string
-	asked    bool    // by the module, and not yet looked at
-	moved    bool    // discovery has, and no call to the new one has begun
-	calls    []*call // the oldest first
-	watch    *call   // that has won; nil: none
-	revision int64   // of the list held, in the numbers of that discovery
-	failing  bool    // the last call or watch has failed, and that has been told
-	fresh    bool    // discovery has moved, and no call to the new one has failed
+	mu          sync.Mutex
+	addr        string
+	asked       bool    // by the module, and not yet looked at
+	moved       bool    // discovery has, and no call to the new one has begun
+	calls       []*call // the oldest first
+	watch       *call   // that has won; nil: none
+	revision    int64   // of the list held, in the numbers of that discovery
+	failing     bool    // the last call or watch has failed, and that has been told
+	movedLately bool    // discovery has moved, and no call to the new one has failed
 
 	refusedSince time.Time // the first of the calls refused in a row; zero: the last one was not
 	heard        time.Time // when a watch last brought something, or the process began
@@ -59,26 +56,9 @@
 	at string // where the last call went; Run's alone
 }
 
-// call is one call, and the watch that it becomes.
-type call struct {
-	at    string
-	since int64
-	began time.Time
-	cut   context.CancelFunc
-	done  chan struct{} // closed at its end; what follows may be read then
-	err   error
-	told  bool // it has brought news
-
-	// Under the Watcher's mutex.
-	word    time.Time // when something came last
-	mute    bool      // nothing came for so long that another call is wanted
-	failed  bool      // that has been told
-	dropped bool      // nobody wants to hear of it any more
-}
-
-// atOnce is how many calls stand at most. One that is not answered while a second one is, and until a third begins, has had as
+// maxCalls is how many calls stand at most. One that is not answered while a second one is, and until a third begins, has had as
 // long as changes take to bind.
-const atOnce = 2
+const maxCalls = 2
 
 // New makes a Watcher; Run starts it.
 func New(addr string, zones []string, l limits.Limits, budget *limits.Budget, log *zap.Logger) *Watcher {
@@ -118,12 +98,6 @@
 	w.ring()
 }
 
-// drop ends a call of which nothing more is taken or told.
-func (c *call) drop() {
-	c.dropped = true
-	c.cut()
-}
-
 func (w *Watcher) ring() {
 	select {
 	case w.wake <- struct{}{}:
@@ -178,8 +152,8 @@
 		if c == w.watch && ended {
 			w.watch = nil
 		}
-		if !c.dropped && !c.failed && (ended || c.mute) {
-			c.failed = true
+		if !c.dropped && !c.reported && (ended || c.unanswered) {
+			c.reported = true
 			out = append(out, c)
 		}
 		return ended
@@ -192,10 +166,10 @@
 // last word of a watch that fell silent. Pauses spare a discovery that is overrun: one that says nothing, has had no call yet, or
 // had told news for a while does not say so. One that ends each watch right behind its list would else be asked ever so often.
 func (w *Watcher) tell(c *call) {
-	err, lasted := errMute, false
+	err, lasted := errUnanswered, false
 	select {
 	case <-c.done:
-		err, lasted = c.err, c.told && time.Since(c.began) >= w.limits.ListSilence
+		err, lasted = c.err, c.delivered && time.Since(c.began) >= w.limits.ListSilence
 	default:
 	}
 	w.mu.Lock()
@@ -203,14 +177,14 @@
 		w.mu.Unlock()
 		return
 	}
-	anew := lasted || w.fresh || errors.Is(err, os.ErrDeadlineExceeded) || err == errMute || err == errNoDescriptor
+	anew := lasted || w.movedLately || errors.Is(err, os.ErrDeadlineExceeded) || err == errUnanswered || err == errNoDescriptor
 	first, revision := !w.failing, w.revision
-	failure := node.ListFailure{ResetBackoff: anew, MaxPause: w.limits.ListEvery - time.Since(c.word)}
-	if c.told { // a watch that ends may do so instead of telling
+	failure := node.ListFailure{ResetBackoff: anew, MaxPause: w.limits.ListEvery - time.Since(c.lastHeard)}
+	if c.delivered { // a watch that ends may do so instead of telling
 		failure.MaxPause = min(failure.MaxPause, w.limits.ListAgain)
 	}
 	w.refused(err, &failure)
-	w.failing, w.fresh = true, false
+	w.failing, w.movedLately = true, false
 	w.mu.Unlock()
 	if first {
 		w.log.Warn("no watch of the server list; the list stays", zap.Error(err),
@@ -241,9 +215,9 @@
 	wanted, moved := w.asked, w.moved
 	w.asked, w.moved = false, false
 	for _, c := range w.calls {
-		wanted = wanted && (c.dropped || c.mute && c != w.watch)
+		wanted = wanted && (c.dropped || c.unanswered && c != w.watch)
 	}
-	full := len(w.calls) >= atOnce
+	full := len(w.calls) >= maxCalls
 	w.mu.Unlock()
 	switch {
 	case moved:
@@ -259,11 +233,11 @@
 	}
 	within, cut := context.WithCancel(ctx)
 	now := time.Now()
-	c := &call{began: now, word: now, cut: cut, done: make(chan struct{})}
+	c := &call{began: now, lastHeard: now, cut: cut, done: make(chan struct{})}
 	w.mu.Lock()
 	if w.at != w.addr {
 		// Another discovery may number otherwise: by the old one's numbers its news would look old.
-		w.at, w.revision, w.failing, w.fresh, w.refusedSince = w.addr, 0, false, true, time.Time{}
+		w.at, w.revision, w.failing, w.movedLately, w.refusedSince = w.addr, 0, false, true, time.Time{}
 		w.log.Info("discovery has moved", zap.String("discovery", w.at))
 	}
 	c.at, c.since = w.at, w.revision
@@ -282,7 +256,7 @@
 	quiet := time.AfterFunc(w.limits.ListFirst, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		c.mute = c != w.watch
+		c.unanswered = c != w.watch
 		w.ring()
 	})
 	go func() {
@@ -325,12 +299,12 @@
 	if c.dropped {
 		return false
 	}
-	c.word = time.Now()
-	w.heard = c.word
+	c.lastHeard = time.Now()
+	w.heard = c.lastHeard
 	if w.watch == c {
 		return true
 	}
-	w.watch, c.mute, c.failed = c, false, false
+	w.watch, c.unanswered, c.reported = c, false, false
 	for _, o := range w.calls {
 		if o != c {
 			o.drop()
@@ -339,124 +313,6 @@
 	return true
 }
 
-var (
-	errNoDescriptor = errors.New("no descriptor left for discovery")
-	errMute         = errors.New("discovery has not answered yet")
-	errDropped      = errors.New("another call was answered")
-)
-
-// acquire takes a descriptor for a call. One is kept from watch to watch: given back while discovery is down it would be gone when
-// discovery is back, with every other in use for as long as servers hang. Only Run's goroutine calls it.
-func (w *Watcher) acquire() bool {
-	w.mu.Lock()
-	more := w.held <= w.used
-	w.mu.Unlock()
-	if more && !w.budget.Take() {
-		return false
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if more {
-		w.held++
-	}
-	w.used++
-	return true
-}
-
-// release is the end of an acquire.
-func (w *Watcher) release() {
-	w.mu.Lock()
-	w.used--
-	spare := w.held > max(1, w.used)
-	if spare {
-		w.held--
-	}
-	w.mu.Unlock()
-	if spare {
-		w.budget.Give()
-	}
-}
-
-// follow is the life of one call, and of its watch.
-func (w *Watcher) follow(ctx context.Context, own *call) error {
-	within, cancel := context.WithTimeout(ctx, w.limits.ListConnect)
-	c, err := w.dial(within, "tcp", own.at)
-	cancel()
-	if socket.Exhausted(err) {
-		return errNoDescriptor // the process's own: discovery has had no call
-	}
-	if err != nil {
-		return fmt.Errorf("reaching discovery: %w", err)
-	}
-	defer c.Close()
-	defer context.AfterFunc(ctx, func() { c.Close() })()
-
-	if w.secure != nil {
-		t := tls.Client(c, w.secure(own.at))
-		c.SetDeadline(time.Now().Add(w.limits.ListConnect))
-		if err := t.HandshakeContext(ctx); err != nil {
-			return fmt.Errorf("discovery's keys: %w", err)
-		}
-		c = t
-	}
-	// One that stands in discovery's queue would lose its turn if it were given up with the first look at it.
-	c.SetDeadline(own.began.Add(w.limits.ListTold))
-	status, stream, err := w.call(c, own)
-	if err != nil {
-		return err
-	}
-	if status != 200 {
-		return &RefusedError{Status: status}
-	}
-	// A discovery that was cut off says nothing; one that lives sends an empty line every other second.
-	messages := feed{from: stream, most: w.limits.ListBytes, chunk: make([]byte, w.limits.Wire.Buffer),
-		alive: func() {
-			w.wins(own)
-			c.SetReadDeadline(time.Now().Add(w.limits.ListSilence))
-		}}
-	for {
-		text, err := messages.next()
-		if err != nil {
-			return fmt.Errorf("watching discovery: %w", err)
-		}
-		list, err := Parse(text)
-		if err != nil {
-			return err
-		}
-		if !w.wins(own) {
-			return errDropped
-		}
-		if err := w.room(list); err != nil {
-			return err
-		}
-		w.take(list)
-		if !own.told {
-			own.told = true
-			w.mu.Lock()
-			w.failing, w.fresh = false, false
-			w.refusedSince = time.Time{}
-			w.mu.Unlock()
-			w.log.Info("watching the server list", zap.String("discovery", own.at),
-				zap.Bool("whole", list.Complete), zap.Int64("revision", list.Revision))
-		}
-	}
-}
-
-// call asks for a watch and reads the head of the answer.
-func (w *Watcher) call(c net.Conn, own *call) (status int, stream *httpwire.Stream, err error) {
-	if _, err = fmt.Fprintf(c, "GET %s?%s=1&%s=%d HTTP/1.1\r\nHost: %s\r\n\r\n", httpwire.PathList,
-		httpwire.QueryWatch, httpwire.QuerySince, own.since, own.at); err != nil {
-		return 0, nil, fmt.Errorf("asking discovery: %w", err)
-	}
-	if status, stream, err = httpwire.NewReader(c, w.limits.Wire).ReadStream(); err != nil {
-		err = fmt.Errorf("reading discovery: %w", err)
-	}
-	return status, stream, err
-}
-
-// errCrowd is a service of which changes have named more servers than there may be, many of them perhaps gone since.
-var errCrowd = fmt.Errorf("server list: changes named more than %d servers since the last whole list, which is asked for", MostMembers)
-
 // room keeps the number of servers bounded that changes can bring, a few at a time: the whole list has to tell then how many
 // there are.
 func (w *Watcher) room(l *List) error {
@@ -470,11 +326,11 @@
 			w.named++
 		}
 	}
-	if w.named <= MostMembers || l.Complete {
+	if w.named <= MaxMembers || l.Complete {
 		return nil
 	}
 	w.revision, w.named = 0, 0
-	return errCrowd
+	return &TurnoverError{}
 }
 
 // take passes news on. A change that is older than the list held would bring back what has left: of
