Registry: each entry of a list is read once

Reading a list was the longest step between its last byte and the moment from which no attempt begins at a server that it takes out: each entry was copied, and decoded once more to be used, and since the check for contradictions a third time. Now it is decoded once, and kept as it came only where it can't be read.

--- /dev/null
+++ b/internal/registry/delivery_test.go
@@ -0,0 +1,68 @@
+package registry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"robincart/internal/node"
+	"robincart/internal/settings"
+)
+
+// idleClock is a clock that stands.
+type idleClock struct{}
+
+func (idleClock) Now() time.Duration                  { return 0 }
+func (idleClock) AfterFunc(d time.Duration, f func()) {}
+
+func idleCore(t testing.TB) *node.Core {
+	s, err := settings.Parse([]byte(`{"Classes":[{"Name":"a","AimMs":1,"DeadlineMs":1,"Repeat":"repeatable"}],"RegistryMode":"subscribe"}`))
+	require.NoError(t, err)
+	return node.New(s, 1, idleClock{}, time.Now(), func() {})
+}
+
+// indented is a whole list as a discovery may write it, over many lines.
+func indented(t testing.TB, servers int, phase string) []byte {
+	var out bytes.Buffer
+	require.NoError(t, json.Indent(&out, crowd(servers, func(i int) string { return member1(fmt.Sprint("server-", i), phase) }), "", "    "))
+	return out.Bytes()
+}
+
+// BenchmarkDelivery is what lies between the last byte of a list and the moment from which no attempt begins at a server that it
+// takes out: cutting the message out of its stream, reading it, and the core's step under its lock.
+func BenchmarkDelivery(b *testing.B) {
+	for _, servers := range []int{1, 30, 300, 1024, 20_000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			core := idleCore(b)
+			text := indented(b, servers, "ready")
+			for b.Loop() {
+				messages := feed{from: bytes.NewReader(text), most: 64 << 20, chunk: make([]byte, 2<<10), alive: func() {}}
+				message, err := messages.next()
+				require.NoError(b, err)
+				list, err := Parse(message)
+				require.NoError(b, err)
+				core.Listed(list.Entries(nil, zap.NewNop()), list.Complete)
+			}
+		})
+	}
+}
+
+// Neither a list of servers nor the servers of a service are capped below what the operators' fleets have.
+func TestAThousandServersAreTaken(t *testing.T) {
+	const servers = 1024
+	core := idleCore(t)
+	list, err := Parse(indented(t, servers, "ready"))
+	require.NoError(t, err)
+	core.Listed(list.Entries(nil, zap.NewNop()), list.Complete)
+	assert.Len(t, core.Known(), servers)
+	assert.GreaterOrEqual(t, MaxMembers, servers)
+	l := len(strings.TrimSpace(string(indented(t, servers, "ready"))))
+	assert.Less(t, l, 4<<20, "an indented list of them fits into limits.ListBytes")
+}
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -2,6 +2,7 @@
 package registry
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -19,9 +20,9 @@
 
 // List is one message of discovery: the whole list, or the entries that changed.
 type List struct {
-	Revision int64             `json:"revision"`
-	Complete bool              `json:"complete"`
-	Members  []json.RawMessage `json:"members"`
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
 }
 
 type member struct {
@@ -32,6 +33,18 @@
 	Phase    string  `json:"phase"`
 	Size     float64 `json:"size"`
 	UpSince  float64 `json:"up_since_ms"`
+
+	err  error  // why it can't be read
+	text []byte // as it came, then
+}
+
+// UnmarshalJSON never fails: one bad entry must not cost the others.
+func (m *member) UnmarshalJSON(text []byte) error {
+	type fields member
+	if m.err = json.Unmarshal(text, (*fields)(m)); m.err != nil {
+		m.text = bytes.Clone(text[:min(len(text), maxLoggedBytes)])
+	}
+	return nil
 }
 
 var phases = map[string]decide.State{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
@@ -43,6 +56,9 @@
 // maxSkippedLogged is how many skipped entries of one message are logged each; of the rest only the number is.
 const maxSkippedLogged = 10
 
+// maxLoggedBytes is how much of a skipped entry is logged.
+const maxLoggedBytes = 1000
+
 // Parse reads one message.
 func Parse(text []byte) (*List, error) {
 	l := &List{}
@@ -64,22 +80,16 @@
 	return l, nil
 }
 
-// conflict finds a server that a whole list names in two phases. Changes may: each tells of what followed the one before. Entries
-// that can't be read are left out later, each by itself.
+// conflict finds a server that a whole list names in two phases. Changes may: each tells of what followed the one before.
 func (l *List) conflict() error {
 	phaseOf := make(map[string]string, len(l.Members))
-	for _, text := range l.Members {
-		var m struct {
-			ID    string `json:"id"`
-			Phase string `json:"phase"`
-		}
-		if json.Unmarshal(text, &m) != nil || m.ID == "" {
-			continue
-		}
-		if phase, named := phaseOf[m.ID]; named && phase != m.Phase {
+	for _, m := range l.Members {
+		if phase, named := phaseOf[m.ID]; named && phase != m.Phase && m.err == nil {
 			return &ConflictError{ID: m.ID, First: phase, Then: m.Phase}
 		}
-		phaseOf[m.ID] = m.Phase
+		if m.err == nil && m.ID != "" {
+			phaseOf[m.ID] = m.Phase
+		}
 	}
 	return nil
 }
@@ -89,12 +99,12 @@
 func (l *List) Entries(zones []string, log *zap.Logger) []node.Entry {
 	out := make([]node.Entry, 0, len(l.Members))
 	skipped := 0
-	for _, text := range l.Members {
-		var m member
-		state, err := m.read(text)
+	for i := range l.Members {
+		m := &l.Members[i]
+		state, err := m.state()
 		if err != nil {
 			if skipped++; skipped <= maxSkippedLogged {
-				log.Warn("skipped an entry of the server list", zap.ByteString("entry", text[:min(len(text), 1000)]), zap.Error(err))
+				log.Warn("skipped an entry of the server list", m.logged(), zap.Error(err))
 			}
 			continue
 		}
@@ -114,9 +124,19 @@
 	return out
 }
 
-func (m *member) read(text []byte) (decide.State, error) {
-	if err := json.Unmarshal(text, m); err != nil {
-		return 0, err
+// logged is the entry as the log shows it.
+func (m *member) logged() zap.Field {
+	text := m.text
+	if m.err == nil {
+		text, _ = json.Marshal(m)
+	}
+	return zap.ByteString("entry", text[:min(len(text), maxLoggedBytes)])
+}
+
+// state is what the entry says of its server, or why it can't be used.
+func (m *member) state() (decide.State, error) {
+	if m.err != nil {
+		return 0, m.err
 	}
 	state, known := phases[m.Phase]
 	switch {
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -13,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"robincart/decide"
 	"robincart/internal/limits"
 	"robincart/internal/node"
 )
@@ -322,7 +322,7 @@
 		w.named = 0
 	}
 	for _, m := range l.Members {
-		if !bytes.Contains(m, []byte(`"gone"`)) {
+		if m.err != nil || phases[m.Phase] != decide.Gone {
 			w.named++
 		}
 	}
