Lab: how evenly a fleet's requests reach servers, against straight callers with a view each

internal/lab/spread (pure): dispersion of a server's arrivals, peak over mean, idle share, herds, agreement of nodes; each tested against plays where it is known.

--- a/internal/lab/judge/log.go
+++ b/internal/lab/judge/log.go
@@ -164,6 +164,18 @@
 	}
 }
 
+// Picks hands over all picks, in no order.
+func (l *Log) Picks(f func(Pick)) {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		for _, p := range s.picks {
+			f(p)
+		}
+		s.mu.Unlock()
+	}
+}
+
 // Words are the news noted so far.
 func (l *Log) Words() []Word {
 	l.mu.Lock()
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -25,6 +25,7 @@
 type Dest struct {
 	ID   int32 // of the node or the server, one connection pool each
 	Node int32 // -1: straight to a server
+	Via  int32 // which of several straight callers
 	Addr string
 }
 
@@ -394,7 +395,9 @@
 	}
 	if f := l.waits(); f != nil {
 		if f.host() == c.host && (f.dest.ID == c.dest.ID || f.dest.Node >= 0 && c.dest.Node >= 0) {
+			via := f.dest.Via
 			f.dest, f.Node = c.dest, c.dest.Node // a caller who waits takes the first node that is free
+			f.dest.Via = via
 			l.mu.Unlock()
 			c.send(f)
 			return
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -17,7 +17,6 @@
 	"robincart/internal/lab/judge"
 	"robincart/internal/lab/load"
 	"robincart/internal/lab/plan"
-	"robincart/internal/lab/standin"
 	"robincart/internal/lab/trace"
 )
 
@@ -151,9 +150,9 @@
 	c := config(e)
 	c.Slack += o.Patience
 	if !real {
-		s := standin.NewStraight(name, f.Discovery(), e.Seed)
-		defer s.Close()
-		target = s
+		straight := straightCallers(e, name, f.Discovery())
+		defer straight.Close()
+		target = straight
 		c.Callers.AtOnce = 2
 		_, members := f.Discovery().List()
 		for _, m := range members {
@@ -168,6 +167,7 @@
 	for _, d := range f.disc {
 		d.Queue(e.Fleet.Discovery.CallWork.Of(), e.Fleet.Discovery.CallMost.Of())
 	}
+	servers := f.firstTier()
 	ahead := time.Since(begin) + 300*time.Millisecond
 	moved := slices.Clone(arrivals)
 	if name == "robincart-alone" {
@@ -216,6 +216,7 @@
 	log.Shift(ahead)
 	v := judge.Judge(rules, log)
 	arm := report(e, v, spans, played)
+	evenness(e, log, servers, played, arm.Metrics)
 	arm.Name = name
 	arm.Metrics["crashes"] = float64(len(crashes))
 	for _, err := range crashes {
