--- a/internal/frontend/gone_test.go
+++ b/internal/frontend/gone_test.go
@@ -231,10 +231,6 @@
 	}
 }
 
-func (c *caller) sends(text, trace string) {
-	io.WriteString(c, strings.ReplaceAll(text, "TRACE", trace))
-}
-
 // order has a pick ordered and returns what lets it go.
 func (r *relay) order(t *testing.T, rpc *node.RPC) func() {
 	rpc.Orders <- node.Order{Kind: node.Send, Pick: &node.Pick{Server: &node.Server{}}}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -139,7 +139,7 @@
 }
 
 func (e *Engine) fault(err error) {
-	what := "connect: " + err.Error()
+	var what string
 	switch {
 	case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
 		what = "out of descriptors"
--- a/internal/lab/standin/bound.go
+++ b/internal/lab/standin/bound.go
@@ -27,8 +27,7 @@
 	}
 	changed := time.Now()
 	var due *time.Timer
-	var look func()
-	look = func() {
+	look := func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		if d.stopped || d.binding[m.ID] != due {
--- a/internal/registry/told_test.go
+++ b/internal/registry/told_test.go
@@ -633,7 +633,8 @@
 				var f *follower
 				if name == "a new process without a descriptor" {
 					budget := limits.NewBudget(2, 0, nil)
-					assert.True(t, budget.Take() && budget.Take())
+					assert.True(t, budget.Take())
+					assert.True(t, budget.Take())
 					f = startedWith(t, ctx, &all, d.dial, int64(n), 300, budget)
 					time.Sleep(lasts)
 					budget.Give()
