--- a/cmd/robincart/succeed_test.go
+++ b/cmd/robincart/succeed_test.go
@@ -186,7 +186,11 @@
 	// While both are there either may be told.
 	assert.Equal(t, 200, calls(t, first.admin, "/_servers/attach", `{"host":"s0"}`))
 	assert.Equal(t, 200, calls(t, first.admin, "/_servers/detach", `{"host":"s1"}`))
-	assert.Eventually(t, func() bool { return ask().body == "a" && ask().body == "a" }, 20*time.Second, 5*time.Millisecond)
+	twice := func() bool {
+		first, then := ask().body, ask().body
+		return first == "a" && then == "a"
+	}
+	assert.Eventually(t, twice, 20*time.Second, 5*time.Millisecond)
 	before := b.count()
 	for range 20 {
 		assert.Equal(t, "a", ask().body)
--- a/cmd/robincart/terms_test.go
+++ b/cmd/robincart/terms_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"sync"
 	"syscall"
 	"testing"
@@ -124,16 +125,11 @@
 // then on, and tells when they were ready and when each had its watch. Not a race-checked run: go test -run - -bench Thirty -benchtime 1x.
 func BenchmarkThirtyRestartAtOnce(b *testing.B) {
 	const nodes, down, most = 30, 8 * time.Second, 20 * time.Second
-	end := make(chan struct{})
-	defer close(end)
+	var ended atomic.Bool
+	defer ended.Store(true)
 	for range 16 {
 		go func() {
-			for {
-				select {
-				case <-end:
-					return
-				default:
-				}
+			for !ended.Load() { // keeps a core busy
 			}
 		}()
 	}
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -102,10 +102,9 @@
 }
 
 type rig struct {
-	t    *testing.T
-	s    *pgstand.Server
-	addr string
-	c    Config
+	t *testing.T
+	s *pgstand.Server
+	c Config
 }
 
 func newRig(t *testing.T) *rig {
@@ -398,7 +397,6 @@
 // endless is a store that claims facts without end.
 type endless struct {
 	store.Store
-	at    int64
 	value string
 }
 
--- a/internal/lab/chaos/chaos.go
+++ b/internal/lab/chaos/chaos.go
@@ -60,8 +60,6 @@
 type one struct {
 	*standin.Node
 	status string
-	mu     sync.Mutex // held while it is killed and started
-	down   bool
 	downs  []time.Time // when it was killed
 	dead   bool        // from its kill until it is ready again
 	since  map[string]time.Time
--- a/internal/store/sqlstore/database.go
+++ b/internal/store/sqlstore/database.go
@@ -70,7 +70,7 @@
 }
 
 // queries are all statements that are ever sent, beside those of Init.
-type queries struct{ meta, one, since, count, put, move, tables, setEpoch, clear, spare string }
+type queries struct{ meta, one, since, count, put, move, tables, setEpoch, clear string }
 
 func newDatabase(db *sql.DB, d dialect) *database {
 	p := d.place
