Module: a row of few samples leans to its method's mean only where that lowers it

Cause: a method's mean begins with a guess, 0.3 of the target, and stands above what servers take until some dozen answers are in. Leaning a row of fast samples to it made each server not known look slow beside the first one tried.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -636,8 +636,10 @@
 
 // mean is where a new entry starts: at the mean of the other servers' matching entries.
 func (b *Balancer) mean(i int, typical float64) float64 {
-	w := &b.rows[i]
-	return (w.sum + paceDoubt*typical) / (float64(w.n) + paceDoubt)
+	if w := &b.rows[i]; w.n > 0 { // a few slow answers are no verdict on all servers
+		return min(w.sum/float64(w.n), (w.sum+paceDoubt*typical)/(float64(w.n)+paceDoubt))
+	}
+	return typical
 }
 
 func (b *Balancer) typical(method int, now float64) float64 {
