--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -18,8 +18,8 @@
 
 	"robincart/internal/frontend"
 	"robincart/internal/limits"
-	"robincart/internal/lot"
 	"robincart/internal/node"
+	"robincart/internal/poller"
 	"robincart/internal/registry"
 	"robincart/internal/upstream"
 )
@@ -122,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	watch, err := lot.New()
+	watch, err := poller.New()
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -18,8 +18,8 @@
 	"robincart/internal/httpwire"
 	"robincart/internal/keys"
 	"robincart/internal/limits"
-	"robincart/internal/lot"
 	"robincart/internal/operator"
+	"robincart/internal/poller"
 	"robincart/internal/pools"
 	"robincart/internal/routes"
 	"robincart/internal/shares"
@@ -107,7 +107,7 @@
 	clk := clock{time.Now()}
 	budget := limits.NewBudget(l.Descriptors, l.Refused, limits.NewBytes(l.Bytes))
 	budget.Callers(l.Connections)
-	watch, err := lot.New()
+	watch, err := poller.New()
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,7 +1,7 @@
-// Package wake decides, when many connections wake at once, who is served now, who waits with its bytes still in the
+// Package admission decides, when many connections wake at once, who is served now, who waits with its bytes still in the
 // kernel, and who is pushed back. A place stands for a goroutine and a buffer, so the places bound the memory. It knows no
 // connection and no clock, and is not safe for concurrent use.
-package wake
+package admission
 
 import "time"
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -1,4 +1,4 @@
-package wake
+package admission
 
 import (
 	"testing"
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -11,23 +11,23 @@
 	"time"
 
 	"robincart/decide"
+	"robincart/internal/admission"
 	"robincart/internal/fcgi"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
-	"robincart/internal/lot"
 	"robincart/internal/node"
+	"robincart/internal/poller"
 	"robincart/internal/socket"
-	"robincart/internal/wake"
-	"robincart/internal/wheel"
+	"robincart/internal/timingwheel"
 )
 
-// conn is one caller's connection. Between requests it is this record, which the lot watches. While a request lasts a
+// conn is one caller's connection. Between requests it is this record, which the poller watches. While a request lasts a
 // goroutine serves it, the only one that reads its requests and writes to it.
 type conn struct {
 	net.Conn
 	server *Server
 	raw    syscall.RawConn
-	place  lot.Place
+	place  poller.Place
 	born   time.Duration
 	reader *httpwire.Reader         // while it is served
 	desk   *desk                    // nil: its caller speaks HTTP
@@ -52,8 +52,8 @@
 	out  *httpwire.Request // nil: none
 
 	// Guarded by the server's mutex:
-	wake.Member
-	ring         wheel.Timer // while resting
+	admission.Member
+	ring         timingwheel.Timer // while resting
 	since        time.Duration
 	list         *ring // it stands in
 	older, newer *conn
@@ -337,7 +337,7 @@
 	}
 }
 
-// Waits tells whether a request's caller still waits for its answer. The lot tells of its end, too, but a lot that has much to tell
+// Waits tells whether a request's caller still waits for its answer. The poller tells of its end, too, but a poller that has much to tell
 // may come to it late, and so may the request's own goroutine. While the kernel's last word is fresh it counts, and costs nothing.
 func (c *conn) Waits(q *httpwire.Request) bool {
 	if c.desk != nil {
@@ -374,7 +374,7 @@
 	return err == nil && keep
 }
 
-// watch lets the lot tell an RPC that its caller has left. It may have left already.
+// watch lets the poller tell an RPC that its caller has left. It may have left already.
 func (c *conn) watch(rpc *node.RPC) {
 	c.rpc.Store(rpc)
 	if c.ended.Load() || c.desk != nil && c.server.unstir(c) {
--- a/internal/frontend/desk_test.go
+++ b/internal/frontend/desk_test.go
@@ -15,8 +15,8 @@
 	"robincart/internal/fcgi"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
-	"robincart/internal/lot"
 	"robincart/internal/node"
+	"robincart/internal/poller"
 	"robincart/internal/settings"
 )
 
@@ -81,7 +81,7 @@
 
 // A request and its answer over one connection, with a core that answers at once.
 func BenchmarkCaller(b *testing.B) {
-	watch, err := lot.New()
+	watch, err := poller.New()
 	require.NoError(b, err)
 	defer watch.Close()
 	l := bounds()
@@ -139,7 +139,7 @@
 	for name, look := range map[string]time.Duration{"fresh": time.Hour, "looks": 0} {
 		for front, way := range map[string]*Gateway{"http": nil, "fastcgi": {}} {
 			b.Run(name+"/"+front, func(b *testing.B) {
-				watch, err := lot.New()
+				watch, err := poller.New()
 				require.NoError(b, err)
 				defer watch.Close()
 				l := bounds()
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -25,8 +25,8 @@
 	"robincart/internal/await"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
-	"robincart/internal/lot"
 	"robincart/internal/node"
+	"robincart/internal/poller"
 	"robincart/internal/settings"
 	"robincart/internal/socket"
 )
@@ -94,7 +94,7 @@
 	leaks := goleak.IgnoreCurrent()
 	core := &fakeCore{orders: orders, came: make(chan *node.RPC, 99), vanished: make(chan *node.RPC, 99)}
 	s := &settings.Node{MethodNames: []string{"find"}, Settings: decide.Settings{Methods: make([]decide.Method, 1)}}
-	watch, err := lot.New()
+	watch, err := poller.New()
 	require.NoError(t, err)
 	f := New(l, limits.NewBudget(9, 0, nil), func() time.Duration { return time.Minute }, zap.NewNop(), watch)
 	f.Swap(&Table{Only: NewService("only", s, core, core, nil)})
@@ -515,7 +515,7 @@
 	leaks := goleak.IgnoreCurrent()
 	core := &fakeCore{orders: []node.Order{{Kind: node.Abort}}, came: make(chan *node.RPC, 4000), vanished: make(chan *node.RPC, 99)}
 	s := &settings.Node{MethodNames: []string{"find"}, Settings: decide.Settings{Methods: make([]decide.Method, 1)}}
-	watch, err := lot.New()
+	watch, err := poller.New()
 	require.NoError(t, err)
 	f := New(l, limits.NewBudget(5000, 0, nil), func() time.Duration { return time.Minute }, zap.NewNop(), watch)
 	f.Swap(&Table{Only: NewService("only", s, core, core, nil)})
--- a/internal/frontend/gone_test.go
+++ b/internal/frontend/gone_test.go
@@ -23,13 +23,13 @@
 	"robincart/internal/fcgi"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
-	"robincart/internal/lot"
 	"robincart/internal/node"
+	"robincart/internal/poller"
 	"robincart/internal/settings"
 	"robincart/internal/upstream"
 )
 
-// A caller that has left gets no attempt, first or further, whoever is late to tell of it. The lot, which hears callers leave, is held up
+// A caller that has left gets no attempt, first or further, whoever is late to tell of it. The poller, which hears callers leave, is held up
 // here from before the caller leaves, as on a core with thousands of other things to do; the core, which is told by it, says yes to
 // everything. All sockets are real.
 
@@ -101,7 +101,7 @@
 	require.NoError(t, err)
 	r.server = back.Addr()
 	go r.serve(back)
-	watch, err := lot.New()
+	watch, err := poller.New()
 	require.NoError(t, err)
 	budget := limits.NewBudget(99, 0, nil)
 	r.Pool = upstream.NewPool(r, l, budget, nil)
@@ -152,19 +152,19 @@
 	return n
 }
 
-// stall is a watcher that holds its lot up.
+// stall is a watcher that holds its poller up.
 type stall struct {
 	c       net.Conn
 	entered chan struct{}
 	release chan struct{}
 }
 
-func (s *stall) Stirred(lot.Event) {
+func (s *stall) Stirred(poller.Event) {
 	close(s.entered)
 	<-s.release
 }
 
-func newStall(t *testing.T, l *lot.Lot) *stall {
+func newStall(t *testing.T, l *poller.Poller) *stall {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer ln.Close()
@@ -186,7 +186,7 @@
 	return s
 }
 
-// trigger has the lot held up once it comes to it.
+// trigger has the poller held up once it comes to it.
 func (s *stall) trigger() { s.c.Write([]byte{1}) }
 
 func (s *stall) goOn() {
@@ -197,9 +197,9 @@
 	}
 }
 
-// held holds the server's lot up at once.
+// held holds the server's poller up at once.
 func (r *relay) held(t *testing.T) {
-	s := newStall(t, r.f.lot)
+	s := newStall(t, r.f.poller)
 	s.trigger()
 	await.One(t, s.entered)
 }
@@ -307,7 +307,7 @@
 					case <-time.After(20 * time.Second):
 						t.Fatal("nothing came of the pick")
 					}
-					assert.Same(t, rpc, await.One(t, r.vanished), "the lot has told nothing yet")
+					assert.Same(t, rpc, await.One(t, r.vanished), "the poller has told nothing yet")
 					if strings.HasPrefix(way, "aborted") && moment != "body" {
 						b := make([]byte, 99)
 						n, err := c.Read(b)
@@ -399,16 +399,16 @@
 	assert.Empty(t, r.heard)
 }
 
-// The kernel tells of a request, and the lot is held up before it passes that on; its caller leaves meanwhile. What the lot says then
+// The kernel tells of a request, and the poller is held up before it passes that on; its caller leaves meanwhile. What the poller says then
 // is as old as the kernel's word, not as new as its own.
-func TestALotThatIsHeldUpWithAnEventInItsHandsMakesTheNodeLook(t *testing.T) {
+func TestAPollerThatIsHeldUpWithAnEventInItsHandsMakesTheNodeLook(t *testing.T) {
 	l := bounds()
 	l.CallerLook = 50 * time.Millisecond
 	r := relayed(t, l, nil)
 	c := dial(t, r.addr)
 	require.Eventually(t, func() bool { return connections(r.f) == 1 }, 20*time.Second, time.Millisecond)
 	raw := r.one(t).raw
-	first, before, behind := newStall(t, r.f.lot), newStall(t, r.f.lot), newStall(t, r.f.lot)
+	first, before, behind := newStall(t, r.f.poller), newStall(t, r.f.poller), newStall(t, r.f.poller)
 	first.trigger()
 	await.One(t, first.entered)
 	// The kernel keeps the order in which they come.
--- a/internal/frontend/rest.go
+++ b/internal/frontend/rest.go
@@ -5,10 +5,10 @@
 	"syscall"
 	"time"
 
-	"robincart/internal/lot"
+	"robincart/internal/admission"
+	"robincart/internal/poller"
 	"robincart/internal/socket"
-	"robincart/internal/wake"
-	"robincart/internal/wheel"
+	"robincart/internal/timingwheel"
 )
 
 // What follows is the life of a connection between its requests.
@@ -36,11 +36,11 @@
 	return r.head.newer
 }
 
-// Stirred is the lot's word of what happened on a connection.
-func (c *conn) Stirred(e lot.Event) {
+// Stirred is the poller's word of what happened on a connection.
+func (c *conn) Stirred(e poller.Event) {
 	f := c.server
-	c.heard.Store(int64(f.lot.As().Sub(f.started)))
-	if e&lot.Ended != 0 {
+	c.heard.Store(int64(f.poller.As().Sub(f.started)))
+	if e&poller.Ended != 0 {
 		c.ended.Store(true)
 		c.tell()
 	}
@@ -127,9 +127,9 @@
 		c.list.drop(c)
 	}
 	switch f.gate.Come(&c.Member, regular, now) {
-	case wake.Serve:
-		f.crew.Do(c)
-	case wake.Wait:
+	case admission.Serve:
+		f.workers.Do(c)
+	case admission.Wait:
 		f.ask()
 	}
 }
@@ -156,8 +156,8 @@
 			return
 		}
 		c := m.Owner.(*conn)
-		c.tired = verdict == wake.Refuse
-		f.crew.Do(c)
+		c.tired = verdict == admission.Refuse
+		f.workers.Do(c)
 	}
 }
 
@@ -262,9 +262,9 @@
 	f.tidy()
 	f.mu.Unlock()
 	if lives {
-		f.lot.Leave(c.raw, &place)
+		f.poller.Leave(c.raw, &place)
 	} else {
-		f.lot.Remove(&place)
+		f.poller.Remove(&place)
 	}
 	c.Conn.Close()
 	f.budget.GiveLast()
@@ -291,7 +291,7 @@
 		return
 	}
 	f.armed = 0
-	if f.ends.Advance(f.clock(), atOnce, func(t *wheel.Timer) { out = append(out, t.What.(*conn)) }) {
+	if f.ends.Advance(f.clock(), atOnce, func(t *timingwheel.Timer) { out = append(out, t.What.(*conn)) }) {
 		f.paced = true
 		time.AfterFunc(grain, func() {
 			f.mu.Lock()
@@ -305,14 +305,14 @@
 	f.endRest(out)
 }
 
-// tidy has the crew's idle goroutines ended in a while.
+// tidy has the worker pool's idle goroutines ended in a while.
 func (f *Server) tidy() {
 	if f.tidying {
 		return
 	}
 	f.tidying = true
 	time.AfterFunc(tidyIn, func() {
-		left := f.crew.Trim()
+		left := f.workers.Trim()
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if f.tidying = false; left > 0 {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -16,14 +16,14 @@
 	"go.uber.org/zap"
 
 	"robincart/decide"
-	"robincart/internal/crew"
+	"robincart/internal/admission"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
-	"robincart/internal/lot"
 	"robincart/internal/node"
+	"robincart/internal/poller"
 	"robincart/internal/socket"
-	"robincart/internal/wake"
-	"robincart/internal/wheel"
+	"robincart/internal/timingwheel"
+	"robincart/internal/workerpool"
 )
 
 // Core is what a request's life asks and tells the node's core.
@@ -50,8 +50,8 @@
 	log     *zap.Logger
 	ids     *ids
 	table   atomic.Pointer[Table]
-	lot     *lot.Lot
-	crew    crew.Crew
+	poller  *poller.Poller
+	workers workerpool.Pool
 
 	stopping atomic.Bool
 	lame     atomic.Bool   // emptied by an operator's word: as stopping, until it is taken back
@@ -60,20 +60,20 @@
 	halt     chan struct{} // closed when what is still out has to be aborted
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
-	gate     *wake.Gate
-	ends     *wheel.Wheel  // of resting connections
-	armed    time.Duration // when the wheel is looked at; 0: not at all
-	paced    bool          // not before a while, since many ended at once
-	asking   bool          // the gate is asked in a while
-	tidying  bool          // the crew is trimmed in a while
-	fresh    ring          // connections that have brought no RPC, the oldest first
-	rested   ring          // others that rest, since when
-	flood    ring          // others that rest and were turned away
-	full     bool          // no further connection is taken
-	drained  bool          // idle connections are closed from now on
-	emptied  bool          // the same, until the node is back at work
-	lamed    int           // counts the times it was emptied
-	pass     Pass          // set: connections go to another process between requests
+	gate     *admission.Gate
+	ends     *timingwheel.Wheel // of resting connections
+	armed    time.Duration      // when the wheel is looked at; 0: not at all
+	paced    bool               // not before a while, since many ended at once
+	asking   bool               // the gate is asked in a while
+	tidying  bool               // the worker pool is trimmed in a while
+	fresh    ring               // connections that have brought no RPC, the oldest first
+	rested   ring               // others that rest, since when
+	flood    ring               // others that rest and were turned away
+	full     bool               // no further connection is taken
+	drained  bool               // idle connections are closed from now on
+	emptied  bool               // the same, until the node is back at work
+	lamed    int                // counts the times it was emptied
+	pass     Pass               // set: connections go to another process between requests
 	done     sync.WaitGroup
 	doors    map[net.Listener]struct{}
 	shut     atomic.Bool // the doors close once all that the kernel has taken is in
@@ -86,12 +86,12 @@
 	tidyIn  = time.Second
 )
 
-// New makes a Server that has nothing to serve yet; Swap gives it that and Serve starts it. The lot tells of what comes
+// New makes a Server that has nothing to serve yet; Swap gives it that and Serve starts it. The poller tells of what comes
 // on connections that rest.
-func New(l limits.Limits, budget *limits.Budget, now func() time.Duration, log *zap.Logger, t *lot.Lot) *Server {
+func New(l limits.Limits, budget *limits.Budget, now func() time.Duration, log *zap.Logger, t *poller.Poller) *Server {
 	f := &Server{limits: l, budget: budget, bodies: budget.Bytes().Bodies(), answers: budget.Bytes().Answers(), now: now, started: time.Now(), log: log, conns: map[*conn]struct{}{}, doors: map[net.Listener]struct{}{},
-		halt: make(chan struct{}), ids: newIDs(l.IDLife, l.IDs), lot: t, ends: wheel.New(grain, 0, 4096),
-		gate: wake.New(wake.Config{Serve: l.Callers + l.Refused, Refuse: max(1, l.Refused), Slow: max(1, l.Callers/2), Rest: l.CallerRest,
+		halt: make(chan struct{}), ids: newIDs(l.IDLife, l.IDs), poller: t, ends: timingwheel.New(grain, 0, 4096),
+		gate: admission.New(admission.Config{Serve: l.Callers + l.Refused, Refuse: max(1, l.Refused), Slow: max(1, l.Callers/2), Rest: l.CallerRest,
 			Pace: 16 * max(1, l.Cores), Step: time.Millisecond, Patience: l.ComeBack})}
 	f.fresh.init()
 	f.rested.init()
@@ -270,14 +270,14 @@
 	f.rest(c, most)
 	f.mu.Unlock()
 	// What is told before the place is known finds the connection resting, and served it is removed only at its end.
-	place, err := f.lot.Add(c.raw, c, true)
+	place, err := f.poller.Add(c.raw, c, true)
 	f.mu.Lock()
 	c.place = place
 	gone := c.closed
 	f.mu.Unlock()
 	switch {
 	case gone:
-		f.lot.Remove(&place)
+		f.poller.Remove(&place)
 	case err != nil:
 		f.log.Warn("watching a connection failed", zap.Error(err))
 		f.mu.Lock()
@@ -499,7 +499,7 @@
 	empty := make(chan struct{})
 	go func() {
 		f.done.Wait()
-		f.crew.Close()
+		f.workers.Close()
 		close(empty)
 	}()
 	select {
--- a/internal/lab/fleet/hollow.go
+++ b/internal/lab/fleet/hollow.go
@@ -16,9 +16,9 @@
 	"robincart/decide"
 	"robincart/internal/keeper"
 	"robincart/internal/limits"
-	"robincart/internal/lot"
 	"robincart/internal/node"
 	"robincart/internal/operator"
+	"robincart/internal/poller"
 	"robincart/internal/pools"
 	"robincart/internal/record"
 	"robincart/internal/registry"
@@ -102,7 +102,7 @@
 	file    *operator.Config
 	keep    *keeper.Keeper
 	set     *pools.Set
-	lot     *lot.Lot
+	poller  *poller.Poller
 	life    context.Context
 	end     context.CancelFunc
 	own     sync.WaitGroup
@@ -185,7 +185,7 @@
 			l.ListConnect, l.ListFirst, l.ListTold, l.ListSilence = time.Hour, time.Hour, time.Hour, time.Hour
 		}
 	}
-	if x.lot, err = lot.New(); err != nil {
+	if x.poller, err = poller.New(); err != nil {
 		return err
 	}
 	log := zap.NewNop()
@@ -199,7 +199,7 @@
 	}
 	l := x.file.Limits
 	budget := limits.NewBudget(l.Descriptors, l.Refused, limits.NewBytes(l.Bytes))
-	x.set = pools.New(x.file, clock{time.Now()}, budget, log, x.lot)
+	x.set = pools.New(x.file, clock{time.Now()}, budget, log, x.poller)
 	x.set.Dial, x.set.Heard = x.dial, x.heard
 	c := x.file
 	if s.Address != "" || h.Open != nil {
@@ -290,7 +290,7 @@
 	if x.keep != nil {
 		x.keep.Close()
 	}
-	x.lot.Close()
+	x.poller.Close()
 }
 
 // Close ends all.
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"robincart/decide"
-	"robincart/internal/wheel"
+	"robincart/internal/timingwheel"
 )
 
 // epoch is where the module's clock stands at the start: high enough that a server which came up before this
@@ -37,7 +37,7 @@
 	if r.obj.Coming { // its time has not begun; who reads the body bounds how long that takes
 		k.Deadline = math.MaxInt64
 	} else {
-		c.wheel.Add(&k.end, k.Deadline)
+		c.timers.Add(&k.end, k.Deadline)
 	}
 	c.picks = append(c.picks, k)
 	r.out++
@@ -78,7 +78,7 @@
 // After rings the module's timer. That of an RPC or a pick is taken back when it is over: kept till it ends, the timers of
 // two seconds' RPCs would be most of what the node holds.
 func (c *Core) After(delay float64, what any) {
-	var t *wheel.Timer
+	var t *timingwheel.Timer
 	switch w := what.(type) {
 	case *decide.RPC:
 		t = &w.Of.(*RPC).ring
@@ -86,10 +86,10 @@
 		t = &w.Of.(*Pick).ring
 	}
 	if t == nil || t.Set() {
-		t = &wheel.Timer{}
+		t = &timingwheel.Timer{}
 	}
 	t.What = what
-	c.wheel.Add(t, c.clock.Now()+duration(delay))
+	c.timers.Add(t, c.clock.Now()+duration(delay))
 }
 
 // Watch asks for changes of the list.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,7 +11,7 @@
 
 	"robincart/decide"
 	"robincart/internal/settings"
-	"robincart/internal/wheel"
+	"robincart/internal/timingwheel"
 )
 
 // Clock is the only time that the core knows. Now is monotonic.
@@ -59,7 +59,7 @@
 	Orders   chan Order // as many as the module can give: writing one never waits
 	Deadline time.Duration
 	obj      decide.RPC
-	ring     wheel.Timer
+	ring     timingwheel.Timer
 	out      int
 	ended    bool
 	left     bool // its slots
@@ -77,8 +77,8 @@
 	obj      *decide.Pick
 	rpc      *RPC
 	by       Breaker
-	ring     wheel.Timer
-	end      wheel.Timer
+	ring     timingwheel.Timer
+	end      timingwheel.Timer
 	at       int // in the core's picks
 	sent     time.Duration
 	canceled bool
@@ -139,7 +139,7 @@
 	known    names                // that were ever listed
 	picks    []*Pick              // out
 	open     int                  // RPCs owed an answer
-	wheel    *wheel.Wheel
+	timers   *timingwheel.Wheel
 	armed    time.Duration // when the clock will ring; 0: not at all
 	lists    int
 	closed   bool
@@ -148,7 +148,7 @@
 // New starts the core. The module's wish to watch the list goes to watch, which must not wait.
 func New(s *settings.Node, seed int64, clock Clock, wall time.Time, watch func()) *Core {
 	c := &Core{clock: clock, origin: wall.Add(-clock.Now()), settings: s, watch: watch,
-		servers: map[string]*Server{}, barred: map[string]time.Time{}, wheel: wheel.New(grain, clock.Now(), 1024)}
+		servers: map[string]*Server{}, barred: map[string]time.Time{}, timers: timingwheel.New(grain, clock.Now(), 1024)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.methods, c.tenants = make([]slot, len(s.Methods)), make([]slot, max(1, len(s.Tenants)))
@@ -309,7 +309,7 @@
 	r.Deadline = now + left
 	r.obj.Deadline = seconds(r.Deadline) + epoch
 	p.Deadline, p.sent = r.Deadline, now
-	c.wheel.Add(&p.end, p.Deadline)
+	c.timers.Add(&p.end, p.Deadline)
 	c.balancer.Came(&r.obj)
 	c.arm()
 }
@@ -366,8 +366,8 @@
 		return false
 	}
 	p.done = true
-	c.wheel.Remove(&p.ring)
-	c.wheel.Remove(&p.end)
+	c.timers.Remove(&p.ring)
+	c.timers.Remove(&p.end)
 	last := len(c.picks) - 1
 	c.picks[p.at] = c.picks[last]
 	c.picks[p.at].at = p.at
@@ -409,7 +409,7 @@
 func (c *Core) end(r *RPC) {
 	r.ended = true
 	c.open--
-	c.wheel.Remove(&r.ring)
+	c.timers.Remove(&r.ring)
 }
 
 // giveUp breaks what carries a pick out.
@@ -421,7 +421,7 @@
 
 // arm makes the clock ring when the next timer may end.
 func (c *Core) arm() {
-	at, any := c.wheel.Next()
+	at, any := c.timers.Next()
 	if !any || c.closed || c.armed != 0 && c.armed <= at {
 		return
 	}
@@ -437,7 +437,7 @@
 		return
 	}
 	c.armed = 0
-	c.wheel.Advance(c.clock.Now(), atOnce, func(t *wheel.Timer) {
+	c.timers.Advance(c.clock.Now(), atOnce, func(t *timingwheel.Timer) {
 		switch w := t.What.(type) {
 		case *Pick: // its time is over
 			w.expired = true
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -53,7 +53,7 @@
 	t.Helper()
 	assert.Zero(t, s.open)
 	assert.Empty(t, s.picks)
-	assert.LessOrEqual(t, s.wheel.Len(), 1, "only the module's first asking for the list")
+	assert.LessOrEqual(t, s.timers.Len(), 1, "only the module's first asking for the list")
 }
 
 var wall = time.UnixMilli(1_800_000_000_000)
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -1,7 +1,7 @@
-// Package lot watches connections that nobody reads: one epoll instance of its own tells of bytes and of ends, so that a
+// Package poller watches connections that nobody reads: one epoll instance of its own tells of bytes and of ends, so that a
 // connection between requests needs no goroutine, no buffer and no runtime timer. The runtime's poller watches the same
 // sockets beside it, for the goroutines that read and write while a request lasts.
-package lot
+package poller
 
 import (
 	"errors"
@@ -22,12 +22,12 @@
 	Ended
 )
 
-// Watcher is told of events on one connection, by the lot's one goroutine, which it must not keep waiting. Events are told
+// Watcher is told of events on one connection, by the poller's one goroutine, which it must not keep waiting. Events are told
 // once each, not again while bytes lie unread. An Ended may come beside bytes that are still to be read.
 type Watcher interface{ Stirred(Event) }
 
-// Lot is one epoll instance.
-type Lot struct {
+// Poller is one epoll instance.
+type Poller struct {
 	ep   *os.File
 	raw  syscall.RawConn
 	done chan struct{}
@@ -43,14 +43,14 @@
 	gen uint32
 }
 
-// Place is where a connection stands in a lot.
+// Place is where a connection stands in a poller.
 type Place struct {
 	slot, gen uint32
 	in        bool
 }
 
 // New opens one. Close ends it.
-func New() (*Lot, error) {
+func New() (*Poller, error) {
 	fd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
@@ -60,7 +60,7 @@
 		return nil, fmt.Errorf("epoll: %w", err)
 	}
 	// An epoll instance can be watched as any file: waiting in the runtime's poller takes no thread.
-	l := &Lot{ep: os.NewFile(uintptr(fd), "epoll"), done: make(chan struct{})}
+	l := &Poller{ep: os.NewFile(uintptr(fd), "epoll"), done: make(chan struct{})}
 	if l.raw, err = l.ep.SyscallConn(); err != nil {
 		l.ep.Close()
 		return nil, fmt.Errorf("epoll: %w", err)
@@ -70,7 +70,7 @@
 }
 
 // Add begins to watch. Without bytes only ends are told.
-func (l *Lot) Add(c syscall.RawConn, w Watcher, bytes bool) (Place, error) {
+func (l *Poller) Add(c syscall.RawConn, w Watcher, bytes bool) (Place, error) {
 	l.mu.Lock()
 	var n uint32
 	if k := len(l.free); k > 0 {
@@ -100,7 +100,7 @@
 }
 
 // Remove ends the telling. The kernel's part of it ends as the connection is closed, so that has to follow.
-func (l *Lot) Remove(p *Place) {
+func (l *Poller) Remove(p *Place) {
 	if !p.in {
 		return
 	}
@@ -114,7 +114,7 @@
 }
 
 // Leave is Remove for a connection that lives on in another process: closing this one's copy would leave the kernel's part.
-func (l *Lot) Leave(c syscall.RawConn, p *Place) {
+func (l *Poller) Leave(c syscall.RawConn, p *Place) {
 	if p.in {
 		l.raw.Control(func(ep uintptr) {
 			c.Control(func(fd uintptr) { unix.EpollCtl(int(ep), unix.EPOLL_CTL_DEL, int(fd), nil) })
@@ -124,16 +124,16 @@
 }
 
 // As is, within Stirred, when the kernel was asked for what is being told: what came later is still to be told, also where the
-// lot was kept from its work for long.
-func (l *Lot) As() time.Time { return l.as }
+// poller was kept from its work for long.
+func (l *Poller) As() time.Time { return l.as }
 
-// Close ends the lot; nothing is told afterwards.
-func (l *Lot) Close() {
+// Close ends the poller; nothing is told afterwards.
+func (l *Poller) Close() {
 	l.ep.Close()
 	<-l.done
 }
 
-func (l *Lot) run() {
+func (l *Poller) run() {
 	defer close(l.done)
 	events := make([]unix.EpollEvent, 128)
 	watchers := make([]Watcher, len(events))
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -17,9 +17,9 @@
 	"robincart/internal/keeper"
 	"robincart/internal/keys"
 	"robincart/internal/limits"
-	"robincart/internal/lot"
 	"robincart/internal/node"
 	"robincart/internal/operator"
+	"robincart/internal/poller"
 	"robincart/internal/registry"
 	"robincart/internal/routes"
 	"robincart/internal/shares"
@@ -39,7 +39,7 @@
 	// Heard, if set before the first Apply, stands between the news of a service's servers and its core.
 	Heard func(service string, core registry.Core) registry.Core
 
-	lot    *lot.Lot
+	poller *poller.Poller
 	clock  node.Clock
 	budget *limits.Budget
 	log    *zap.Logger
@@ -68,8 +68,8 @@
 }
 
 // New starts a set with nothing in it.
-func New(c *operator.Config, clock node.Clock, budget *limits.Budget, log *zap.Logger, t *lot.Lot) *Set {
-	s := &Set{clock: clock, budget: budget, log: log, lot: t, pools: map[string]*pool{},
+func New(c *operator.Config, clock node.Clock, budget *limits.Budget, log *zap.Logger, t *poller.Poller) *Set {
+	s := &Set{clock: clock, budget: budget, log: log, poller: t, pools: map[string]*pool{},
 		gate: &gate{tree: shares.New(c.Shares), back: c.Limits.ComeBack, rand: rand.New(rand.NewSource(c.SeedOf("")))}}
 	s.life, s.end = context.WithCancel(context.Background())
 	budget.Evict(func() bool { return s.evict(nil) })
@@ -206,7 +206,7 @@
 	} else {
 		to.Listed(x.Static, true)
 	}
-	p.conns = upstream.NewPool(p.core, x.Timeout, count, s.lot)
+	p.conns = upstream.NewPool(p.core, x.Timeout, count, s.poller)
 	if x.Speaks == "fastcgi" {
 		p.conns.FastCGI(x.Params)
 	}
--- a/internal/timingwheel/timingwheel.go
+++ b/internal/timingwheel/timingwheel.go
@@ -1,8 +1,8 @@
-// Package wheel is a hashed timing wheel: setting and taking back a timer cost the same however many there are, and a
+// Package timingwheel is a hashed timing wheel: setting and taking back a timer cost the same however many there are, and a
 // timer is a record inside the thing it belongs to, not a runtime timer of its own. It knows no clock: who owns a wheel
 // moves it on, and says how many timers at most may end in one go, so that a second in which all of them end does not stop
 // what else is going on.
-package wheel
+package timingwheel
 
 import (
 	"math"
--- a/internal/timingwheel/timingwheel_test.go
+++ b/internal/timingwheel/timingwheel_test.go
@@ -1,4 +1,4 @@
-package wheel
+package timingwheel
 
 import (
 	"sort"
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -38,7 +38,7 @@
 
 // Start carries out a pick without keeping anyone waiting.
 func (p *Pool) Start(pick *node.Pick, q *httpwire.Request) {
-	p.crew.Do(&exchange{pool: p, pick: pick, q: q})
+	p.workers.Do(&exchange{pool: p, pick: pick, q: q})
 }
 
 // Exchange carries out one pick and tells the core how it ended, once. It never sends anything again.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,12 +10,12 @@
 	"time"
 
 	"robincart/decide"
-	"robincart/internal/crew"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
-	"robincart/internal/lot"
 	"robincart/internal/node"
+	"robincart/internal/poller"
 	"robincart/internal/socket"
+	"robincart/internal/workerpool"
 )
 
 // Core is what an exchange asks and tells the node's core.
@@ -52,10 +52,10 @@
 	// Of the limits, what settings change while the pool works.
 	connect, idleMost atomic.Int64
 	budget            Budget
-	bytes             limits.Room // for answers
-	lot               *lot.Lot    // tells of servers that close; nil: they are found closed when they are to be used
+	bytes             limits.Room    // for answers
+	poller            *poller.Poller // tells of servers that close; nil: they are found closed when they are to be used
 	dialer            net.Dialer
-	crew              crew.Crew          // of exchanges
+	workers           workerpool.Pool    // of exchanges
 	fastcgi           *map[string]string // params, where the servers speak FastCGI
 
 	mu     sync.Mutex
@@ -72,7 +72,7 @@
 	reader httpwire.Reader
 	app    *application // nil: its server speaks HTTP
 	addr   string
-	place  lot.Place
+	place  poller.Place
 	by     *exchange // in talk
 	timed  bool      // a read deadline is set
 	// Of an answer: when its first byte came, the bytes that its deadline goes by, and whether it is being passed on.
@@ -87,9 +87,9 @@
 	older, newer *conn // of all
 }
 
-// NewPool starts with no connection. The lot may be nil.
-func NewPool(core Core, l limits.Limits, budget Budget, t *lot.Lot) *Pool {
-	p := &Pool{core: core, limits: l, budget: budget, bytes: budget.Bytes().Answers(), lot: t, idle: map[*node.Server]*conn{}, dialer: net.Dialer{KeepAlive: -1}}
+// NewPool starts with no connection. The poller may be nil.
+func NewPool(core Core, l limits.Limits, budget Budget, t *poller.Poller) *Pool {
+	p := &Pool{core: core, limits: l, budget: budget, bytes: budget.Bytes().Answers(), poller: t, idle: map[*node.Server]*conn{}, dialer: net.Dialer{KeepAlive: -1}}
 	p.oldest.older, p.oldest.newer = &p.oldest, &p.oldest
 	p.Tune(l)
 	budget.Evict(p.Evict)
@@ -115,8 +115,8 @@
 	if sc, ok := raw.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn()
 	}
-	if p.lot != nil && c.raw != nil {
-		c.place, _ = p.lot.Add(c.raw, c, false) // not watched, it is found closed when it is to be used
+	if p.poller != nil && c.raw != nil {
+		c.place, _ = p.poller.Add(c.raw, c, false) // not watched, it is found closed when it is to be used
 	}
 	return c
 }
@@ -139,7 +139,7 @@
 // Sweep closes the connections that have been idle for too long, and ends goroutines that were not needed of late. Who has
 // many pools calls it instead of Run.
 func (p *Pool) Sweep(now time.Time) {
-	p.crew.Trim()
+	p.workers.Trim()
 	for range sweepMost {
 		p.mu.Lock()
 		c := p.oldest.newer
@@ -158,7 +158,7 @@
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
-	p.crew.Close()
+	p.workers.Close()
 	for p.Evict() {
 	}
 }
@@ -186,7 +186,7 @@
 }
 
 // Stirred tells that a server has closed a connection.
-func (c *conn) Stirred(lot.Event) {
+func (c *conn) Stirred(poller.Event) {
 	p := c.pool
 	p.mu.Lock()
 	idle := c.server != nil
@@ -200,8 +200,8 @@
 }
 
 func (p *Pool) close(c *conn) {
-	if p.lot != nil {
-		p.lot.Remove(&c.place)
+	if p.poller != nil {
+		p.poller.Remove(&c.place)
 	}
 	if c.app != nil {
 		c.app.abort()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -19,8 +19,8 @@
 	"robincart/internal/await"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
-	"robincart/internal/lot"
 	"robincart/internal/node"
+	"robincart/internal/poller"
 )
 
 // fakeCore says where the one server is, and notes how picks end.
@@ -136,8 +136,8 @@
 	q      *httpwire.Request
 }
 
-var watched = sync.OnceValue(func() *lot.Lot {
-	l, err := lot.New()
+var watched = sync.OnceValue(func() *poller.Poller {
+	l, err := poller.New()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/workerpool/workerpool.go
+++ b/internal/workerpool/workerpool.go
@@ -1,14 +1,14 @@
-// Package crew runs short tasks on goroutines that are used again: a fresh one begins with a small stack and grows it
+// Package workerpool runs short tasks on goroutines that are used again: a fresh one begins with a small stack and grows it
 // anew, by copying, for every request.
-package crew
+package workerpool
 
 import "sync"
 
 // Task is something to run once. Run may wait, as any goroutine may.
 type Task interface{ Run() }
 
-// Crew has as many goroutines as tasks run at once, and keeps those that were needed lately.
-type Crew struct {
+// Pool has as many goroutines as tasks run at once, and keeps those that were needed lately.
+type Pool struct {
 	mu     sync.Mutex
 	idle   []*hand // the one that ran last is last
 	low    int     // fewest idle since the last Trim
@@ -19,7 +19,7 @@
 type hand struct{ in chan Task }
 
 // Do runs a task, at once, beside its caller.
-func (c *Crew) Do(t Task) {
+func (c *Pool) Do(t Task) {
 	c.mu.Lock()
 	n := len(c.idle) - 1
 	if n >= 0 {
@@ -37,7 +37,7 @@
 	c.all.Go(func() { c.run(h, t) })
 }
 
-func (c *Crew) run(h *hand, t Task) {
+func (c *Pool) run(h *hand, t Task) {
 	for {
 		t.Run()
 		t = nil
@@ -57,7 +57,7 @@
 
 // Trim ends those that were not needed since the last Trim, and tells how many are idle still. It is called every second
 // or so.
-func (c *Crew) Trim() int {
+func (c *Pool) Trim() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, h := range c.idle[:c.low] {
@@ -69,7 +69,7 @@
 }
 
 // Close ends the idle ones and waits for the tasks that still run. Nothing may be given to it any more.
-func (c *Crew) Close() {
+func (c *Pool) Close() {
 	c.mu.Lock()
 	c.closed = true
 	for _, h := range c.idle {
