--- a/cmd/robincart/descriptors_test.go
+++ b/cmd/robincart/descriptors_test.go
@@ -18,8 +18,8 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
-	"robincart/internal/await"
 	"robincart/internal/lab/wire"
+	"robincart/internal/testutil"
 )
 
 // Callers that bring nothing hold what descriptors they can get, while discovery is down, too.
@@ -262,7 +262,7 @@
 		go func() { out <- p.ask("find", "") }()
 	}
 	for range 5 {
-		assert.Equal(t, 200, await.One(t, out).status, "a connection to a server comes up")
+		assert.Equal(t, 200, testutil.Receive(t, out).status, "a connection to a server comes up")
 	}
 	assert.Equal(t, 404, calls(t, admin, "/_servers/detach", `{"host":"never"}`))
 	before := d.watching()
--- a/cmd/robincart/endings_test.go
+++ b/cmd/robincart/endings_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"robincart/internal/await"
 	"robincart/internal/handover"
+	"robincart/internal/testutil"
 )
 
 // Crossings of a process's beginning and end, each forced.
@@ -71,7 +71,7 @@
 	p := &program{t: t, addr: config["listen"].(string)}
 	require.Eventually(t, func() bool { return p.ask("find", "").status == 200 }, 20*time.Second, 10*time.Millisecond)
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
-	assert.NoError(t, await.One(t, ended))
+	assert.NoError(t, testutil.Receive(t, ended))
 }
 
 func TestLinesThatNobodyReadsAreCountedAndTheLogGoesOn(t *testing.T) {
--- a/cmd/robincart/node_test.go
+++ b/cmd/robincart/node_test.go
@@ -19,8 +19,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"robincart/internal/await"
 	"robincart/internal/lab/wire"
+	"robincart/internal/testutil"
 )
 
 func TestARequestIsServedUnchanged(t *testing.T) {
@@ -121,10 +121,10 @@
 	c, err := net.Dial("tcp", p.addr)
 	require.NoError(t, err)
 	io.WriteString(c, raw("GET /find", "find"))
-	await.One(t, came)
+	testutil.Receive(t, came)
 	at := time.Now()
 	c.Close()
-	assert.WithinDuration(t, at, await.One(t, left), 2*time.Second)
+	assert.WithinDuration(t, at, testutil.Receive(t, left), 2*time.Second)
 }
 
 // A connect that takes longer than a drain's grace must not end in a send to the server that drains
@@ -166,11 +166,11 @@
 			}()
 		}
 	}()
-	r := await.One(t, got)
+	r := testutil.Receive(t, got)
 	assert.Equal(t, 503, r.status, "it never ran, and there is no other server")
 	assert.Greater(t, r.took, 500*time.Millisecond, "the connect was not slow: the story has not been told")
-	assert.Zero(t, await.One(t, written))
-	assert.Zero(t, await.One(t, written))
+	assert.Zero(t, testutil.Receive(t, written))
+	assert.Zero(t, testutil.Receive(t, written))
 }
 
 func TestTheNodeServesOnWhileDiscoveryIsAway(t *testing.T) {
@@ -327,7 +327,7 @@
 	began := time.Now()
 	p.stop(3700 * time.Millisecond)
 	assert.Greater(t, time.Since(began), 3*time.Second, "an RPC with time left is not cut short")
-	assert.Equal(t, 504, await.One(t, got).status)
+	assert.Equal(t, 504, testutil.Receive(t, got).status)
 }
 
 func TestPastTheBudgetEveryCallerIsAnswered(t *testing.T) {
--- a/internal/frontend/endings_test.go
+++ b/internal/frontend/endings_test.go
@@ -13,9 +13,9 @@
 	"github.com/stretchr/testify/require"
 
 	"robincart/decide"
-	"robincart/internal/await"
 	"robincart/internal/node"
 	"robincart/internal/socket"
+	"robincart/internal/testutil"
 )
 
 // Crossings at the callers' side: what is still owed at the instant in which something ends.
@@ -55,9 +55,9 @@
 		f, core, addr := begin(t)
 		c := dial(t, addr)
 		c.askAs(way)
-		rpc := await.One(t, core.came)
+		rpc := testutil.Receive(t, core.came)
 		leave(c)
-		assert.Same(t, rpc, await.One(t, core.vanished), way)
+		assert.Same(t, rpc, testutil.Receive(t, core.vanished), way)
 		rpc.Orders <- node.Order{Kind: node.Send}
 		assert.Eventually(t, func() bool { return connections(f) == 0 && f.making.Load() == 0 }, 20*time.Second, time.Millisecond, way)
 		assert.Empty(t, core.started, way)
@@ -77,7 +77,7 @@
 		stays := dial(t, ln.Addr().String())
 		stays.askAs("stays")
 		f.Serve(ln)
-		await.One(t, core.came).Orders <- node.Order{Kind: node.PushBack}
+		testutil.Receive(t, core.came).Orders <- node.Order{Kind: node.PushBack}
 		assert.Equal(t, 503, stays.hears(t).StatusCode, way)
 		assert.Eventually(t, func() bool { return connections(f) == 1 }, 20*time.Second, time.Millisecond, way)
 		assert.Empty(t, core.came, way)
@@ -93,7 +93,7 @@
 		f, core, addr := beginWith(t, l)
 		first := dial(t, addr)
 		first.ask()
-		rpc := await.One(t, core.came)
+		rpc := testutil.Receive(t, core.came)
 		gone := dial(t, addr)
 		gone.ask()
 		waits := func() bool {
@@ -158,7 +158,7 @@
 	r := c.hears(t)
 	assert.Equal(t, 503, r.StatusCode)
 	assert.NotEmpty(t, r.Header.Get("Retry-After"))
-	await.One(t, core.came)
+	testutil.Receive(t, core.came)
 	c.Close()
 	assert.Eventually(t, func() bool { return connections(f) == 0 }, 20*time.Second, time.Millisecond)
 	assert.Empty(t, core.came, "a request that is read after the halt is not begun")
@@ -170,7 +170,7 @@
 	f.Stop()
 	c := dial(t, addr)
 	io.WriteString(c, request("first")+request("second"+strings.Repeat("x", 2000)))
-	await.One(t, core.came).Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}}
+	testutil.Receive(t, core.came).Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}}
 	r := c.hears(t)
 	assert.Equal(t, 200, r.StatusCode)
 	assert.True(t, r.Close)
@@ -187,7 +187,7 @@
 	f, core, addr := begin(t)
 	c := dial(t, addr)
 	c.ask()
-	rpc := await.One(t, core.came)
+	rpc := testutil.Receive(t, core.came)
 	c.flood()
 	c.Close()
 	rpc.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}}
@@ -241,14 +241,14 @@
 	ended := make(chan error, 1)
 	go func() { ended <- f.Drain(t.Context()) }()
 	for _, c := range callers {
-		rpc := await.One(t, core.came)
+		rpc := testutil.Receive(t, core.came)
 		rpc.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}}
 		r := c.hears(t)
 		assert.Equal(t, 200, r.StatusCode)
 		assert.True(t, r.Close)
 		c.Close()
 	}
-	assert.NoError(t, await.One(t, ended))
+	assert.NoError(t, testutil.Receive(t, ended))
 	_, err := net.Dial("tcp", addr)
 	assert.Error(t, err, "the listener is closed in the end")
 }
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -22,13 +22,13 @@
 	"go.uber.org/zap"
 
 	"robincart/decide"
-	"robincart/internal/await"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
 	"robincart/internal/node"
 	"robincart/internal/poller"
 	"robincart/internal/settings"
 	"robincart/internal/socket"
+	"robincart/internal/testutil"
 )
 
 // fakeCore orders for each RPC what the story says, and notes what it hears.
@@ -155,7 +155,7 @@
 	_, core, addr := begin(t)
 	owner, copier := dial(t, addr), dial(t, addr)
 	owner.askAs("mine")
-	rpc := await.One(t, core.came)
+	rpc := testutil.Receive(t, core.came)
 	copier.askAs("mine")
 	assert.Equal(t, 409, copier.hears(t).StatusCode)
 	rpc.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}}
@@ -216,7 +216,7 @@
 	rest := following{strings.NewReader(strings.Repeat("x", 1<<24)), make(chan bool, 1)}
 	large := dial(t, addr)
 	large.ask()
-	rpc := await.One(t, core.came)
+	rpc := testutil.Receive(t, core.came)
 	rpc.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("begun"), Rest: rest}}
 	line, err := large.r.ReadString('\n') // the rest is not read, or a byte at a time
 	require.NoError(t, err)
@@ -238,7 +238,7 @@
 	assert.Eventually(t, func() bool { return f.large.Load() == 0 }, 20*time.Second, time.Millisecond)
 	for _, counts := range []int64{1, 0} { // until it is seen that they are small
 		next.ask()
-		small := await.One(t, core.came)
+		small := testutil.Receive(t, core.came)
 		assert.Equal(t, counts, f.large.Load())
 		small.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}}
 		assert.Equal(t, 200, next.hears(t).StatusCode)
@@ -267,7 +267,7 @@
 		ends(f)
 		require.Eventually(t, func() bool { _, on := count(); return on }, 20*time.Second, time.Millisecond)
 		c.ask()
-		rpc := await.One(t, core.came)
+		rpc := testutil.Receive(t, core.came)
 		rpc.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("well")}}
 		assert.Equal(t, 200, c.hears(t).StatusCode, name)
 		_, err := c.r.ReadByte()
@@ -340,7 +340,7 @@
 	core.mu.Lock()
 	assert.Equal(t, []string{"t1", "t1"}, core.started)
 	core.mu.Unlock()
-	assert.Equal(t, time.Minute+time.Second, await.One(t, core.came).Deadline)
+	assert.Equal(t, time.Minute+time.Second, testutil.Receive(t, core.came).Deadline)
 }
 
 func TestRequestsOnOneConnectionWaitTheirTurn(t *testing.T) {
@@ -348,13 +348,13 @@
 	c := dial(t, addr)
 	c.askAs("first")
 	c.askAs("second")
-	first := await.One(t, core.came)
+	first := testutil.Receive(t, core.came)
 	time.Sleep(20 * time.Millisecond)
 	assert.Empty(t, core.came)
 	assert.Empty(t, core.vanished, "more bytes are no farewell")
 	first.Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{Body: []byte("one")}}
 	assert.Equal(t, 200, c.hears(t).StatusCode)
-	await.One(t, core.came).Orders <- node.Order{Kind: node.Abort}
+	testutil.Receive(t, core.came).Orders <- node.Order{Kind: node.Abort}
 	assert.Equal(t, 504, c.hears(t).StatusCode)
 }
 
@@ -363,9 +363,9 @@
 	core.atVanished = func(r *node.RPC) { r.Orders <- node.Order{Kind: node.Send} } // ordered as the news came
 	c := dial(t, addr)
 	c.ask()
-	r := await.One(t, core.came)
+	r := testutil.Receive(t, core.came)
 	c.Close()
-	assert.Same(t, r, await.One(t, core.vanished))
+	assert.Same(t, r, testutil.Receive(t, core.vanished))
 	assert.Eventually(t, func() bool {
 		core.mu.Lock()
 		defer core.mu.Unlock()
@@ -387,7 +387,7 @@
 	a, b, c := dial(t, addr), dial(t, addr), dial(t, addr)
 	a.ask()
 	b.ask()
-	ra, rb := await.One(t, core.came), await.One(t, core.came)
+	ra, rb := testutil.Receive(t, core.came), testutil.Receive(t, core.came)
 	c.ask()
 	r := c.hears(t)
 	assert.Equal(t, 503, r.StatusCode)
@@ -398,7 +398,7 @@
 	a.hears(t)
 	b.hears(t)
 	a.ask()
-	await.One(t, core.came).Orders <- node.Order{Kind: node.Abort}
+	testutil.Receive(t, core.came).Orders <- node.Order{Kind: node.Abort}
 	assert.Equal(t, 504, a.hears(t).StatusCode, "there is room again")
 }
 
@@ -406,7 +406,7 @@
 	_, core, addr := begin(t)
 	busy := dial(t, addr)
 	busy.ask()
-	r := await.One(t, core.came)
+	r := testutil.Receive(t, core.came)
 	var idle []*caller
 	for range 6 {
 		idle = append(idle, dial(t, addr))
@@ -415,7 +415,7 @@
 	assert.ErrorIs(t, err, io.EOF, "the oldest idle one is closed, and not reset")
 	last := idle[5]
 	last.ask()
-	await.One(t, core.came).Orders <- node.Order{Kind: node.Abort}
+	testutil.Receive(t, core.came).Orders <- node.Order{Kind: node.Abort}
 	assert.Equal(t, 504, last.hears(t).StatusCode)
 	r.Orders <- node.Order{Kind: node.Abort}
 	assert.Equal(t, 504, busy.hears(t).StatusCode)
@@ -446,14 +446,14 @@
 	addr := ln.Addr().String()
 	busy := dial(t, addr)
 	busy.ask()
-	r := await.One(t, core.came)
+	r := testutil.Receive(t, core.came)
 	idle := dial(t, addr)
 	idle.ask()
-	await.One(t, core.came).Orders <- node.Order{Kind: node.Abort}
+	testutil.Receive(t, core.came).Orders <- node.Order{Kind: node.Abort}
 	assert.Equal(t, 504, idle.hears(t).StatusCode)
 	third := dial(t, addr)
 	third.ask()
-	await.One(t, core.came).Orders <- node.Order{Kind: node.Abort}
+	testutil.Receive(t, core.came).Orders <- node.Order{Kind: node.Abort}
 	assert.Equal(t, 504, third.hears(t).StatusCode)
 	_, err = idle.r.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
@@ -481,7 +481,7 @@
 	f.rest(chosen, time.Hour)
 	f.mu.Unlock()
 	f.endRest([]*conn{chosen})
-	await.One(t, core.came).Orders <- node.Order{Kind: node.Abort}
+	testutil.Receive(t, core.came).Orders <- node.Order{Kind: node.Abort}
 	r := c.hears(t)
 	assert.Equal(t, 504, r.StatusCode)
 	assert.True(t, r.Close)
@@ -499,7 +499,7 @@
 		first = head(256 - len(first) - 10 + fill) // from just below the buffer's size to just above
 		io.WriteString(c, first+head(0)+head(300))
 		for range 3 {
-			await.One(t, core.came)
+			testutil.Receive(t, core.came)
 			assert.Equal(t, 504, c.hears(t).StatusCode)
 		}
 	}
@@ -600,11 +600,11 @@
 	assert.Equal(t, 503, r.StatusCode)
 	assert.Equal(t, "0.500", r.Header.Get("Retry-After"))
 	io.WriteString(c, "X-Expires-In-Ms: 1000\r\n\r\n")
-	await.One(t, core.came)
+	testutil.Receive(t, core.came)
 	assert.Equal(t, 504, c.hears(t).StatusCode)
 	for range 9 {
 		c.ask()
-		await.One(t, core.came)
+		testutil.Receive(t, core.came)
 		assert.Equal(t, 504, c.hears(t).StatusCode)
 	}
 }
@@ -632,12 +632,12 @@
 	f, core, addr := begin(t)
 	a, b, half := dial(t, addr), dial(t, addr), dial(t, addr)
 	half.ask()
-	await.One(t, core.came).Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{}}
+	testutil.Receive(t, core.came).Orders <- node.Order{Kind: node.Served, Answer: &node.Answer{}}
 	half.hears(t) // one that has brought no whole request yet would give way
 	a.ask()
-	await.One(t, core.came)
+	testutil.Receive(t, core.came)
 	b.ask()
-	await.One(t, core.came)
+	testutil.Receive(t, core.came)
 	io.WriteString(half, "GET /fi")
 	// Only now: one more at the door ends those that have brought no RPC by then.
 	waits := dial(t, addr)
@@ -668,7 +668,7 @@
 		f.Swap(&Table{Only: NewService("only", n, core, core, nil)})
 		c := dial(t, addr)
 		io.WriteString(c, verb(x.repeat)+" /find HTTP/1.1\r\nX-Qos: find\r\nX-Trace-Id: t\r\nX-Expires-In-Ms: 1000\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n")
-		r := await.One(t, core.came)
+		r := testutil.Receive(t, core.came)
 		begun := func() bool {
 			core.mu.Lock()
 			defer core.mu.Unlock()
@@ -683,6 +683,6 @@
 		assert.Equal(t, x.status, answer.StatusCode)
 		assert.Equal(t, x.status == 503, answer.Header.Get("Retry-After") != "")
 		assert.True(t, answer.Close)
-		assert.Same(t, r, await.One(t, core.vanished))
+		assert.Same(t, r, testutil.Receive(t, core.vanished))
 	}
 }
--- a/internal/frontend/gone_test.go
+++ b/internal/frontend/gone_test.go
@@ -19,13 +19,13 @@
 	"golang.org/x/sys/unix"
 
 	"robincart/decide"
-	"robincart/internal/await"
 	"robincart/internal/fcgi"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
 	"robincart/internal/node"
 	"robincart/internal/poller"
 	"robincart/internal/settings"
+	"robincart/internal/testutil"
 	"robincart/internal/upstream"
 )
 
@@ -201,7 +201,7 @@
 func (r *relay) held(t *testing.T) {
 	s := newStall(t, r.f.poller)
 	s.trigger()
-	await.One(t, s.entered)
+	testutil.Receive(t, s.entered)
 }
 
 // frontEnd is a protocol that callers speak, with what they say in it and how they leave.
@@ -234,7 +234,7 @@
 // order has a pick ordered and returns what lets it go.
 func (r *relay) order(t *testing.T, rpc *node.RPC) func() {
 	rpc.Orders <- node.Order{Kind: node.Send, Pick: &node.Pick{Server: &node.Server{}}}
-	return await.One(t, r.starts)
+	return testutil.Receive(t, r.starts)
 }
 
 const failedText = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
@@ -257,15 +257,15 @@
 				"further": func(r *relay, t *testing.T, rpc *node.RPC, goes func()) {
 					r.answers <- failedText
 					r.order(t, rpc)()
-					assert.Equal(t, decide.Failed, await.One(t, r.results))
-					await.One(t, r.heard)
+					assert.Equal(t, decide.Failed, testutil.Receive(t, r.results))
+					testutil.Receive(t, r.heard)
 					start := r.order(t, rpc)
 					goes()
 					start()
 				},
 				"second copy": func(r *relay, t *testing.T, rpc *node.RPC, goes func()) {
 					r.order(t, rpc)()
-					await.One(t, r.heard)
+					testutil.Receive(t, r.heard)
 					start := r.order(t, rpc)
 					goes()
 					start()
@@ -274,7 +274,7 @@
 					in, on := make(chan struct{}), make(chan struct{})
 					r.atHold = func() { close(in); <-on }
 					r.order(t, rpc)()
-					await.One(t, in)
+					testutil.Receive(t, in)
 					goes()
 					close(on)
 				},
@@ -287,7 +287,7 @@
 					} else {
 						io.WriteString(c, front.find)
 					}
-					rpc := await.One(t, r.came)
+					rpc := testutil.Receive(t, r.came)
 					before := r.one(t)
 					play(r, t, rpc, func() {
 						r.held(t)
@@ -307,7 +307,7 @@
 					case <-time.After(20 * time.Second):
 						t.Fatal("nothing came of the pick")
 					}
-					assert.Same(t, rpc, await.One(t, r.vanished), "the poller has told nothing yet")
+					assert.Same(t, rpc, testutil.Receive(t, r.vanished), "the poller has told nothing yet")
 					if strings.HasPrefix(way, "aborted") && moment != "body" {
 						b := make([]byte, 99)
 						n, err := c.Read(b)
@@ -331,9 +331,9 @@
 		r := relayed(t, bounds(), nil)
 		c := dial(t, r.addr)
 		io.WriteString(c, request("first")+request("second")+request("third"))
-		rpc := await.One(t, r.came)
+		rpc := testutil.Receive(t, r.came)
 		r.order(t, rpc)()
-		assert.Contains(t, await.One(t, r.heard), "first")
+		assert.Contains(t, testutil.Receive(t, r.heard), "first")
 		r.held(t)
 		raw := r.one(t).raw
 		leave(c)
@@ -343,7 +343,7 @@
 			select {
 			case rpc := <-r.came: // it is taken, and looked after before its first byte
 				r.order(t, rpc)()
-				assert.Same(t, rpc, await.One(t, r.vanished), way)
+				assert.Same(t, rpc, testutil.Receive(t, r.vanished), way)
 			case <-time.After(time.Millisecond):
 				more = connections(r.f) > 0
 			}
@@ -382,16 +382,16 @@
 	r := relayed(t, l, front.way)
 	c := dial(t, r.addr)
 	io.WriteString(c, front.find+string(fcgi.AppendAbort(nil, 1)))
-	rpc := await.One(t, r.came)
+	rpc := testutil.Receive(t, r.came)
 	rpc.Orders <- node.Order{Kind: node.Send, Pick: &node.Pick{Server: &node.Server{}}}
 	select {
 	case start := <-r.starts:
 		start()
-		assert.Equal(t, decide.Ignored, await.One(t, r.results))
+		assert.Equal(t, decide.Ignored, testutil.Receive(t, r.results))
 	case rpc := <-r.vanished:
 		r.vanished <- rpc
 	}
-	assert.Same(t, rpc, await.One(t, r.vanished))
+	assert.Same(t, rpc, testutil.Receive(t, r.vanished))
 	b := make([]byte, 99)
 	n, err := c.Read(b)
 	assert.NoError(t, err)
@@ -410,22 +410,22 @@
 	raw := r.one(t).raw
 	first, before, behind := newStall(t, r.f.poller), newStall(t, r.f.poller), newStall(t, r.f.poller)
 	first.trigger()
-	await.One(t, first.entered)
+	testutil.Receive(t, first.entered)
 	// The kernel keeps the order in which they come.
 	before.trigger()
 	c.ask()
 	require.Eventually(t, func() bool { return unread(raw) > 0 }, 20*time.Second, time.Millisecond)
 	behind.trigger()
 	first.goOn()
-	await.One(t, before.entered)
+	testutil.Receive(t, before.entered)
 	c.Close()
 	require.Eventually(t, func() bool { return hasEnded(raw) }, 20*time.Second, time.Millisecond)
 	time.Sleep(2 * l.CallerLook)
 	before.goOn()
-	await.One(t, behind.entered)
-	rpc := await.One(t, r.came)
+	testutil.Receive(t, behind.entered)
+	rpc := testutil.Receive(t, r.came)
 	r.order(t, rpc)()
-	assert.Equal(t, decide.Ignored, await.One(t, r.results))
-	assert.Same(t, rpc, await.One(t, r.vanished))
+	assert.Equal(t, decide.Ignored, testutil.Receive(t, r.results))
+	assert.Same(t, rpc, testutil.Receive(t, r.vanished))
 	assert.Empty(t, r.heard)
 }
--- a/internal/registry/moves_test.go
+++ b/internal/registry/moves_test.go
@@ -11,10 +11,10 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
-	"robincart/internal/await"
 	"robincart/internal/limits"
 	"robincart/internal/node"
 	"robincart/internal/settings"
+	"robincart/internal/testutil"
 )
 
 // handClock moves when told to.
@@ -84,10 +84,10 @@
 	go func() { w.Run(ctx); close(done) }()
 	defer func() { end(); <-done; core.Close() }()
 	w.Ask()
-	assert.False(t, await.One(t, core.told))
+	assert.False(t, testutil.Receive(t, core.told))
 	for range 3 {
 		w.Move(freeAddress(t))
-		assert.True(t, await.One(t, core.told))
+		assert.True(t, testutil.Receive(t, core.told))
 	}
 	for range 10_000 {
 		clk.step()
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -18,10 +18,10 @@
 	"go.uber.org/zap"
 
 	"robincart/decide"
-	"robincart/internal/await"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
 	"robincart/internal/node"
+	"robincart/internal/testutil"
 )
 
 type news struct {
@@ -124,7 +124,7 @@
 func TestAWatchTellsTheListAndThenItsChanges(t *testing.T) {
 	core, _, asked := watch(t, nothing, say(head, line(43, true, member1("a", "ready")), chunk("\n"),
 		line(44, false, member1("a", "draining"))))
-	assert.Equal(t, "GET /registry/instances?follow=1&since=41 HTTP/1.1", await.One(t, asked))
+	assert.Equal(t, "GET /registry/instances?follow=1&since=41 HTTP/1.1", testutil.Receive(t, asked))
 	n := core.next(t)
 	assert.True(t, n.full)
 	assert.Equal(t, []node.Entry{{ID: "a", Addr: "127.0.0.1:80", State: decide.Ready, Zone: 1, Cell: 3, Weight: 1.5, Listed: 43,
@@ -165,8 +165,8 @@
 		silent := name == "no answer" || name == "silence" || name == "half a message"
 		assert.Equal(t, news{failed: true, anew: silent}, n, name)
 		w.Ask()
-		assert.Contains(t, await.One(t, asked), "since=41", name)
-		assert.Contains(t, await.One(t, asked), "since=41", name)
+		assert.Contains(t, testutil.Receive(t, asked), "since=41", name)
+		assert.Contains(t, testutil.Receive(t, asked), "since=41", name)
 		assert.Equal(t, "a", core.next(t).entries[0].ID, "%s: the next watch has a descriptor again", name)
 	}
 }
@@ -198,9 +198,9 @@
 		}()
 	})
 	assert.Equal(t, "a", core.next(t).entries[0].ID)
-	await.One(t, asked)
+	testutil.Receive(t, asked)
 	w.Move(fresh.Addr().String())
-	assert.NoError(t, await.One(t, ended), "the old watch and its descriptor are given back")
+	assert.NoError(t, testutil.Receive(t, ended), "the old watch and its descriptor are given back")
 	c, err := fresh.Accept()
 	require.NoError(t, err)
 	first, _ := bufio.NewReader(c).ReadString('\n')
@@ -217,14 +217,14 @@
 func TestAMoveWhileDiscoveryIsDownBeginsThePausesAnew(t *testing.T) {
 	core, w, asked := watch(t, nothing, sayAndClose("no"))
 	assert.Equal(t, news{failed: true}, core.next(t))
-	await.One(t, asked)
+	testutil.Receive(t, asked)
 	here := w.addr
 	for range 3 {
 		w.Move(freeAddress(t))
 		assert.Equal(t, news{failed: true, anew: true}, core.next(t))
 	}
 	w.Move(here)
-	assert.Contains(t, await.One(t, asked), "since=0")
+	assert.Contains(t, testutil.Receive(t, asked), "since=0")
 	assert.Equal(t, news{failed: true, anew: true}, core.next(t))
 	w.Ask()
 	assert.Equal(t, news{failed: true}, core.next(t), "this discovery has had its call")
@@ -234,13 +234,13 @@
 func TestACallThatIsNotAnsweredIsGivenUpInTimeForAnother(t *testing.T) {
 	mute := func(net.Conn) {}
 	core, w, asked := watch(t, nothing, sayAndClose("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), mute, mute, say(head, line(42, false, member1("a", "draining"))))
-	first := await.One(t, asked)
+	first := testutil.Receive(t, asked)
 	assert.Equal(t, news{failed: true}, core.next(t))
 	w.Ask()
-	await.One(t, asked)
+	testutil.Receive(t, asked)
 	assert.Equal(t, news{failed: true, anew: true}, core.next(t))
 	w.Ask()
-	assert.Equal(t, first, await.One(t, asked))
+	assert.Equal(t, first, testutil.Receive(t, asked))
 	assert.Equal(t, news{failed: true, anew: true}, core.next(t))
 	w.Ask()
 	assert.Equal(t, decide.Draining, core.next(t).entries[0].State)
@@ -254,13 +254,13 @@
 	core, w, asked := watch(t, nothing, hold)
 	var stand []net.Conn
 	for range 3 {
-		await.One(t, asked)
-		stand = append(stand, await.One(t, conns))
+		testutil.Receive(t, asked)
+		stand = append(stand, testutil.Receive(t, conns))
 		assert.Equal(t, news{failed: true, anew: true}, core.next(t), "another call is wanted")
 		w.Ask()
 	}
-	await.One(t, asked)
-	stand = append(stand, await.One(t, conns))
+	testutil.Receive(t, asked)
+	stand = append(stand, testutil.Receive(t, conns))
 	left := func(c net.Conn) bool {
 		c.SetReadDeadline(time.Now().Add(10 * time.Second))
 		_, err := c.Read(make([]byte, 1))
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -16,11 +16,11 @@
 	"github.com/stretchr/testify/require"
 
 	"robincart/decide"
-	"robincart/internal/await"
 	"robincart/internal/httpwire"
 	"robincart/internal/limits"
 	"robincart/internal/node"
 	"robincart/internal/poller"
+	"robincart/internal/testutil"
 )
 
 // fakeCore says where the one server is, and notes how picks end.
@@ -326,7 +326,7 @@
 	began := time.Now()
 	assert.Equal(t, decide.Reset, s.pick(), "the core knows why")
 	assert.Less(t, time.Since(began), 10*time.Second)
-	assert.True(t, await.One(t, closed))
+	assert.True(t, testutil.Receive(t, closed))
 	conns, _ := server.count()
 	assert.Equal(t, 1, conns)
 	assert.True(t, s.budget.Take(), "its descriptor is free")
@@ -434,7 +434,7 @@
 	go s.Run(ctx)
 	assert.Equal(t, decide.OK, s.pick())
 	start := time.Now()
-	at := await.One(t, closed)
+	at := testutil.Receive(t, closed)
 	assert.InDelta(t, 0.3, at.Sub(start).Seconds(), 0.2)
 }
 
@@ -449,16 +449,16 @@
 	s.limits.ServerIdle = time.Hour
 	assert.Equal(t, decide.OK, s.pick())
 	s.Exchange(&node.Pick{Server: s.server, Anew: true}, s.q) // the module does not trust the idle one
-	assert.True(t, await.One(t, closed))
+	assert.True(t, testutil.Receive(t, closed))
 	s.core.leaves([]*node.Server{s.server})
-	assert.True(t, await.One(t, closed))
+	assert.True(t, testutil.Receive(t, closed))
 	s.pick() // under way when the word comes
 	s.core.mu.Lock()
 	s.core.gone = true
 	s.core.mu.Unlock()
 	last := s.reuse(s.server, s.core.addr)
 	s.keep(s.server, last)
-	assert.True(t, await.One(t, closed))
+	assert.True(t, testutil.Receive(t, closed))
 	assert.Empty(t, s.idle)
 }
 
@@ -505,7 +505,7 @@
 	body := strings.Repeat("0123456789abcdef", 4096)
 	s.q.Verb, s.q.Body = "POST", []byte(body)
 	assert.Equal(t, decide.OK, s.pick())
-	assert.Equal(t, body, await.One(t, got))
+	assert.Equal(t, body, testutil.Receive(t, got))
 	assert.Equal(t, body, string(s.core.answer.Body))
 }
 
@@ -532,7 +532,7 @@
 		s := begin(server.Addr().String(), 1)
 		done := make(chan decide.Result, 1)
 		go func() { done <- s.pick() }()
-		assert.Equal(t, decide.Failed, await.One(t, done), name)
+		assert.Equal(t, decide.Failed, testutil.Receive(t, done), name)
 		assert.Equal(t, 1, s.budget.Left(), name)
 	}
 }
@@ -564,7 +564,7 @@
 				if size < 1<<16 {
 					close(now)
 					want := map[string]decide.Result{"end": decide.OK, "reset": decide.Reset}[name]
-					assert.Equal(t, want, await.One(t, over), what)
+					assert.Equal(t, want, testutil.Receive(t, over), what)
 					continue
 				}
 				answer := func() *node.Answer {
@@ -587,7 +587,7 @@
 					assert.NotErrorIs(t, err, io.EOF, what)
 				}
 				answer().Rest.Close(name == "end")
-				await.One(t, over)
+				testutil.Receive(t, over)
 			}
 		}
 	}
