Bad input: settings of 100,000 nodes, and fleets that do not fit the machine

Settings that claim more than 20,000 Instances are an InstancesError (at the start exit 1, at SIGHUP the old stay); an experiment whose fleet needs more than half of the memory or more descriptors than there are is a CapacityError with need and limit, before anything is started. A test says that an experiment may have 1,024 nodes and servers.

--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -62,6 +62,18 @@
 	assert.Error(t, e.Scale(1000))
 }
 
+// The operators' trial has up to 350 processes and some hundreds of servers; an experiment may have 1,024 of each.
+func TestAnExperimentMayHaveAThousandNodesAndServers(t *testing.T) {
+	sized := func(nodes, servers int) error {
+		text := strings.Replace(good, "nodes = 2", fmt.Sprint("nodes = ", nodes), 1)
+		_, err := Parse([]byte(strings.Replace(text, "servers = 4", fmt.Sprint("servers = ", servers), 1)), ".")
+		return err
+	}
+	assert.NoError(t, sized(1024, 1024))
+	assert.ErrorContains(t, sized(1025, 4), "fleet.nodes: 1025 is not in 1 to 1024")
+	assert.ErrorContains(t, sized(2, 1025), "1025 servers, 1024 at most")
+}
+
 // Each mistake is named, by line where the text is at fault and by key where its meaning is.
 func TestEveryMistakeIsNamed(t *testing.T) {
 	for change, says := range map[string]string{
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -102,6 +102,9 @@
 		defer mu.Unlock()
 		notes(format, args...)
 	}
+	if err := fits(e, thisMachine()); err != nil {
+		return nil, err
+	}
 	arrivals, err := e.Plan()
 	if err != nil {
 		return nil, err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -107,6 +107,8 @@
 		return errors.New("setting Report.Fields has more than four names")
 	case how == "piggyback" && len(o.Report.Fields) == 0:
 		return errors.New("setting Report.Fields is empty though Report.How is piggyback")
+	case o.Instances > MaxInstances:
+		return &InstancesError{Instances: o.Instances}
 	case o.Instances < 0:
 		return errors.New("setting Instances must not be negative")
 	case o.Limits.MaxAttempts != nil && *o.Limits.MaxAttempts < 1:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -47,6 +47,7 @@
 		{`"ColdFrom":0.14`, `"ColdFrom":1.4`, "ColdFrom"},
 		{`"MustAskInMs":10000`, `"MustAskInMs":-1`, "MustAskInMs"},
 		{`"Stage":2`, `"Stage":2,"Instances":-1`, "Instances"},
+		{`"Stage":2`, `"Stage":2,"Instances":100000`, "Instances is 100000, above 20000: give the number of nodes"},
 		{`"Fields":["depth"]`, `"How":"shout"`, "Report.How"},
 		{`"Fields":["depth"]`, `"How":"piggyback"`, "Report.Fields"},
 		{`"Fields":["depth"]`, `"Fields":["a","b","c","d","e"]`, "Report.Fields"},
