Lab: a discovery door's call in steps of its own

Door.serve held reading, the queue, the single list and the watch in 109 lines; now admitted, answerList, watch and tell, each with one job. A watch that falls silent while its list is being written stays open also where watches end with their list. Tests of standin with -race and the two tests that play whole fleets with faults pass.

--- a/internal/lab/standin/door.go
+++ b/internal/lab/standin/door.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -109,33 +110,52 @@
 		delete(o.conns, c)
 		d.mu.Unlock()
 	}()
+	q := o.admitted(c)
+	switch {
+	case q == nil:
+	case q.Query("follow") != "1":
+		o.answerList(c)
+	default:
+		since, _ := strconv.ParseInt(q.Query("since"), 10, 64)
+		o.watch(c, since)
+	}
+}
+
+// admitted reads a call and has it wait for its turn. It is nil where the call ends here.
+func (o *Door) admitted(c net.Conn) *wire.Request {
 	c.SetReadDeadline(time.Now().Add(5 * time.Second))
 	q, err := wire.ReadRequest(bufio.NewReader(c))
 	if err != nil {
-		return
+		return nil
 	}
 	c.SetReadDeadline(time.Time{})
 	if q.Path != "/registry/instances" || q.Verb != "GET" {
 		c.Write(wire.Answer(nil, 404, "Connection: close\r\n", nil))
-		return
+		return nil
 	}
-	d.mu.Lock()
-	delay := d.delay
-	wait, taken := d.queue.take(time.Now())
-	d.mu.Unlock()
+	o.d.mu.Lock()
+	delay := o.d.delay
+	wait, taken := o.d.queue.take(time.Now())
+	o.d.mu.Unlock()
 	if !taken {
 		c.Write(wire.Answer(nil, 503, "Connection: close\r\n", nil))
-		return
+		return nil
 	}
 	time.Sleep(delay + wait)
-	if q.Query("follow") != "1" {
-		d.mu.Lock()
-		revision, members := d.list()
-		o.told(members, true)
-		d.mu.Unlock()
-		c.Write(wire.Answer(nil, 200, "Connection: close\r\nContent-Type: application/json\r\n", message(revision, true, members)))
-		return
-	}
+	return q
+}
+
+func (o *Door) answerList(c net.Conn) {
+	o.d.mu.Lock()
+	revision, members := o.d.list()
+	o.told(members, true)
+	o.d.mu.Unlock()
+	c.Write(wire.Answer(nil, 200, "Connection: close\r\nContent-Type: application/json\r\n", message(revision, true, members)))
+}
+
+// watch tells of the list and its changes until the connection ends, or for as long as this discovery's watches last.
+func (o *Door) watch(c net.Conn, since int64) {
+	d := o.d
 	fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
 	left := make(chan struct{})
 	go func() { // the watcher's farewell ends the watch at once
@@ -144,7 +164,6 @@
 		close(left)
 	}()
 	defer func() { c.Close(); <-left }()
-	since, _ := strconv.ParseInt(q.Query("since"), 10, 64)
 	d.mu.Lock()
 	o.conns[c] = watching
 	o.watches++
@@ -152,44 +171,23 @@
 	ends := time.Now().Add(d.Wait)
 	for first := true; ; first = false {
 		d.mu.Lock()
-		if o.conns[c] == silent {
-			d.mu.Unlock()
+		state, wake, delay := o.conns[c], d.wake, d.delay
+		changed := d.revision > since
+		d.mu.Unlock()
+		if state == silent {
 			<-left
 			return
 		}
-		wake, delay := d.wake, d.delay
-		changed := d.revision > since
-		d.mu.Unlock()
 		if changed || first {
 			time.Sleep(delay)
-			// What is said is said under the lock, so that the ledger's order is that of the socket.
-			d.mu.Lock()
-			if o.conns[c] == silent {
-				d.mu.Unlock()
+			revision, err := o.tell(c, since)
+			if err == errSilent {
 				continue
 			}
-			var text []byte
-			revision, members := d.list()
-			if complete := since == 0 || since > revision || len(d.changes) == 0 || d.changes[0].revision > since+1; complete {
-				text = message(revision, true, members)
-				o.told(members, true)
-			} else {
-				var news []Member
-				for _, ch := range d.changes {
-					if ch.revision > since {
-						news = append(news, ch.member)
-					}
-				}
-				text = message(revision, false, news)
-				o.told(news, false)
-			}
-			since = revision
-			c.SetWriteDeadline(time.Now().Add(2 * time.Second))
-			err := chunk(c, text)
-			d.mu.Unlock()
 			if err != nil || d.Watch == WatchEndsWithList || d.Watch == WatchWaits && !first {
 				return
 			}
+			since = revision
 			continue
 		}
 		quiet := d.Every
@@ -212,6 +210,32 @@
 	}
 }
 
+var errSilent = errors.New("the watch has fallen silent")
+
+// tell writes what has changed since a revision, or the whole list where that is not known any more, and returns the revision told.
+// It writes under the lock, so that the ledger's order is that of the socket.
+func (o *Door) tell(c net.Conn, since int64) (int64, error) {
+	d := o.d
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if o.conns[c] == silent {
+		return 0, errSilent
+	}
+	revision, members := d.list()
+	complete := since == 0 || since > revision || len(d.changes) == 0 || d.changes[0].revision > since+1
+	if !complete {
+		members = nil
+		for _, ch := range d.changes {
+			if ch.revision > since {
+				members = append(members, ch.member)
+			}
+		}
+	}
+	o.told(members, complete)
+	c.SetWriteDeadline(time.Now().Add(2 * time.Second))
+	return revision, chunk(c, message(revision, complete, members))
+}
+
 // told notes in the ledger what a node has been told, under the lock. A server that a whole list lacks is gone.
 func (o *Door) told(members []Member, whole bool) {
 	d := o.d
