--- a/internal/lab/judge/log.go
+++ b/internal/lab/judge/log.go
@@ -81,17 +81,20 @@
 	Up, At, Window time.Duration
 }
 
+// shard is a part of the ledger with a lock of its own.
+type shard struct {
+	mu    sync.Mutex
+	tries []Try
+	picks []Pick
+	_     [64]byte
+}
+
 // Log is the ledger. Many may write at once.
 type Log struct {
-	shards [32]struct {
-		mu    sync.Mutex
-		tries []Try
-		picks []Pick
-		_     [64]byte
-	}
-	mu    sync.Mutex
-	words []Word
-	falls []Fall
+	shards [32]shard
+	mu     sync.Mutex
+	words  []Word
+	falls  []Fall
 }
 
 // Try notes a try that has ended.
@@ -154,26 +157,30 @@
 
 // Tries goes through all tries.
 func (l *Log) Tries(f func(Try)) {
-	for i := range l.shards {
-		s := &l.shards[i]
-		s.mu.Lock()
+	l.eachShard(func(s *shard) {
 		for _, t := range s.tries {
 			f(t)
 		}
+	})
+}
+
+// eachShard goes through the shards, each under its lock.
+func (l *Log) eachShard(f func(*shard)) {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		f(s)
 		s.mu.Unlock()
 	}
 }
 
 // Picks hands over all picks, in no order.
 func (l *Log) Picks(f func(Pick)) {
-	for i := range l.shards {
-		s := &l.shards[i]
-		s.mu.Lock()
+	l.eachShard(func(s *shard) {
 		for _, p := range s.picks {
 			f(p)
 		}
-		s.mu.Unlock()
-	}
+	})
 }
 
 // Words are the news noted so far.
