Soak: real nodes under troubles that overlap, with a shim, proxies and rude clients

The shim is a tracer of the project's own, a process for each node, without special rights: a filter stops chosen calls, which return an error that their manual page documents, come back short or late; the wall clock is stepped by replacing the process's own clock_gettime, the monotonic one runs on. A run in which none struck is INVALID. The judge knows a new rule: no attempt is told more time than its caller has.

--- a/cmd/robinlab/main.go
+++ b/cmd/robinlab/main.go
@@ -40,7 +40,7 @@
 
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "robinlab", Short: "Fleets, load, faults and verdicts on loopback", SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(runCommand(), costCommand(), chainCommand(), relayCommand(), recordCommand(), controllerCommand(), pairsCommand(), apiserverCommand(), viewCommand(), fleetCommand(), fleetPartCommand(), idleCommand(), checkCommand(), reportCommand(), selfCheckCommand(), demoCommand())
+	c.AddCommand(runCommand(), costCommand(), chainCommand(), relayCommand(), recordCommand(), controllerCommand(), pairsCommand(), apiserverCommand(), viewCommand(), fleetCommand(), fleetPartCommand(), idleCommand(), checkCommand(), reportCommand(), selfCheckCommand(), demoCommand(), shimCommand(), shimExecCommand(), soakCommand())
 	return c
 }
 
--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -111,6 +111,17 @@
 		bad(!known, "%s.kind: %q is not known", at, f.Kind)
 		bad(f.At < 0 || f.For < 0 || f.At > e.Duration, "%s: at and for lie inside the run", at)
 		bad(outside(f.Share, 0, 1) || outside(f.Factor, 0.01, 1000), "%s: share in 0 to 1, factor in 0.01 to 1000", at)
+		if f.Shimmed() {
+			bad(f.Kind == "clock" && (f.By == 0 || f.By.Of()%time.Second != 0), "%s.by: by how many whole seconds is the clock stepped?", at)
+			bad(len(f.Errors) == 0 && f.Kind == "errno", "%s.errors: which?", at)
+			if f.Kind != "clock" {
+				err := f.Injection().Check()
+				bad(err != nil, "%s: %v", at, err)
+			}
+		} else {
+			bad(f.Call != "" || len(f.Errors) > 0, "%s: only errno, short and stall name a call", at)
+		}
+		bad(f.Kind == "trickle" && f.By <= 0, "%s.by: how long between two pieces?", at)
 		bad(f.Answers && f.Kind != "drain", "%s.answers: only a drain has it", at)
 		bad(f.Kind == "late" && f.By <= 0, "%s.by: how late?", at)
 		bad(f.Kind == "busy" && f.By <= 0, "%s.by: how long for a call?", at)
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -9,6 +9,7 @@
 
 	"robincart/internal/lab/judge"
 	"robincart/internal/lab/plan"
+	"robincart/internal/lab/shim"
 	"robincart/internal/lab/standin"
 	"robincart/internal/tomlfile"
 )
@@ -149,6 +150,10 @@
 	NewID   bool `toml:"new_id"`
 	Answers bool // of drain: the server goes on answering what comes all the same
 	Keep    bool // its length stays where the run is shortened
+
+	// Of errno, short and stall: the system call, and the errors that it returns.
+	Call   string
+	Errors []string
 }
 
 // Bound is what a figure has to keep to.
@@ -176,7 +181,24 @@
 var faults = map[string]string{"freeze": "server", "slow": "server", "silent": "server", "fail": "server", "reset-before": "server",
 	"reset-after": "server", "die-mid": "server", "spoil": "server", "refuse": "server", "drain": "server", "restart": "server",
 	"roll": "server", "kill": "node", "stop": "node", "reload": "node", "gone": "discovery", "late": "discovery", "replay": "discovery", "silence": "discovery", "reset-watches": "discovery",
-	"busy": "discovery"}
+	"busy": "discovery", "mute": "server", "cut": "server", "trickle": "server", "rude": "node", "errno": "node", "short": "node", "stall": "node", "clock": "node"}
+
+// Shimmed tells whether a fault is made by a node's shim.
+func (f Fault) Shimmed() bool {
+	return f.Kind == "errno" || f.Kind == "short" || f.Kind == "stall" || f.Kind == "clock"
+}
+
+// Injection is what a node's shim does for a fault, but for steps of the clock.
+func (f Fault) Injection() shim.Injection {
+	i := shim.Injection{Call: f.Call, Errors: f.Errors, Short: f.Kind == "short", Share: f.Share}
+	if f.Kind == "stall" {
+		i.Delay = f.By.Of()
+	}
+	return i
+}
+
+// Proxied tells whether a fault is made by a proxy before a server.
+func (f Fault) Proxied() bool { return f.Kind == "mute" || f.Kind == "cut" || f.Kind == "trickle" }
 
 // Watches are the ways in which discovery tells of changes.
 var Watches = map[string]standin.Watch{"streams": standin.WatchStreams, "waits": standin.WatchWaits,
--- a/internal/lab/experiment/metrics.go
+++ b/internal/lab/experiment/metrics.go
@@ -18,7 +18,7 @@
 // figure of the first arm over that of another.
 var Metrics = []string{"goodput", "goodput_calm", "goodput_faults", "goodput_after", "worst_second", "ok_share", "p50_ms", "p99_ms",
 	"p999_ms", "service_p50_ms", "service_p99_ms", "schedule_p99_us", "schedule_worst", "unsent", "rules_broken", "retries",
-	"picks_per_call", "late_work_share", "effects", "calls", "node_cpu_us", "node_rss_mb", "crashes", "drain_last_ms", "drain_p999_ms", "list_calls_refused", "spread_dispersion",
+	"picks_per_call", "late_work_share", "effects", "calls", "node_cpu_us", "node_rss_mb", "crashes", "violations", "injected", "drain_last_ms", "drain_p999_ms", "list_calls_refused", "spread_dispersion",
 	"spread_dispersion_100ms", "spread_peak", "spread_idle", "spread_herds", "spread_agreement"}
 
 func (e *Experiment) checkMetric(name string) error {
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -49,11 +49,12 @@
 	PastWindow   = "resent past the window"
 	ToDrained    = "sent to a drained server"
 	PushedOver   = "cold server pushed over"
+	ToldTooMuch  = "told more time than its caller has"
 )
 
 // RuleNames lists them in the order of reports.
 var RuleNames = []string{NoAnswer, LateAnswer, SecondAnswer, ForeignOK, SentAfter, EffectTwice, FalsePromise, PastWindow,
-	ToDrained, PushedOver}
+	ToDrained, PushedOver, ToldTooMuch}
 
 const mostExamples = 5
 
@@ -296,6 +297,9 @@
 		if t.End != Crossed && p.First > t.Answered+rules.Wire {
 			v.breach(SentAfter, "%v at server %d, %v after", p.ID, p.Server, p.First-t.Answered)
 		}
+		if over := p.Until - t.Until; p.Until > 0 && over > deadlineSlack+rules.Wire {
+			v.breach(ToldTooMuch, "%v at server %d, %v more", p.ID, p.Server, over)
+		}
 		if told, is := drained(drains[link{t.Node, p.Server}], p.First); is {
 			record(v.WordCalls, p.First-told)
 			if p.First > told+rules.Grace+rules.Slack {
@@ -314,6 +318,9 @@
 	}
 }
 
+// deadlineSlack is by how much the time that an attempt is told may be more than what its caller has left.
+const deadlineSlack = 150 * time.Millisecond
+
 // lateAgain tells whether an effect is a caller's own, who had been promised nothing and sent the call once more when the
 // window of the last effect was over: a node passes on what it is sent, and can't know that it was. What one try does
 // twice is the node's.
--- a/internal/lab/judge/log.go
+++ b/internal/lab/judge/log.go
@@ -57,6 +57,7 @@
 	Start, End time.Duration // of the work done for it; equal if none was
 	Ran        bool          // it may have had its effect as far as anyone can tell from outside
 	Effect     bool          // it had
+	Until      time.Duration // when its caller gives up, by what it was told; 0: not told
 }
 
 // State is what discovery says of a server.
@@ -144,6 +145,9 @@
 		for k := range s.picks {
 			p := &s.picks[k]
 			p.First, p.Start, p.End = p.First-by, p.Start-by, p.End-by
+			if p.Until > 0 {
+				p.Until -= by
+			}
 		}
 		s.mu.Unlock()
 	}
--- a/internal/lab/run/faults.go
+++ b/internal/lab/run/faults.go
@@ -60,12 +60,25 @@
 	case "node":
 		var all sync.WaitGroup
 		for _, i := range f.nodesOn(on) {
-			all.Go(func() { f.node(ctx, x, f.nodes[i], f.Front, f.dests[i].ID) })
+			all.Go(func() {
+				switch {
+				case x.Shimmed():
+					f.shimmed(ctx, x, i)
+				case x.Kind == "rude":
+					f.rudely(ctx, x, i)
+				default:
+					f.node(ctx, x, f.nodes[i], f.Front, f.dests[i].ID)
+				}
+			})
 		}
 		all.Wait()
 		return
 	}
 	places := f.on(on)
+	if x.Proxied() {
+		f.network(ctx, x, places)
+		return
+	}
 	each := func(do func(*place)) {
 		var all sync.WaitGroup
 		for _, p := range places {
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -35,6 +35,7 @@
 	node   *standin.Node // its own, to call the tier behind
 	caller *standin.Caller
 	ended  []time.Duration // when it was ended by order, with its node
+	proxy  *standin.Proxy  // between nodes and it; nil: none
 }
 
 // Fleet is what one arm of a run is played on.
@@ -55,6 +56,8 @@
 	inner  atomic.Uint32
 	nodeNo int32
 	marks  []map[string]*standin.Marks
+	shims  []*nodeShim // of the front nodes, by number; nil: none
+	rude   atomic.Uint32
 	notes  func(string, ...any)
 
 	mu      sync.Mutex
@@ -118,6 +121,9 @@
 			return f, err
 		}
 		f.nodes = append(f.nodes, n)
+		if err := f.wrap(n, i); err != nil {
+			return f, err
+		}
 		f.dests = append(f.dests, load.Dest{ID: f.nodeNo - 1, Node: f.nodeNo - 1, Addr: n.Addr})
 	}
 	f.Front = standin.NewFront(begin, time.Duration(e.Fleet.Notice), f.dests)
@@ -147,6 +153,9 @@
 	if up > 0 {
 		s.Cold()
 	}
+	if p.proxy != nil {
+		addr = f.e.Fleet.Host + ":0" // the proxy keeps the address
+	}
 	if err := s.Start(addr); err != nil {
 		return fmt.Errorf("a server: %w", err)
 	}
@@ -154,7 +163,7 @@
 	p.server = s
 	p.member.Addr, p.member.Index, p.member.UpSince = s.Addr(), s.Index, up
 	p.mu.Unlock()
-	return nil
+	return f.proxied(p)
 }
 
 // attach gives a server a node of its own, its way to the tier behind.
@@ -292,11 +301,12 @@
 
 // nodesOn finds the front nodes that a fault meets, by number. A share is the same nodes for the same seed.
 func (f *Fleet) nodesOn(s experiment.On) []int {
-	if s.Index >= 0 {
-		return []int{s.Index}
-	}
-	all := plan.Source(f.e.Seed, "node faults").Perm(len(f.nodes))
-	return all[:max(1, int(s.Part*float64(len(all))+0.5))]
+	return f.nodesOfFleet(s)
+}
+
+func (f *Fleet) partOfNodes(part float64, of int) []int {
+	all := plan.Source(f.e.Seed, "node faults").Perm(of)
+	return all[:max(1, int(part*float64(of)+0.5))]
 }
 
 func (p *place) now() *standin.Server {
@@ -417,6 +427,9 @@
 	all.Wait()
 	for _, list := range f.tiers {
 		for _, p := range list {
+			if p.proxy != nil {
+				p.proxy.Close()
+			}
 			if p.server != nil {
 				p.server.Stop()
 			}
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -47,12 +47,14 @@
 	Metrics map[string]float64      `json:"metrics"`
 	Broken  map[string]judge.Breach `json:"broken"`
 	Ends    map[string]int          `json:"ends"`
-	Seconds []Second                `json:"seconds"`
-	Quants  []Quantile              `json:"quantiles"`
-	Methods []judge.Part            `json:"methods"`
-	Tenants []judge.Part            `json:"tenants"`
-	Windows [][2]int                `json:"planned_and_sent_per_100ms"`
-	Notes   []string                `json:"notes,omitempty"`
+	// Violations are the invariants that the nodes found broken themselves.
+	Violations map[string]int `json:"violations,omitempty"`
+	Seconds    []Second       `json:"seconds"`
+	Quants     []Quantile     `json:"quantiles"`
+	Methods    []judge.Part   `json:"methods"`
+	Tenants    []judge.Part   `json:"tenants"`
+	Windows    [][2]int       `json:"planned_and_sent_per_100ms"`
+	Notes      []string       `json:"notes,omitempty"`
 }
 
 // Second is one second of an arm.
@@ -229,6 +231,17 @@
 		arm.Metrics["node_cpu_us"] = float64((cpu1 - cpu0).Microseconds()) / float64(v.All.Calls)
 	}
 	arm.Metrics["node_rss_mb"] = float64(rss) / (1 << 20)
+	broken, examples := f.violations()
+	for _, n := range broken {
+		arm.Metrics["violations"] += float64(n)
+	}
+	arm.Violations, arm.Notes = broken, append(arm.Notes, examples...)
+	if real && slices.ContainsFunc(e.Fault, experiment.Fault.Shimmed) {
+		n := f.injected()
+		if arm.Metrics["injected"] = float64(n); n == 0 {
+			r.Invalid = append(r.Invalid, fmt.Sprintf("arm %s: no system call was made to fail", name))
+		}
+	}
 	for _, d := range f.disc {
 		arm.Metrics["list_calls_refused"] += float64(d.Refused())
 	}
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +27,7 @@
 	Name    string
 	Addr    string
 	Program string
+	Wrap    []string       // a command that runs the program, with what it is started with behind
 	Env     []string       // beside this process's own
 	Config  map[string]any // of the platform's form; listen and name are set here
 	Text    string         // instead of it: an operator's file
@@ -116,7 +118,8 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(n.Program)
+	command := append(slices.Clone(n.Wrap), n.Program)
+	cmd := exec.Command(command[0], command[1:]...)
 	cmd.Env = append(append(os.Environ(), n.Env...), "EDGE_CONFIG="+filepath.Join(n.Dir, n.Name+".json"))
 	if n.Text != "" {
 		cmd.Args = append(cmd.Args, "--config", filepath.Join(n.Dir, n.Name+".toml"))
--- /dev/null
+++ b/internal/lab/standin/rude.go
@@ -0,0 +1,190 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"robincart/internal/lab/judge"
+	"robincart/internal/lab/load"
+	"robincart/internal/lab/wire"
+)
+
+// RudeClients misbehave at one node: they stop in the middle of a request and stay, connect and say nothing, send much at once and go, leave
+// early, and ask several things at once on one connection. What they ask is in the ledger like any other caller's.
+type RudeClients struct {
+	Begin   time.Time
+	Dest    load.Dest
+	Log     *judge.Log
+	Method  uint16 // idempotent
+	Name    string // the method's
+	Host    string
+	Tenant  string
+	Calls   *atomic.Uint32 // numbers calls over all rude clients
+	Excused func(since time.Duration) bool
+	Lasting time.Duration // how long an answer is waited for past its time
+}
+
+// rudeCalls is where the numbers of these clients' calls begin.
+const rudeCalls = 0xc0000000
+
+// rudePause is how often one of each kind comes.
+const rudePause = 120 * time.Millisecond
+
+// Run goes on until the context ends, and waits for answers that are due.
+func (r *RudeClients) Run(ctx context.Context) {
+	ways := []func(context.Context){r.half, r.mute, r.flood, r.leave, r.pipeline}
+	var all sync.WaitGroup
+	for _, way := range ways {
+		all.Go(func() {
+			var out sync.WaitGroup
+			for ctx.Err() == nil {
+				out.Go(func() { way(ctx) })
+				select {
+				case <-ctx.Done():
+				case <-time.After(rudePause + rand.N(rudePause)):
+				}
+			}
+			out.Wait()
+		})
+	}
+	all.Wait()
+}
+
+func (r *RudeClients) dial() net.Conn {
+	c, err := net.DialTimeout("tcp", r.Dest.Addr, time.Second)
+	if err != nil {
+		return nil
+	}
+	return c
+}
+
+func (r *RudeClients) now() time.Duration { return time.Since(r.Begin) }
+
+// request is one, and its entry in the ledger.
+func (r *RudeClients) request(lasts, work time.Duration) (string, judge.Try) {
+	id := judge.ID{Call: rudeCalls + r.Calls.Add(1)}
+	now := r.now()
+	t := judge.Try{ID: id, Method: r.Method, Node: r.Dest.Node, Planned: now, Handed: now, Sent: now, Until: now + lasts}
+	return fmt.Sprintf("GET /%s/rude?w=%.1f HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\n\r\n", r.Name, float64(work)/float64(time.Millisecond), r.Host,
+		wire.Trace, wire.ID{Call: id.Call}.String(), wire.Method, r.Name, wire.Tenant, r.Tenant, wire.Left, lasts.Milliseconds()), t
+}
+
+// half sends half a request and stays.
+func (r *RudeClients) half(ctx context.Context) {
+	c := r.dial()
+	if c == nil {
+		return
+	}
+	defer c.Close()
+	text, _ := r.request(time.Second, 0)
+	c.Write([]byte(text[:len(text)/2]))
+	r.stay(ctx, c)
+}
+
+// mute says nothing.
+func (r *RudeClients) mute(ctx context.Context) {
+	if c := r.dial(); c != nil {
+		defer c.Close()
+		r.stay(ctx, c)
+	}
+}
+
+// stay reads whatever comes for some seconds.
+func (r *RudeClients) stay(ctx context.Context, c net.Conn) {
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	c.SetReadDeadline(time.Now().Add(4 * time.Second))
+	for b := make([]byte, 512); ; {
+		if _, err := c.Read(b); err != nil {
+			return
+		}
+	}
+}
+
+// flood sends much that is no request, and goes.
+func (r *RudeClients) flood(context.Context) {
+	c := r.dial()
+	if c == nil {
+		return
+	}
+	c.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+	c.Write(make([]byte, 256<<10))
+	reset(c)
+}
+
+// leave asks and goes, sometimes at once, by an end or a reset.
+func (r *RudeClients) leave(context.Context) {
+	c := r.dial()
+	if c == nil {
+		return
+	}
+	text, t := r.request(2*time.Second, 20*time.Millisecond)
+	c.Write([]byte(text))
+	time.Sleep(rand.N(40 * time.Millisecond))
+	if rand.IntN(2) == 0 {
+		reset(c)
+	} else {
+		c.Close()
+	}
+	t.End, t.Answered = judge.Left, r.now()
+	r.Log.Try(t)
+}
+
+// pipelined is how many requests are sent at once on one connection.
+const pipelined = 4
+
+// pipeline sends several requests at once, each with little time, and reads the answers.
+func (r *RudeClients) pipeline(context.Context) {
+	c := r.dial()
+	if c == nil {
+		return
+	}
+	defer c.Close()
+	text, tries := "", []judge.Try{}
+	for i := range pipelined {
+		one, t := r.request(time.Duration(500+400*i)*time.Millisecond, 200*time.Millisecond)
+		text += one
+		tries = append(tries, t)
+	}
+	if _, err := c.Write([]byte(text)); err != nil {
+		return // nobody can tell what of it came
+	}
+	in := bufio.NewReader(c)
+	closed, broke := false, false
+	for i := range tries {
+		t := &tries[i]
+		t.End = judge.Crossed // the node may close behind an answer; whoever sent it on all the same owed an answer
+		if !closed && !broke {
+			c.SetReadDeadline(r.Begin.Add(t.Until + r.Lasting))
+			p, err := wire.ReadResponse(in)
+			if broke = err != nil; broke {
+				if t.End = judge.Lost; i > 0 {
+					t.End = judge.Crossed
+				}
+			} else {
+				closed = p.Close
+				t.End = rudeEnd(p.Status)
+			}
+		}
+		t.Answered = r.now()
+		if t.End >= judge.Lost && r.Excused(t.Sent) {
+			t.End = judge.Excused
+		}
+		r.Log.Try(*t)
+	}
+}
+
+func rudeEnd(status int) judge.End {
+	switch status {
+	case 200:
+		return judge.OK
+	case 429, 503:
+		return judge.PushedBack
+	}
+	return judge.Aborted
+}
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -344,6 +344,9 @@
 	p := judge.Pick{ID: judge.ID{Call: id.Call, Inner: id.Inner, N: id.Try}, Server: s.Index, First: first.Sub(s.Begin)}
 	p.Start = came.Sub(s.Begin)
 	p.End = p.Start
+	if q.Header.Get(wire.Left) != "" {
+		p.Until = q.Deadline(first).Sub(s.Begin)
+	}
 	log := func() {
 		if s.Log != nil && known {
 			s.Log.Pick(p)
