--- /dev/null
+++ b/cmd/robinlab/hunt_test.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"robincart/internal/lab/experiment"
+	"robincart/internal/lab/run"
+)
+
+// The finds of the hunt for rare faults (docs/incidents/hunt-rare-faults.md), each with real nodes as processes of their own.
+
+// hunted is a fleet that all of them begin with.
+const hunted = `
+name = "hunted"
+duration = "8s"
+[fleet]
+nodes = 6
+sockets = 256
+[[fleet.tier]]
+servers = 8
+cores = 4
+[[method]]
+name = "find-table"
+share = 0.5
+target = "400ms"
+deadline = "2s"
+work_ms = 10
+[[method]]
+name = "book-table"
+share = 0.5
+repeat = "deduplicated"
+window = "1200ms"
+target = "400ms"
+deadline = "4s"
+work_ms = 10
+body = 200
+[[load]]
+rate = RATE
+[callers]
+share = 1.0
+tries = 2
+honour = 1.0
+marks = true
+`
+
+// playHunted plays the fleet with faults and returns what came of it.
+func playHunted(t *testing.T, rate int, faults string) *run.Arm {
+	t.Helper()
+	e, err := experiment.Parse([]byte(strings.Replace(hunted, "RATE", strconv.Itoa(rate), 1)+faults), ".")
+	require.NoError(t, err)
+	e.Fleet.Program = filepath.Join(bins, "robincart")
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	var notes bytes.Buffer
+	r, err := run.Play(ctx, e, run.Options{Dir: t.TempDir(), Patience: time.Second, Notes: func(f string, a ...any) { fmt.Fprintf(&notes, f+"\n", a...) }})
+	require.NoError(t, err)
+	arm := r.Arms[0]
+	t.Logf("%v, %.0f system calls changed, violations %v", arm.Ends, arm.Metrics["injected"], arm.Violations)
+	assert.Zero(t, arm.Metrics["crashes"], "%v\n%s", arm.Notes, &notes)
+	for _, why := range r.Invalid {
+		assert.NotContains(t, why, "no system call was made to fail")
+	}
+	return arm
+}
+
+// kept is that no rule of the judge and no invariant of the nodes is broken.
+func kept(t *testing.T, arm *run.Arm) {
+	t.Helper()
+	assert.Empty(t, arm.Broken)
+	assert.Empty(t, arm.Violations, "%s", strings.Join(arm.Notes, "\n"))
+}
+
+// All servers do what they are asked and say nothing, so that each call may have had its effect; a call's window is over before its
+// caller's time. A caller that were told that asking again is harmless would ask when the servers have forgotten.
+func TestNoEffectTwiceWhereAWindowEndsBeforeItsCallersTime(t *testing.T) {
+	t.Parallel()
+	kept(t, playHunted(t, 120, `
+[[fault]]
+kind = "silent"
+on = "all"
+at = "1s"
+for = "2s"
+`))
+}
+
+// Every wait, peek and read may be interrupted; no caller may lose its answer by that. Few calls come, so that none is helped by the next
+// one's event.
+func TestInterruptedCallsLoseNoRequest(t *testing.T) {
+	t.Parallel()
+	faults := ""
+	for _, call := range []string{"epoll_wait", "epoll_pwait", "recvfrom", "read", "write", "poll"} {
+		faults += fmt.Sprintf("[[fault]]\nkind = \"errno\"\non = \"nodes\"\nat = \"0s\"\nfor = \"8s\"\ncall = %q\nerrors = [\"EINTR\"]\nshare = 0.5\n", call)
+	}
+	kept(t, playHunted(t, 12, faults))
+}
+
+// A request that has waited behind another has that much less time: its server must hear of it.
+func TestNoAttemptIsToldMoreTimeThanItsCallerHas(t *testing.T) {
+	t.Parallel()
+	kept(t, playHunted(t, 120, `
+[[fault]]
+kind = "rude"
+on = "nodes"
+at = "500ms"
+for = "5s"
+`))
+}
