No effect twice: no pushback and no attempt past the window of a deduplicated request

Cause, two places. Balancer.giveUp pushed a deduplicated RPC that may have run back whatever its window (scope 'all'): a caller told that asking again is harmless asked when the servers had forgotten. And a further attempt was ordered inside the window and begun after it, where its connect took longer than what was left. Change: a pushback only where the window lasts to the caller's deadline, else an abort; Core.Begin, through which each attempt goes, refuses what the ledger does not allow. The same mistake elsewhere: halt and shares called back push back only where nothing was sent or the class is idempotent: sound.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -963,12 +963,25 @@
 // Vanished is a client that has left.
 func (b *Balancer) Vanished(r *RPC) { b.close(r) }
 
+// harmless tells whether the RPC's client may ask again for as long as it waits, with no second effect: a deduplicated one that may have
+// run only where all servers drop repeats until then.
+func (r *RPC) harmless() bool {
+	m := r.rules
+	switch {
+	case r.ran == nil || m.Repeat == Idempotent:
+		return true
+	case m.Repeat == Deduplicated && m.Scope == ScopeAll:
+		return r.Deadline <= r.ran.sent+m.Window
+	default:
+		return false
+	}
+}
+
 // giveUp ends an RPC at once: with a pushback where retrying is harmless, else with an abort.
 func (b *Balancer) giveUp(r *RPC) {
-	m := r.rules
-	if r.ran == nil || m.Repeat == Idempotent || m.Repeat == Deduplicated && m.Scope == ScopeAll {
+	if r.harmless() {
 		// Soon enough that the next try can still be in time; a later one would take room from RPCs that can.
-		wait := comeBack * m.LatencyTarget
+		wait := comeBack * r.rules.LatencyTarget
 		if b.host.Now()-r.came > wait {
 			wait = b.maxWait
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -45,6 +45,18 @@
 	assert.True(t, h.aborted[r])
 }
 
+// A pushback says that asking again is harmless: not where servers forget before the client stops waiting.
+func TestNoPushbackWhereTheWindowEndsBeforeTheClientsTime(t *testing.T) {
+	for window, pushed := range map[float64]bool{1: false, 5.9: false, 6: true, 10: true} {
+		h, _ := story(2, func(s *Settings) { s.Methods[book].Window = window })
+		r := h.arrive(book)
+		for h.pushed[r] == 0 && !h.aborted[r] {
+			h.done(h.last(), Failed)
+		}
+		assert.Equal(t, pushed, !h.aborted[r], "a window of %v s and a deadline of 6 s", window)
+	}
+}
+
 func TestOneAnswerWhenTimeOutCancelAndDepartureCross(t *testing.T) {
 	h, _ := story(3, nil)
 	r := h.arrive(book)
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -10,7 +10,9 @@
 )
 
 // The invariants are checked on the core's own ledger of attempts, apart from the module whose decisions they bound: Begin is the one
-// place through which each attempt goes right before its first byte, answer and Done are those of each final answer.
+// place through which each attempt goes right before its first byte, and lets none through that breaks a rule; answer and Done are those of
+// each final answer. What was ordered against a rule is counted as a violation; what became unfit on its way, by a slow connect or news
+// of its server, is only not begun.
 
 // lateSlack is how long after its deadline an answer may be ordered before it counts as late: a timer's grain, and a process that is
 // held up for a moment.
@@ -57,20 +59,37 @@
 	return nil
 }
 
-// checkRepeat looks whether an attempt that begins now may follow those before it.
-func (c *Core) checkRepeat(p *Pick, now time.Duration) {
+// mayRepeat tells whether an attempt may begin now, after those before it. A connect can take longer than what was left of the window in
+// which repeats are dropped, and a server may have been listed in another group since the attempt was ordered.
+func (c *Core) mayRepeat(p *Pick, now time.Duration) bool {
 	r := p.rpc
 	first := r.firstRun(p)
 	if first == nil {
-		return
+		return true
 	}
-	switch {
-	case r.method.Repeat == decide.NonIdempotent:
-		c.violation(telemetry.RepeatedUnproven, p, "an attempt at %s may have run", first.Server.id)
-	case r.method.Repeat == decide.Deduplicated && now >= first.begunAt+duration(r.method.Window):
-		c.violation(telemetry.RepeatedTooLate, p, "%v after the attempt at %s", now-first.begunAt, first.Server.id)
-	case r.method.Repeat == decide.Deduplicated && !sameGroup(r.method.Scope, p.Server, first.Server):
-		c.violation(telemetry.RepeatedUnproven, p, "%s is in another group, and may have run it", first.Server.id)
+	switch r.method.Repeat {
+	case decide.NonIdempotent:
+		return false
+	case decide.Deduplicated:
+		return now < first.begunAt+duration(r.method.Window) && sameGroup(r.method.Scope, p.Server, first.Server)
+	default:
+		return true
+	}
+}
+
+// checkRepeat looks whether an attempt that is ordered now may follow those before it, those on their way included.
+func (c *Core) checkRepeat(p *Pick, now time.Duration) {
+	r := p.rpc
+	for _, o := range r.attempts {
+		switch {
+		case o == p || o.neverRan:
+		case r.method.Repeat == decide.NonIdempotent:
+			c.violation(telemetry.RepeatedUnproven, p, "an attempt at %s may have run, or may yet", o.Server.id)
+		case r.method.Repeat == decide.Deduplicated && now >= o.sent+duration(r.method.Window):
+			c.violation(telemetry.RepeatedTooLate, p, "%v after the attempt at %s", now-o.sent, o.Server.id)
+		case r.method.Repeat == decide.Deduplicated && !sameGroup(r.method.Scope, p.Server, o.Server):
+			c.violation(telemetry.RepeatedUnproven, p, "%s is in another group, and may have run it", o.Server.id)
+		}
 	}
 }
 
--- a/internal/node/guard_test.go
+++ b/internal/node/guard_test.go
@@ -21,15 +21,13 @@
 }
 
 // order puts an attempt into the core's ledger as a module without sense would order it, and begins it.
-func (s *story) order(r *RPC, server string, at time.Duration) *Pick {
+func (s *story) order(r *RPC, server string, at time.Duration) (begun bool) {
 	s.mu.Lock()
 	s.clock.now = at
 	p := &decide.Pick{RPC: &r.obj, Server: s.servers[server].obj}
 	s.Send(p, 0)
 	s.mu.Unlock()
-	k := p.Of.(*Pick)
-	s.Begin(k, &breaker{})
-	return k
+	return s.Begin(p.Of.(*Pick), &breaker{})
 }
 
 // The guard counts what breaks the rules on repeats, whatever orders it.
@@ -64,12 +62,31 @@
 				first.neverRan = true
 				s.mu.Unlock()
 			}
-			s.order(r, other, begun+c.after)
+			assert.Equal(t, c.broken == 0, s.order(r, other, begun+c.after), "what breaks a rule is not begun")
 			assert.Equal(t, c.broken, counts.Violations(c.rule))
 		})
 	}
 }
 
+// An attempt that was ordered within its window, and whose connect took longer than what was left of it, is not begun, and nobody is told
+// that asking again is harmless.
+func TestAnAttemptWhoseConnectOutlastsItsWindowIsNotBegun(t *testing.T) {
+	s, counts := observed(t, func(n *settings.Node) { n.Methods[book].Window = 1 })
+	s.list("a", "b")
+	r := s.arrive(book)
+	first := next(t, r).Pick
+	require.True(t, s.Begin(first, &breaker{}))
+	s.clock.now += 900 * time.Millisecond
+	s.Done(first, decide.Reset, nil)
+	second := next(t, r).Pick
+	require.True(t, s.Hold(second, &breaker{}))
+	s.clock.now += 150 * time.Millisecond // its connect
+	assert.False(t, s.Begin(second, &breaker{}))
+	s.Done(second, decide.Ignored, nil)
+	assert.Equal(t, Abort, next(t, r).Kind)
+	assert.Zero(t, counts.Violations(telemetry.RepeatedTooLate)+counts.Violations(telemetry.PushbackUnsafe))
+}
+
 func TestTheGuardCountsASlowStartThatIsTooFast(t *testing.T) {
 	s, counts := observed(t, nil)
 	s.Listed([]Entry{entry("b", decide.Ready), {ID: "a", Addr: "a:80", State: decide.Ready, Weight: 1, Started: wall}}, true)
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -41,6 +41,7 @@
 		c.timers.Add(&k.end, k.Deadline)
 	}
 	c.telemetry.Record(telemetry.Event{Kind: telemetry.AttemptOrdered, Reason: r.attemptCause(), Request: r.request, Server: k.Server.id, Took: k.Deadline - now})
+	c.checkRepeat(k, now)
 	c.picks = append(c.picks, k)
 	r.attempts = append(r.attempts, k)
 	r.out++
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -370,10 +370,9 @@
 	p.by = by
 	now := c.clock.Now()
 	wanted := !c.closed && !p.canceled && !p.expired && !p.rpc.ended
-	if !wanted || p.Server.state != decide.Ready || now >= p.Deadline {
+	if !wanted || p.Server.state != decide.Ready || now >= p.Deadline || !c.mayRepeat(p, now) {
 		return false
 	}
-	c.checkRepeat(p, now)
 	c.checkSlowStart(p, now)
 	p.begun, p.begunAt = true, now
 	return true
