Errors of system calls sorted in one place: interrupted, passing on this side, the peer's

Cause: each place read an error by itself. poller.run took an interrupted epoll_wait for nothing there and waited for an edge that had passed, so that a request lay unread until another connection stirred; socket.Peek took an interrupted recv for the peer's end, Ended an interrupted poll for no end, discard an interrupted read for nothing yet. Not mended: net's own accept closes a connection that the runtime's epoll refuses (ENOMEM, ENOSPC).

--- a/internal/frontend/rest.go
+++ b/internal/frontend/rest.go
@@ -101,11 +101,11 @@
 	for {
 		n, err := 0, error(nil)
 		outer := c.raw.Read(func(fd uintptr) bool {
-			n, err = syscall.Read(int(fd), *b)
+			n, err = socket.Read(fd, *b)
 			return true
 		})
 		switch {
-		case outer == nil && (err == syscall.EAGAIN || err == syscall.EINTR):
+		case outer == nil && err == syscall.EAGAIN:
 			return true
 		case outer != nil || err != nil || n == 0:
 			return false
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -87,6 +87,8 @@
 	atOnce  = 64                    // resting connections that end in one go
 	askGate = time.Millisecond
 	tidyIn  = time.Second
+	// watchTries is how often a new connection is tried to be watched, with a pause between, before it is given up.
+	watchTries = 100
 )
 
 // New makes a Server that has nothing to serve yet; Swap gives it that and Serve starts it. The poller tells of what comes
@@ -161,7 +163,9 @@
 				case raw != nil:
 					f.take(raw, way)
 				case err != nil && !f.halted(): // those who stand there still are taken as others end
-					f.closeIdle()
+					if socket.Exhausted(err) {
+						f.closeIdle()
+					}
 					time.Sleep(f.limits.TakeAgain)
 				default:
 					ln.Close()
@@ -172,13 +176,13 @@
 			// The budget should not let it come to that. Whatever holds the others, idle callers give way as they do within it.
 			if !short {
 				short = true
-				f.log.Warn("the process has no descriptor left", zap.Error(err))
+				f.log.Warn("the process has no descriptor left", zap.Error(err), zap.String("advice", socket.KindOf(err).Advice()))
 			}
 			f.closeIdle()
 			time.Sleep(f.limits.TakeAgain)
 		case err != nil:
-			// A caller that left in the queue: the listener itself is sound.
-			f.log.Warn("taking a connection failed", zap.Error(err))
+			// A caller that left in the queue, or a shortage that passes: the listener itself is sound.
+			f.log.Warn("taking a connection failed", zap.Error(err), zap.String("advice", socket.KindOf(err).Advice()))
 			time.Sleep(f.limits.TakeAgain)
 		default:
 			short = false
@@ -275,6 +279,10 @@
 	f.mu.Unlock()
 	// What is told before the place is known finds the connection resting, and served it is removed only at its end.
 	place, err := f.poller.Add(c.raw, c, true)
+	for tries := 0; socket.KindOf(err).Passing() && tries < watchTries && !f.halted(); tries++ {
+		time.Sleep(f.limits.TakeAgain)
+		place, err = f.poller.Add(c.raw, c, true)
+	}
 	f.mu.Lock()
 	c.place = place
 	gone := c.closed
@@ -283,13 +291,8 @@
 	case gone:
 		f.poller.Remove(&place)
 	case err != nil:
-		f.log.Warn("watching a connection failed", zap.Error(err))
-		f.mu.Lock()
-		served := !c.resting
-		f.mu.Unlock()
-		if !served {
-			f.close(c, telemetry.NotWatched)
-		}
+		f.log.Warn("watching a connection failed", zap.Error(err), zap.String("advice", socket.KindOf(err).Advice()))
+		f.endRest([]*conn{c}, telemetry.NotWatched) // but what has come by now is answered
 	}
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -17,6 +17,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"robincart/internal/socket"
 )
 
 const (
@@ -257,8 +259,7 @@
 		}
 		f := os.NewFile(uintptr(*fd), "caller")
 		*fd = -1
-		c, err := net.FileConn(f)
-		f.Close()
+		c, err := socket.Conn(f)
 		if err != nil {
 			return nil // it ended on the way
 		}
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -140,11 +140,8 @@
 	for {
 		n := 0
 		err := l.raw.Read(func(fd uintptr) bool {
-			var err error
 			l.as = time.Now()
-			if n, err = unix.EpollWait(int(fd), events, 0); err != nil {
-				n = 0
-			}
+			n = waited(int(fd), events)
 			return n > 0
 		})
 		if err != nil { // closed
@@ -174,3 +171,15 @@
 		}
 	}
 }
+
+// waited takes the events that are there. An interruption is none of them: the instance's own edge has passed, and nobody would ask again
+// before the next one.
+func waited(ep int, events []unix.EpollEvent) int {
+	for {
+		n, err := unix.EpollWait(ep, events, 0)
+		if errors.Is(err, unix.EINTR) {
+			continue
+		}
+		return max(n, 0)
+	}
+}
--- a/internal/registry/call.go
+++ b/internal/registry/call.go
@@ -41,8 +41,8 @@
 	within, cancel := context.WithTimeout(ctx, w.limits.ListConnect)
 	c, err := w.dial(within, "tcp", own.at)
 	cancel()
-	if socket.Exhausted(err) {
-		return errNoDescriptor // the process's own: discovery has had no call
+	if socket.KindOf(err).Passing() {
+		return &ShortageError{Cause: err}
 	}
 	if err != nil {
 		return fmt.Errorf("reaching discovery: %w", err)
--- a/internal/registry/errors.go
+++ b/internal/registry/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"robincart/internal/socket"
 )
 
 // RefusedError is a call for the server list that discovery answered with something else than a list.
@@ -62,3 +63,12 @@
 	errUnanswered   = errors.New("discovery has not answered yet")
 	errDropped      = errors.New("another call was answered")
 )
+
+// ShortageError is a call that this machine had no means for: discovery has had no call, and is not to blame.
+type ShortageError struct{ Cause error }
+
+func (e *ShortageError) Error() string {
+	return fmt.Sprintf("reaching discovery: %v; %s", e.Cause, socket.KindOf(e.Cause).Advice())
+}
+
+func (e *ShortageError) Unwrap() error { return e.Cause }
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -177,7 +177,8 @@
 		w.mu.Unlock()
 		return
 	}
-	anew := lasted || w.movedLately || errors.Is(err, os.ErrDeadlineExceeded) || err == errUnanswered || err == errNoDescriptor
+	var shortage *ShortageError
+	anew := errors.As(err, &shortage) || lasted || w.movedLately || errors.Is(err, os.ErrDeadlineExceeded) || err == errUnanswered || err == errNoDescriptor
 	first, revision := !w.failing, w.revision
 	failure := node.ListFailure{ResetBackoff: anew, MaxPause: w.limits.ListEvery - time.Since(c.lastHeard)}
 	if c.delivered { // a watch that ends may do so instead of telling
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -2,7 +2,6 @@
 package socket
 
 import (
-	"errors"
 	"net"
 	"os"
 	"syscall"
@@ -34,16 +33,19 @@
 	return Peek(raw)
 }
 
-// Peek is Look for who keeps the raw connection.
+// Peek is Look for who keeps the raw connection. Where the kernel can't say for now, something may have come: who reads finds out.
 func Peek(raw syscall.RawConn) State {
 	state := Closed
 	err := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err := again(func() (int, error) {
+			n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			return n, err
+		})
 		switch {
-		case err == syscall.EAGAIN:
+		case KindOf(err) == NotReady:
 			state = Quiet
-		case err == nil && n > 0:
+		case err == nil && n > 0, KindOf(err).Passing():
 			state = Bytes
 		}
 	})
@@ -53,9 +55,18 @@
 	return state
 }
 
-// Exhausted tells that an error is of this side's descriptors, the process's or the machine's, and not of a peer.
-func Exhausted(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+// again makes a system call until it is not interrupted.
+func again(call func() (int, error)) (n int, err error) {
+	for {
+		if n, err = call(); KindOf(err) != Interrupted {
+			return n, err
+		}
+	}
+}
+
+// Read reads from a descriptor once, whatever interrupts it.
+func Read(fd uintptr, to []byte) (int, error) {
+	return again(func() (int, error) { return syscall.Read(int(fd), to) })
 }
 
 // Ended tells, without waiting, whether a connection's peer has ended its side or broken it, also where bytes lie unread ahead
@@ -70,7 +81,7 @@
 	ended := true
 	if err := raw.Control(func(fd uintptr) {
 		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		_, err := unix.Poll(p, 0)
+		_, err := again(func() (int, error) { return unix.Poll(p, 0) })
 		ended = err == nil && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	}); err != nil {
 		return true
@@ -78,8 +89,8 @@
 	return ended
 }
 
-// Accept takes a connection that stands in a listener's queue, or nil: it does not wait, and no deadline counts. An error is of
-// this side's descriptors, and the queue may hold some.
+// Accept takes a connection that stands in a listener's queue, or nil: it does not wait, and no deadline counts. An error is a
+// passing one, and the queue may hold some.
 func Accept(ln net.Listener) (net.Conn, error) {
 	sc, ok := ln.(syscall.Conn)
 	if !ok {
@@ -90,30 +101,42 @@
 		return nil, nil
 	}
 	for {
-		n, bad := -1, error(nil)
+		n, failed := -1, error(nil)
 		err = raw.Control(func(fd uintptr) {
-			if bad = syscall.SetNonblock(int(fd), true); bad == nil { // another holder of the socket may have made it block
-				n, _, bad = syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if failed = syscall.SetNonblock(int(fd), true); failed != nil { // another holder of the socket may have made it block
+				return
 			}
+			n, failed = again(func() (int, error) {
+				n, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+				return n, err
+			})
 		})
-		if err == nil && (bad == syscall.EINTR || bad == syscall.ECONNABORTED) {
-			continue
-		}
-		if Exhausted(bad) {
-			return nil, bad
-		}
-		if err != nil || bad != nil {
+		switch {
+		case err == nil && acceptPasses(failed):
+			return nil, failed
+		case err != nil || failed != nil:
 			return nil, nil
 		}
-		f := os.NewFile(uintptr(n), "caller")
-		c, err := net.FileConn(f)
-		for tries := 0; Exhausted(err) && tries < 100; tries++ { // for a moment it needs two, and its caller is not to lose by that
-			time.Sleep(5 * time.Millisecond)
-			c, err = net.FileConn(f)
-		}
-		f.Close()
-		if err == nil {
+		if c, err := Conn(os.NewFile(uintptr(n), "caller")); err == nil {
 			return c, nil
 		}
 	}
 }
+
+// Taking a descriptor over needs another one, and a place among those that are watched: it is tried for half a second.
+const (
+	connTries = 100
+	connPause = 5 * time.Millisecond
+)
+
+// Conn makes a connection of a file, and closes the file. What this side lacks for a moment is waited for: the peer's connection is not to be
+// lost by that.
+func Conn(f *os.File) (net.Conn, error) {
+	defer f.Close()
+	c, err := net.FileConn(f)
+	for tries := 0; KindOf(err).Passing() && tries < connTries; tries++ {
+		time.Sleep(connPause)
+		c, err = net.FileConn(f)
+	}
+	return c, err
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -114,7 +114,7 @@
 		raw, err := x.dial(addr)
 		if err != nil {
 			p.budget.Give()
-			if socket.Exhausted(err) {
+			if socket.KindOf(err).Passing() {
 				return decide.Ignored, nil // as with a budget that is spent
 			}
 			return decide.ConnectFailed, nil
@@ -159,7 +159,7 @@
 const dialAgain = 2 * time.Millisecond
 
 // dial connects, for as long as the pick is wanted. Where the process can open nothing more, whatever the budget says, an idle
-// connection gives way, or callers do, and it is tried again: turned away at once the pick would be ordered again in the same moment.
+// connection gives way, or callers do, and it is tried again, as it is where the machine lacks memory, a port or a way for a moment: turned away at once the pick would be ordered again in the same moment.
 func (x *exchange) dial(addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(x.pool.connect.Load()))
 	defer cancel()
@@ -171,13 +171,16 @@
 	for {
 		c, err := x.pool.dialer.DialContext(ctx, "tcp", addr)
 		if err != nil && short != nil && (ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded)) {
-			return nil, short // its time went by for want of a descriptor
+			if socket.KindOf(short) == socket.NoRoute {
+				return nil, err // it has lasted: no moment's trouble of this side
+			}
+			return nil, short // its time went by for want of what this side lacks
 		}
-		if !socket.Exhausted(err) {
+		if !socket.KindOf(err).Passing() {
 			return c, err
 		}
 		short = err
-		if x.pool.Evict() {
+		if socket.Exhausted(err) && x.pool.Evict() {
 			continue
 		}
 		select {
