A request's time runs from when it had come, not from when it was read

Cause: conn.request took the caller's time from the read on. A request waits unread for a place (0.5 s at most) or behind another on its connection, in the socket or in the buffer; its server was told, and its caller answered by, a deadline so much too late. Change: the front notes when it heard of bytes while a connection was busy or waited, and when bytes behind a request were read, and takes that time off. Not known, so not taken off: the time in the listener's queue, and of bytes that came with no event of their own.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -101,11 +101,8 @@
 	}
 	c.try = false
 	outer := c.raw.Read(func(fd uintptr) bool {
-		for {
-			if n, err = syscall.Read(int(fd), to); err != syscall.EINTR {
-				return true
-			}
-		}
+		n, err = socket.Read(fd, to)
+		return true
 	})
 	switch {
 	case outer != nil:
@@ -162,12 +159,14 @@
 		return c.unread(err)
 	}
 	c.owed.Store(true)
-	waited := c.waited(reads)
+	waited, read := c.waited(reads), f.now()
 	if q.Held > 0 {
 		defer f.bodies.Give(q.Held)
 	}
-	came := f.now() // the caller's time runs from its last byte on: it may take seconds to send
+	// The caller's time runs from its last byte on: it may take seconds to send, and what it has sent may have waited here.
+	came := read
 	if c.first = false; q.Rest == nil {
+		came -= waited
 		c.whole()
 	} else {
 		defer c.rest(q)
@@ -269,7 +268,7 @@
 				continue
 			}
 			if !sent && q.Rest == nil {
-				c.checkDeadline(q, waited)
+				c.checkDeadline(q, rpc, read-waited)
 			}
 			sent = true
 			service.picks.Start(o.Pick, q)
--- a/internal/frontend/observe.go
+++ b/internal/frontend/observe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"robincart/internal/httpwire"
+	"robincart/internal/node"
 	"robincart/internal/telemetry"
 )
 
@@ -46,10 +47,11 @@
 	return max(0, c.server.clock()-arrived)
 }
 
-// checkDeadline looks whether a request's first attempt will be told more time than its caller has left, since it had waited unread.
-func (c *conn) checkDeadline(q *httpwire.Request, waited time.Duration) {
-	if waited > deadlineSlack {
-		c.server.telemetry.Violation(telemetry.Violation{Rule: telemetry.DeadlineExtended, Request: q.Trace, Detail: "it waited unread for " + waited.String()})
+// checkDeadline looks whether a request's first attempt will be told more time than its caller has left, who sent it at a time of the core's
+// clock.
+func (c *conn) checkDeadline(q *httpwire.Request, rpc *node.RPC, sent time.Duration) {
+	if over := rpc.Deadline - (sent + q.Left); over > deadlineSlack {
+		c.server.telemetry.Violation(telemetry.Violation{Rule: telemetry.DeadlineExtended, Request: q.Trace, Detail: over.String() + " more than its caller has"})
 	}
 }
 
