--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -21,6 +21,7 @@
 	"robincart/internal/node"
 	"robincart/internal/poller"
 	"robincart/internal/registry"
+	"robincart/internal/socket"
 	"robincart/internal/telemetry"
 	"robincart/internal/upstream"
 )
@@ -127,7 +128,11 @@
 	if err != nil {
 		return err
 	}
-	watch, err := poller.New()
+	var watch *poller.Poller
+	err = socket.Lasting(func() (err error) {
+		watch, err = poller.New()
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- a/cmd/robincart/operate.go
+++ b/cmd/robincart/operate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"robincart/internal/frontend"
 	"robincart/internal/handover"
 	"robincart/internal/node"
+	"robincart/internal/socket"
 )
 
 // operations are what the operators' address acts on.
@@ -191,7 +191,7 @@
 	if addr == "" {
 		return func() {}, nil
 	}
-	ln, err := net.Listen("tcp", addr)
+	ln, err := socket.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("the operators' address: %w", err)
 	}
--- a/cmd/robincart/record.go
+++ b/cmd/robincart/record.go
@@ -21,6 +21,7 @@
 	"robincart/internal/keys"
 	"robincart/internal/operator"
 	"robincart/internal/record"
+	"robincart/internal/socket"
 	"robincart/internal/store"
 )
 
@@ -162,7 +163,7 @@
 	var status net.Listener
 	if r.Status != "" {
 		var err error
-		if status, err = net.Listen("tcp", r.Status); err != nil {
+		if status, err = socket.Listen("tcp", r.Status); err != nil {
 			return nil, nil, fmt.Errorf("record.status: %w", err)
 		}
 	}
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -23,6 +23,7 @@
 	"robincart/internal/pools"
 	"robincart/internal/routes"
 	"robincart/internal/shares"
+	"robincart/internal/socket"
 	"robincart/internal/telemetry"
 )
 
@@ -89,7 +90,7 @@
 	process(l)
 	var listeners []net.Listener
 	for _, addr := range c.Listen {
-		ln, err := net.Listen("tcp", addr)
+		ln, err := socket.Listen("tcp", addr)
 		if err != nil {
 			for _, open := range listeners {
 				open.Close()
@@ -108,7 +109,11 @@
 	clk := clock{time.Now()}
 	budget := limits.NewBudget(l.Descriptors, l.Refused, limits.NewBytes(l.Bytes))
 	budget.Callers(l.Connections)
-	watch, err := poller.New()
+	var watch *poller.Poller
+	err = socket.Lasting(func() (err error) {
+		watch, err = poller.New()
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -210,7 +215,7 @@
 				os.Remove(addr)
 			}
 		}
-		ln, err := net.Listen(network, addr)
+		ln, err := socket.Listen(network, addr)
 		if err != nil {
 			return nil, errors.Join(fmt.Errorf("listen: %w", err), closeGateways(all))
 		}
--- a/cmd/robincart/succeed.go
+++ b/cmd/robincart/succeed.go
@@ -18,6 +18,7 @@
 	"robincart/internal/handover"
 	"robincart/internal/limits"
 	"robincart/internal/node"
+	"robincart/internal/socket"
 	"robincart/internal/upstream"
 )
 
@@ -31,7 +32,7 @@
 // openDoor listens on an address, or on the descriptor that the platform holds for every process of this node.
 func openDoor(addr, descriptor string) (*door, error) {
 	if descriptor == "" {
-		ln, err := net.Listen("tcp", addr)
+		ln, err := socket.Listen("tcp", addr)
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
@@ -43,7 +44,7 @@
 	}
 	syscall.CloseOnExec(n)
 	d := &door{file: os.NewFile(uintptr(n), "listener")}
-	if err := d.open(); err != nil {
+	if err := socket.Lasting(d.open); err != nil {
 		return nil, fmt.Errorf("EDGE_ACCEPT_FD is %s: %w", descriptor, err)
 	}
 	return d, nil
--- a/cmd/robinlab/hunt_test.go
+++ b/cmd/robinlab/hunt_test.go
@@ -115,3 +115,23 @@
 for = "5s"
 `))
 }
+
+// A process that is started while its machine has no descriptor or memory for a moment serves when that has passed.
+func TestANodeStartsThroughAShortageThatPasses(t *testing.T) {
+	t.Parallel()
+	kept(t, playHunted(t, 60, `
+[[fault]]
+kind = "errno"
+on = "nodes"
+at = "500ms"
+for = "3s"
+call = "socket"
+errors = ["ENFILE", "ENOBUFS"]
+share = 0.8
+[[fault]]
+kind = "kill"
+on = "nodes"
+at = "1s"
+for = "300ms"
+`))
+}
