--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -31,16 +31,6 @@
 	return func(r *rand.Rand, _ Size) string { return what + ":" + parts[r.IntN(len(parts))] }
 }
 
-func one(what string) func(*rand.Rand, Size) string {
-	return func(r *rand.Rand, s Size) string {
-		n := s.Servers
-		if what == "node" {
-			n = s.Nodes
-		}
-		return fmt.Sprintf("%s:%d", what, r.IntN(n))
-	}
-}
-
 func discovery(*rand.Rand, Size) string { return "discovery" }
 
 func lines(choices ...string) func(*rand.Rand) string {
