--- a/internal/lab/run/selfcheck.go
+++ b/internal/lab/run/selfcheck.go
@@ -80,7 +80,9 @@
 // companions are the rules that a crime breaks by its nature beside its own.
 var companions = map[string][]string{
 	// Sent so late, they also reach a server that drains by then.
-	judge.PastWindow: {judge.EffectTwice, judge.ToDrained}, judge.SentAfter: {judge.EffectTwice, judge.PastWindow, judge.ToDrained},
+	judge.PastWindow: {judge.EffectTwice, judge.ToDrained},
+	// What is sent when the caller's time is over tells a server more than is left, whatever it tells.
+	judge.SentAfter: {judge.EffectTwice, judge.PastWindow, judge.ToDrained, judge.ToldTooMuch},
 	// A second answer that comes late enough is taken for the answer to what was asked next.
 	judge.SecondAnswer: {judge.ForeignOK},
 	// To its caller the close looks like one that crossed the request, and the protocol lets it send once more.
