--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -21,7 +21,8 @@
 func clean(l *Log, call uint32, method uint16, planned time.Duration) (Try, Pick) {
 	t := Try{ID: ID{Call: call}, Method: method, Node: int32(call % 3), Planned: planned, Handed: planned + ms/10, Sent: planned + ms/5,
 		Until: planned + time.Second, Answered: planned + 50*ms}
-	p := Pick{ID: t.ID, Server: int32(call % 5), First: planned + ms, Start: planned + 2*ms, End: planned + 40*ms, Ran: true, Effect: true}
+	p := Pick{ID: t.ID, Server: int32(call % 5), First: planned + ms, Start: planned + 2*ms, End: planned + 40*ms, Ran: true, Effect: true,
+		Until: t.Until + 250*ms} // as late as may be told
 	return t, p
 }
 
@@ -62,6 +63,7 @@
 			l.Pick(p)
 			l.Fall(Fall{Server: p.Server, Up: p.First - 200*ms, At: p.First, Window: time.Second})
 		},
+		ToldTooMuch: func(l *Log, t Try, p Pick) { p.Until = t.Until + 251*ms; l.Try(t); l.Pick(p) },
 	}
 	require.Len(t, plants, len(RuleNames))
 	rapid.Check(t, func(t *rapid.T) {
