Start times are set against the list's own clock, whatever the wall clock shows

Cause: the core set listed start times against the wall clock as it stood at the process's start. Behind the list's clock, every server looked young for as long as it was behind, and all were held to the budget of a slow start; ahead of it, a server that had just started looked old. Ruled out: deadlines, windows and waits (monotonic, read through). Change: no start lies ahead of the list's time; a start that this process sees, newer than all before, is as old as its news, so that a clock ahead by more than a second is known from the first one on; each start is set once, since a better estimate must not look like a restart; a ban compares starts, not clocks; a process that follows is told the list's time. Open: a process that starts with a clock ahead, before it has seen a start; a server that had started just before that passes for warm. TestAnOperatorsWordLiesOverTheList told a start a minute ahead of the clock, which is no start any more; it tells one a minute later instead.

--- a/cmd/robincart/succeed.go
+++ b/cmd/robincart/succeed.go
@@ -101,6 +101,8 @@
 	Listed  []string
 	Held    int    // descriptors
 	Seed    uint64 // that ids of requests are known under
+	// ListTime is what the list's clock shows, as far as it is known; zero: not told.
+	ListTime time.Time
 }
 
 // form is the number of known's form. Whoever changes what a field means counts it up.
@@ -159,6 +161,7 @@
 		s.lent = s.budget.Lend(k.Held + ownFiles)
 		s.front.Seeded(k.Seed)
 		s.part(2) // both together count against it
+		s.core.FollowListTime(k.ListTime)
 		if len(k.Servers) > 0 {
 			s.core.Listed(k.Servers, true)
 		}
@@ -233,7 +236,7 @@
 		}
 		s.ops.mu.Lock() // what is said from now on goes to it as a word
 		err = l.State(known{Form: form, Said: s.ops.sayings(), Servers: s.core.Known(), Listed: s.core.Listings(), Held: s.limits.Descriptors - s.budget.Left(),
-			Seed: s.front.Seed()})
+			Seed: s.front.Seed(), ListTime: s.core.ListTime()})
 		s.ops.links[l] = struct{}{}
 		s.ops.mu.Unlock()
 		if err != nil {
--- a/cmd/robinlab/hunt_test.go
+++ b/cmd/robinlab/hunt_test.go
@@ -56,7 +56,12 @@
 // playHunted plays the fleet with faults and returns what came of it.
 func playHunted(t *testing.T, rate int, faults string) *run.Arm {
 	t.Helper()
-	e, err := experiment.Parse([]byte(strings.Replace(hunted, "RATE", strconv.Itoa(rate), 1)+faults), ".")
+	return playFleet(t, strings.Replace(hunted, "RATE", strconv.Itoa(rate), 1)+faults)
+}
+
+func playFleet(t *testing.T, text string) *run.Arm {
+	t.Helper()
+	e, err := experiment.Parse([]byte(text), ".")
 	require.NoError(t, err)
 	e.Fleet.Program = filepath.Join(bins, "robincart")
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
@@ -135,3 +140,51 @@
 for = "300ms"
 `))
 }
+
+// Servers that come back cold are pushed over by what a warm one takes, and nodes whose wall clocks are an hour behind the list's, or ahead of
+// it, have to know which are: neither may a cold one be taken for warm, nor all of them for cold.
+func TestColdServersAreKnownWhateverTheWallClocks(t *testing.T) {
+	for _, by := range []string{"-1h", "-5s", "1s", "5s", "1h"} {
+		t.Run(by, func(t *testing.T) {
+			t.Parallel()
+			arm := playFleet(t, `
+name = "clocks"
+duration = "14s"
+[fleet]
+nodes = 6
+sockets = 256
+[[fleet.tier]]
+servers = 8
+cores = 2
+cold_from = 0.1
+cold_for = "4s"
+fall_multiple = 1.5
+fall_for = "2s"
+[[method]]
+name = "find-table"
+target = "400ms"
+deadline = "2s"
+work_ms = 30
+[[load]]
+rate = 200
+[callers]
+share = 0.6
+tries = 2
+[[fault]]
+kind = "clock"
+on = "nodes"
+at = "0s"
+for = "14s"
+by = "`+by+`"
+[[fault]]
+kind = "roll"
+on = "all"
+at = "1s"
+for = "11s"
+new_id = true
+`)
+			kept(t, arm)
+			assert.Greater(t, arm.Metrics["goodput"], 0.95)
+		})
+	}
+}
--- a/internal/node/barred.go
+++ b/internal/node/barred.go
@@ -11,6 +11,14 @@
 // An operator's word on a server lies over the list's: whatever the list says, the module hears that a server which was
 // taken out drains, until it is called back.
 
+// ban is a server's that an operator has taken out.
+type ban struct {
+	since time.Time // by the wall clock
+	// The start that the list told of then, where this process heard the word; else it is not known.
+	started time.Time
+	heard   bool
+}
+
 // Detach takes a server out: nothing more goes to it. It is false for one that was never listed.
 func (c *Core) Detach(id string) bool {
 	left, tell, ok := c.detach(id)
@@ -26,8 +34,13 @@
 	if _, out := c.barred[id]; out || !c.everListed(id) {
 		return nil, nil, out
 	}
-	c.barred[id] = c.wall()
-	if s := c.servers[id]; s != nil && s.state == decide.Ready {
+	b := ban{since: c.wall(), heard: true}
+	s := c.servers[id]
+	if s != nil {
+		b.started = s.last.Started
+	}
+	c.barred[id] = b
+	if s != nil && s.state == decide.Ready {
 		left = append(left, s)
 		c.tell(s)
 	}
@@ -38,16 +51,16 @@
 func (c *Core) Attach(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	since, out := c.barred[id]
+	b, out := c.barred[id]
 	if !out {
 		return c.everListed(id)
 	}
 	delete(c.barred, id)
 	if s := c.servers[id]; s != nil {
-		if !s.last.Started.After(since) {
+		if !c.toldRestart(s, b) {
 			// It was restarted meanwhile, by whoever took it out, and the list has not told. Taken for warm, it would be
 			// pushed over by its part of the traffic.
-			s.back = c.wall()
+			s.back = c.Now()
 		}
 		c.tell(s)
 		c.forget(s) // if the list says that it has gone
@@ -55,6 +68,15 @@
 	return true
 }
 
+// toldRestart tells whether the list has told of a start since a server was taken out: by the start itself where it is known which one was
+// listed then, else by the clocks.
+func (c *Core) toldRestart(s *Server, b ban) bool {
+	if b.heard {
+		return !s.last.Started.Equal(b.started)
+	}
+	return s.last.Started.After(b.since.Add(-c.listClock.lead))
+}
+
 // Kept tells what keeps a server from being sent to: "" is nothing, or it was never listed here.
 func (c *Core) Kept(id string) string {
 	c.mu.Lock()
@@ -80,8 +102,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := make(map[string]time.Time, len(c.barred))
-	for id, since := range c.barred {
-		out[id] = since
+	for id, b := range c.barred {
+		out[id] = b.since
 	}
 	return out
 }
@@ -102,7 +124,7 @@
 	}
 	for id, since := range barred {
 		c.known.add(id)
-		c.barred[id] = since
+		c.barred[id] = ban{since: since}
 		if s := c.servers[id]; s != nil {
 			c.tell(s)
 		}
@@ -130,15 +152,7 @@
 
 // listing is a server as the module hears of it.
 func (c *Core) listing(s *Server) decide.Listing {
-	e, up := s.last, 0.0
-	if e.Started.Before(s.back) {
-		e.Started = s.back
-	}
-	if !e.Started.IsZero() {
-		// The module reads 0 as long ago, so what started before its clock is kept just above.
-		up = max(1e-6, seconds(e.Started.Sub(c.origin))+epoch)
-	}
-	return decide.Listing{Server: s.obj, State: s.state, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight, CameUp: up}
+	return decide.Listing{Server: s.obj, State: s.state, Zone: s.last.Zone, Cell: s.last.Cell, Weight: s.last.Weight, CameUp: c.cameUp(s)}
 }
 
 // names remembers names, the latest at least. Under deploys all day the ids there have been would else fill the memory.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,8 +108,12 @@
 	out   int   // picks
 	worn  bool  // its idle connections are not to be trusted
 	last  Entry // as it was listed
-	// came back by an operator's word before the list told of its start: taken for that start until then
-	back time.Time
+	// Since when it is back by an operator's word, by the module's clock, where the list had not told of a start meanwhile: taken for that
+	// start until it does. 0: it is not.
+	back float64
+	// When it started, by the module's clock, and the list's time which that was found for.
+	cameUp    float64
+	startSeen time.Time
 	// Attempts that began in the time in which it may be pushed over, while it is in slow start.
 	starts []time.Duration
 }
@@ -148,15 +152,16 @@
 	settings *settings.Node // in force; names in their slots
 	methods  []slot         // of the module's, by number
 	tenants  []slot
-	barred   map[string]time.Time // taken out by an operator, since when by the wall clock
-	known    names                // that were ever listed
-	picks    []*Pick              // out
-	open     int                  // RPCs owed an answer
+	barred   map[string]ban // taken out by an operator
+	known    names          // that were ever listed
+	picks    []*Pick        // out
+	open     int            // RPCs owed an answer
 	timers   *timingwheel.Wheel
 	armed    time.Duration // when the clock will ring; 0: not at all
 	lists    int
 	closed   bool
 
+	listClock listClock
 	telemetry *telemetry.Recorder // may be nil
 	cause     telemetry.Reason    // of what the module orders during the present call
 }
@@ -164,7 +169,7 @@
 // New starts the core. The module's wish to watch the list goes to watch, which must not wait.
 func New(s *settings.Node, seed int64, clock Clock, wall time.Time, watch func()) *Core {
 	c := &Core{clock: clock, origin: wall.Add(-clock.Now()), settings: s, watch: watch,
-		servers: map[string]*Server{}, barred: map[string]time.Time{}, timers: timingwheel.New(grain, clock.Now(), 1024)}
+		servers: map[string]*Server{}, barred: map[string]ban{}, timers: timingwheel.New(grain, clock.Now(), 1024)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.methods, c.tenants = make([]slot, len(s.Methods)), make([]slot, max(1, len(s.Tenants)))
@@ -205,6 +210,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lists++
+	c.listClock.observe(entries, c.wall())
 	list := make([]decide.Listing, 0, len(entries))
 	for _, e := range entries {
 		s := c.servers[e.ID]
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -381,8 +381,9 @@
 	assert.True(t, s.Attach(out))
 	assert.Empty(t, s.Kept(out)+s.Kept("never"))
 	assert.Positive(t, s.listing(s.servers[out]).CameUp, "it was restarted: cold, though the list does not say so")
-	s.Listed([]Entry{{ID: out, Addr: "x:80", State: decide.Ready, Weight: 1, Started: s.wall().Add(time.Minute)}}, false)
-	assert.InDelta(t, s.Now()+60, s.listing(s.servers[out]).CameUp, 0.1, "what the list says of its start goes before")
+	s.clock.now += time.Minute
+	s.Listed([]Entry{{ID: out, Addr: "x:80", State: decide.Ready, Weight: 1, Started: s.wall()}}, false)
+	assert.InDelta(t, s.Now(), s.listing(s.servers[out]).CameUp, 0.1, "what the list says of its start goes before")
 	assert.True(t, s.Ready(s.servers[out]))
 }
 
--- /dev/null
+++ b/internal/node/starttimes_test.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"robincart/decide"
+)
+
+// started is an entry of a server that started so long before now, by a list's clock that is off by that much.
+func (s *story) started(id string, ago, off time.Duration) Entry {
+	return Entry{ID: id, Addr: id + ":80", State: decide.Ready, Weight: 1, Started: s.wall().Add(off - ago)}
+}
+
+func (s *story) age(id string) float64 { return s.Now() - s.listing(s.servers[id]).CameUp }
+
+// However wrong the wall clock is at a process's start, a server that starts now is young, and one that started long before it is not.
+func TestAServersAgeDoesNotHangOnTheWallClock(t *testing.T) {
+	for _, off := range []time.Duration{-time.Hour, -5 * time.Second, 0, 5 * time.Second, time.Hour} {
+		s := begin(t, nil)
+		s.Listed([]Entry{s.started("old", 40*time.Minute, off), s.started("later", 10*time.Minute, off)}, true)
+		s.clock.now += time.Minute
+		s.Listed([]Entry{s.started("new", 200*time.Millisecond, off)}, false)
+		assert.InDelta(t, 0.1, s.age("new"), 0.11, "the list's clock is %v ahead", off)
+		s.clock.now += 3 * time.Second
+		s.Listed([]Entry{s.started("later", 0, off)}, false) // it starts anew
+		assert.InDelta(t, 0, s.age("later"), 0.21, "the list's clock is %v ahead", off)
+		assert.InDelta(t, 3.1, s.age("new"), 0.11, "it grows old by the monotonic clock")
+		if off <= 0 {
+			assert.Greater(t, s.age("old"), 2400.0, "the list's clock is %v ahead", off)
+		} else {
+			assert.Greater(t, s.age("old"), 1800.0, "the first list told that its clock is ahead, so its newest start was taken for now")
+		}
+	}
+}
+
+// A better estimate of the list's clock is no other start: what was learnt of a server would be forgotten.
+func TestAStartIsFoundOnce(t *testing.T) {
+	s := begin(t, nil)
+	s.Listed([]Entry{s.started("a", time.Hour, 0)}, true)
+	s.clock.now += 10 * time.Second
+	late := s.started("b", 8*time.Second, 0)
+	s.Listed([]Entry{late}, false)
+	assert.InDelta(t, 0, s.age("b"), 0.01, "the first start that is seen comes late: it is taken for young")
+	was := s.listing(s.servers["b"]).CameUp
+	s.clock.now += time.Second
+	s.Listed([]Entry{s.started("c", 100*time.Millisecond, 0), late}, false)
+	assert.InDelta(t, 0.1, s.age("c"), 0.01)
+	assert.Equal(t, was, s.listing(s.servers["b"]).CameUp)
+	s.Listed([]Entry{s.started("d", 30*time.Minute, 0)}, false)
+	assert.InDelta(t, 1800, s.age("d"), 0.1, "one that is not the newest has only come into sight")
+}
+
+// A process that follows another knows what that one had seen of the list's clock, though the wall clock was stepped between.
+func TestAProcessThatFollowsKnowsTheListsClock(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, 0, time.Hour} {
+		before, after := begin(t, nil), begin(t, nil)
+		after.origin = after.origin.Add(step)
+		before.Listed([]Entry{before.started("a", 2*time.Second, 0)}, true)
+		after.FollowListTime(before.ListTime())
+		after.Listed(before.Known(), true)
+		assert.InDelta(t, 2, after.age("a"), 0.1, "stepped by %v", step)
+	}
+}
+
+// Whether the list has told of a restart since an operator's word is known by the start that it tells, not by the clocks.
+func TestARestartBehindABanIsKnownWhateverTheClock(t *testing.T) {
+	for _, off := range []time.Duration{-time.Hour, 0, time.Hour} {
+		s := begin(t, nil)
+		s.Listed([]Entry{s.started("a", 30*time.Minute, off)}, true)
+		assert.True(t, s.Detach("a"))
+		s.clock.now += time.Minute
+		assert.True(t, s.Attach("a"))
+		assert.InDelta(t, 0, s.age("a"), 0.01, "the list has not told of its restart")
+	}
+}
