What a process's first messages tell are no starts that it saw; a break reads its connection safely

A process's list from before its start may be hours old, and the first message of its own then tells of starts long past: taken for news, servers that are warm would have been held to a slow start for a while. A service that begins anew in the same process knows the list's time of the one before. exchange.conn was set by its goroutine while a break could read it: harmless, since Begin sees the break, but a data race; who breaks reads an atomic pointer now. Tests: ages with the list from before and the first call's; the race has no test of its own.

--- a/internal/node/starttimes.go
+++ b/internal/node/starttimes.go
@@ -13,6 +13,9 @@
 // promptNews is how old a start may be when the first news of it comes, without this machine's clock being taken to be ahead.
 const promptNews = time.Second
 
+// oldLists is how many messages tell of starts long past: the list of the time before the process, and the first one of its own.
+const oldLists = 2
+
 // listClock estimates by how much the wall clock that a process began with is ahead of the clock that the list's times are of.
 type listClock struct {
 	lead   time.Duration // the estimate; below 0: it is behind
@@ -25,7 +28,7 @@
 
 // observe takes a message's start times. Wall is the time now, by the clock that the process began with.
 func (l *listClock) observe(entries []Entry, wall time.Time) {
-	first, newest := l.lists == 0, l.newest
+	sees, newest := l.lists >= oldLists, l.newest
 	l.lists++
 	for _, e := range entries {
 		if e.Started.IsZero() || !e.Started.After(newest) || e.State == decide.Gone {
@@ -38,7 +41,7 @@
 		if l.lead > age { // no start lies ahead
 			l.lead = age
 		}
-		if !first && (!l.seen || age < l.youngest) {
+		if sees && (!l.seen || age < l.youngest) {
 			l.youngest, l.seen = age, true
 		}
 	}
--- a/internal/node/starttimes_test.go
+++ b/internal/node/starttimes_test.go
@@ -20,7 +20,9 @@
 func TestAServersAgeDoesNotHangOnTheWallClock(t *testing.T) {
 	for _, off := range []time.Duration{-time.Hour, -5 * time.Second, 0, 5 * time.Second, time.Hour} {
 		s := begin(t, nil)
-		s.Listed([]Entry{s.started("old", 40*time.Minute, off), s.started("later", 10*time.Minute, off)}, true)
+		for range oldLists { // of before the process, and of its own first call
+			s.Listed([]Entry{s.started("old", 40*time.Minute, off), s.started("later", 10*time.Minute, off)}, true)
+		}
 		s.clock.now += time.Minute
 		s.Listed([]Entry{s.started("new", 200*time.Millisecond, off)}, false)
 		assert.InDelta(t, 0.1, s.age("new"), 0.11, "the list's clock is %v ahead", off)
@@ -40,6 +42,8 @@
 func TestAStartIsFoundOnce(t *testing.T) {
 	s := begin(t, nil)
 	s.Listed([]Entry{s.started("a", time.Hour, 0)}, true)
+	s.Listed([]Entry{s.started("z", time.Minute, 0)}, false)
+	assert.InDelta(t, 60, s.age("z"), 0.01, "a process's first message tells of what was before it, too")
 	s.clock.now += 10 * time.Second
 	late := s.started("b", 8*time.Second, 0)
 	s.Listed([]Entry{late}, false)
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -189,6 +189,9 @@
 	}
 	p.core = node.New(x.Node, c.SeedOf(x.Name), s.clock, time.Now(), ask)
 	p.core.Observe(s.Telemetry)
+	if before != nil {
+		p.core.FollowListTime(before.core.ListTime())
+	}
 	if s.Begun != nil {
 		s.Begun(p.core)
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -27,8 +27,9 @@
 
 	// stage goes from running to broken or to over, once.
 	stage  atomic.Int32
-	conn   *conn              // set before Begin
-	cancel context.CancelFunc // of the connect, set before Hold
+	conn   *conn                // the exchange's own goroutine's
+	linked atomic.Pointer[conn] // the same, for who breaks it: a break may come while it is being set, and is seen by Begin then
+	cancel context.CancelFunc   // of the connect, set before Hold
 }
 
 const (
@@ -49,11 +50,12 @@
 
 // Break makes what waits return at once. The core calls it while it holds its mutex; neither call here waits.
 func (x *exchange) Break() {
-	switch {
-	case !x.stage.CompareAndSwap(running, broken):
-	case x.conn != nil:
-		x.conn.SetDeadline(time.Unix(1, 0))
-	case x.cancel != nil:
+	if !x.stage.CompareAndSwap(running, broken) {
+		return
+	}
+	if c := x.linked.Load(); c != nil {
+		c.SetDeadline(time.Unix(1, 0))
+	} else if x.cancel != nil {
 		x.cancel()
 	}
 }
@@ -126,6 +128,7 @@
 		}
 	}
 	x.conn = c
+	x.linked.Store(c)
 	if !p.core.Begin(x.pick, x) || !x.awaited() {
 		if x.stage.CompareAndSwap(running, over) {
 			p.keep(server, c)
