--- a/cmd/robinlab/hunt_test.go
+++ b/cmd/robinlab/hunt_test.go
@@ -15,6 +15,7 @@
 
 	"robincart/internal/lab/experiment"
 	"robincart/internal/lab/run"
+	"robincart/internal/lab/soak"
 )
 
 // The finds of the hunt for rare faults (docs/incidents/hunt-rare-faults.md), each with real nodes as processes of their own.
@@ -188,3 +189,14 @@
 		})
 	}
 }
+
+// Some seeds of the soak, small and short: what it draws at full size is for `robinlab soak`.
+func TestTheSoakInSmallBreaksNothing(t *testing.T) {
+	size := soak.Size{Nodes: 6, Servers: 6, Rate: 80, Lasts: 12 * time.Second}
+	for seed := range uint64(3) {
+		t.Run(strconv.FormatUint(seed+1, 10), func(t *testing.T) {
+			t.Parallel()
+			kept(t, playFleet(t, soak.Text(seed+1, size)))
+		})
+	}
+}
