--- a/cmd/robincart-record/record.go
+++ b/cmd/robincart-record/record.go
@@ -21,8 +21,8 @@
 
 	"github.com/spf13/cobra"
 
-	"robincart/internal/keeper"
 	"robincart/internal/record"
+	"robincart/internal/recordcache"
 	"robincart/internal/store"
 	"robincart/internal/store/sqlstore"
 	"robincart/internal/tomlfile"
@@ -323,7 +323,7 @@
 
 // repairPlan says what a node that starts with a snapshot would do with a store.
 func repairPlan(ctx context.Context, w io.Writer, s store.Store, path string) error {
-	snap, found, err := keeper.PeekSnapshot(path)
+	snap, found, err := recordcache.PeekSnapshot(path)
 	switch {
 	case err != nil:
 		return err
--- a/cmd/robincart/record.go
+++ b/cmd/robincart/record.go
@@ -17,10 +17,10 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
-	"robincart/internal/keeper"
 	"robincart/internal/keys"
 	"robincart/internal/operator"
 	"robincart/internal/record"
+	"robincart/internal/recordcache"
 	"robincart/internal/socket"
 	"robincart/internal/store"
 )
@@ -150,7 +150,7 @@
 }
 
 // keep begins to keep the record, and to show how it stands.
-func keep(c *operator.Config, ring *keys.Ring, log *zap.Logger) (*keeper.Keeper, func(), error) {
+func keep(c *operator.Config, ring *keys.Ring, log *zap.Logger) (*recordcache.Keeper, func(), error) {
 	r := c.Record
 	open := func() (store.Store, error) { return agent(r.Store, log) }
 	if addrs, is, _ := store.Controllers(r.Store); is { // no driver, no program beside this one
@@ -169,7 +169,7 @@
 	}
 	start, cancel := context.WithTimeout(context.Background(), 2*time.Duration(r.Timeout))
 	defer cancel()
-	k, err := keeper.Open(start, keeper.Config{Name: c.Name, Store: store.Redact(r.Store), Open: open, Snapshot: r.Snapshot, Required: r.Required, MostAge: time.Duration(*r.MostAge),
+	k, err := recordcache.Open(start, recordcache.Config{Name: c.Name, Store: store.Redact(r.Store), Open: open, Snapshot: r.Snapshot, Required: r.Required, MostAge: time.Duration(*r.MostAge),
 		Queue: r.Queue, Timeout: time.Duration(r.Timeout), Poll: time.Duration(r.Poll)}, log)
 	if err != nil {
 		if status != nil {
@@ -189,7 +189,7 @@
 }
 
 // over puts what the record says over the file. What can't be compiled is logged, and what is in force stays.
-func over(file *operator.Config, k *keeper.Keeper, now *operator.Config, log *zap.Logger) *operator.Config {
+func over(file *operator.Config, k *recordcache.Keeper, now *operator.Config, log *zap.Logger) *operator.Config {
 	if k == nil {
 		return file
 	}
--- a/cmd/robincart/services_test.go
+++ b/cmd/robincart/services_test.go
@@ -23,10 +23,10 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
-	"robincart/internal/keeper"
 	"robincart/internal/lab/chaos"
 	"robincart/internal/lab/standin"
 	"robincart/internal/record"
+	"robincart/internal/recordcache"
 	"robincart/internal/relay"
 	"robincart/internal/store"
 	"robincart/internal/store/sqlstore"
@@ -191,7 +191,7 @@
 	set("b", "b.example.org")
 	becomes("b.example.org")
 	require.Eventually(t, func() bool {
-		s, found, err := keeper.PeekSnapshot(filepath.Join(dir, "snap"))
+		s, found, err := recordcache.PeekSnapshot(filepath.Join(dir, "snap"))
 		return err == nil && found && slices.ContainsFunc(s.Facts, func(f record.Fact) bool { return f.Kind == record.Route })
 	}, 20*time.Second, 5*time.Millisecond)
 	stop()
--- a/internal/controller/wishes.go
+++ b/internal/controller/settingobjects.go
@@ -20,10 +20,10 @@
 	"k8s.io/client-go/dynamic"
 	"k8s.io/client-go/tools/cache"
 
+	"robincart/internal/desiredstate"
 	"robincart/internal/fanout"
 	"robincart/internal/record"
 	"robincart/internal/store"
-	"robincart/internal/wishes"
 )
 
 // settings is the custom resource that wishes stand in: deploy/kubernetes/settings.yaml.
@@ -38,9 +38,9 @@
 
 // wish is one object, and the status that the API has of it.
 type wish struct {
-	wishes.Object
+	desiredstate.Object
 	namespace, name string
-	has             wishes.Status
+	has             desiredstate.Status
 }
 
 // book is what the leader makes of wishes: facts of the record, and statuses.
@@ -86,13 +86,13 @@
 	if gone || !ok {
 		delete(b.all, key)
 	} else {
-		w := wish{namespace: u.GetNamespace(), name: u.GetName(), Object: wishes.Object{Key: key, UID: string(u.GetUID()), Generation: u.GetGeneration(),
+		w := wish{namespace: u.GetNamespace(), name: u.GetName(), Object: desiredstate.Object{Key: key, UID: string(u.GetUID()), Generation: u.GetGeneration(),
 			Created: u.GetCreationTimestamp().UnixMilli()}}
 		if err := into(u.Object["spec"], &w.Spec); err != nil {
 			w.Malformed = err.Error()
 		}
 		if into(u.Object["status"], &w.has) != nil {
-			w.has = wishes.Status{Generation: -1}
+			w.has = desiredstate.Status{Generation: -1}
 		}
 		b.all[key] = w
 	}
@@ -123,7 +123,7 @@
 		}
 		b.k.mu.Lock()
 		leads, whole := b.k.leads, b.k.synced[settings.Resource]
-		objects, has := make([]wishes.Object, 0, len(b.all)), make(map[string]wish, len(b.all))
+		objects, has := make([]desiredstate.Object, 0, len(b.all)), make(map[string]wish, len(b.all))
 		for key, w := range b.all {
 			objects, has[key] = append(objects, w.Object), w
 		}
@@ -139,7 +139,7 @@
 
 // fulfil is one turn: the record is read, what is lacking is written, and each object hears how it stands. What another writer
 // changes meanwhile loses nothing: the next turn finds it.
-func (b *book) fulfil(ctx context.Context, objects []wishes.Object, has map[string]wish) error {
+func (b *book) fulfil(ctx context.Context, objects []desiredstate.Object, has map[string]wish) error {
 	facts, meta, err := b.read(ctx)
 	if err != nil {
 		return err
@@ -148,7 +148,7 @@
 		b.count++
 		return b.k.c.Identity + "." + b.boot + "." + strconv.Itoa(b.count)
 	}
-	changes, told := wishes.Decide(objects, true, facts, meta.Epoch, mark)
+	changes, told := desiredstate.Decide(objects, true, facts, meta.Epoch, mark)
 	for i := range changes {
 		changes[i].At = time.Now().UnixMilli()
 		call, cancel := context.WithTimeout(ctx, wishCall)
@@ -161,7 +161,7 @@
 	}
 	if len(changes) > 0 && err == nil { // what was written is told at once
 		if facts, meta, err = b.read(ctx); err == nil {
-			_, told = wishes.Decide(objects, true, facts, meta.Epoch, mark)
+			_, told = desiredstate.Decide(objects, true, facts, meta.Epoch, mark)
 		}
 	}
 	count := time.Since(b.counted) >= nodesAge
@@ -193,7 +193,7 @@
 }
 
 // fields are a status with what is empty taken out of the object, too: a patch leaves what it does not name.
-func fields(s wishes.Status) map[string]any {
+func fields(s desiredstate.Status) map[string]any {
 	out := map[string]any{"accepted": s.Accepted, "observedGeneration": s.Generation, "reason": nil, "recordRevision": nil, "recordEpoch": nil, "nodes": nil, "listRevision": nil}
 	if s.ListRevision > 0 {
 		out["nodes"], out["listRevision"] = s.Nodes, s.ListRevision
@@ -208,7 +208,7 @@
 }
 
 // listOf is the list that a service's wish is about, if this controller tells it.
-func (k *Controller) listOf(s wishes.Spec) *fanout.List {
+func (k *Controller) listOf(s desiredstate.Spec) *fanout.List {
 	i := slices.IndexFunc(k.c.Services, func(x Service) bool { return s.Kind == string(record.Service) && x.Name == s.Name })
 	if i < 0 {
 		return nil
--- a/internal/wishes/wishes.go
+++ b/internal/desiredstate/desiredstate.go
@@ -1,7 +1,7 @@
-// Package wishes decides what the objects of a cluster manager that wish for services, routes and quotas make of the record, and
+// Package desiredstate decides what the objects of a cluster manager that wish for services, routes and quotas make of the record, and
 // what each of them is told. It is level-triggered: from all objects and all facts to what is to be written, and it knows no
 // store, no API and no clock.
-package wishes
+package desiredstate
 
 import (
 	"bytes"
--- a/internal/wishes/wishes_test.go
+++ b/internal/desiredstate/desiredstate_test.go
@@ -1,4 +1,4 @@
-package wishes
+package desiredstate
 
 import (
 	"encoding/json"
--- a/internal/lab/chaos/chaos.go
+++ b/internal/lab/chaos/chaos.go
@@ -18,11 +18,11 @@
 	"syscall"
 	"time"
 
-	"robincart/internal/keeper"
 	"robincart/internal/lab/judge"
 	"robincart/internal/lab/pgstand"
 	"robincart/internal/lab/standin"
 	"robincart/internal/record"
+	"robincart/internal/recordcache"
 	"robincart/internal/store"
 	"robincart/internal/store/sqlstore"
 )
@@ -316,7 +316,7 @@
 }
 
 // status reads a node's page.
-func (n *one) read() (s keeper.Status, err error) {
+func (n *one) read() (s recordcache.Status, err error) {
 	c := http.Client{Timeout: 500 * time.Millisecond}
 	resp, err := c.Get("http://" + n.status + "/record")
 	if err != nil {
--- a/internal/lab/fleet/hollow.go
+++ b/internal/lab/fleet/hollow.go
@@ -14,13 +14,13 @@
 	"go.uber.org/zap"
 
 	"robincart/decide"
-	"robincart/internal/keeper"
 	"robincart/internal/limits"
 	"robincart/internal/node"
 	"robincart/internal/operator"
 	"robincart/internal/poller"
 	"robincart/internal/pools"
 	"robincart/internal/record"
+	"robincart/internal/recordcache"
 	"robincart/internal/registry"
 	"robincart/internal/store"
 	"robincart/internal/store/sqlstore"
@@ -100,7 +100,7 @@
 	number  int
 	place   Place
 	file    *operator.Config
-	keep    *keeper.Keeper
+	keep    *recordcache.Keeper
 	set     *pools.Set
 	poller  *poller.Poller
 	life    context.Context
@@ -208,7 +208,7 @@
 			return err
 		}
 		r := x.file.Record
-		x.keep, err = keeper.Open(x.life, keeper.Config{Name: name, Store: u.Redacted(), MostAge: time.Duration(*r.MostAge), Queue: r.Queue, Timeout: time.Duration(r.Timeout),
+		x.keep, err = recordcache.Open(x.life, recordcache.Config{Name: name, Store: u.Redacted(), MostAge: time.Duration(*r.MostAge), Queue: r.Queue, Timeout: time.Duration(r.Timeout),
 			Poll: time.Duration(r.Poll), Open: func() (store.Store, error) {
 				if h.Open != nil {
 					return h.Open(number)
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -14,12 +14,12 @@
 
 	"robincart/internal/frontend"
 	"robincart/internal/httpwire"
-	"robincart/internal/keeper"
 	"robincart/internal/keys"
 	"robincart/internal/limits"
 	"robincart/internal/node"
 	"robincart/internal/operator"
 	"robincart/internal/poller"
+	"robincart/internal/recordcache"
 	"robincart/internal/registry"
 	"robincart/internal/routes"
 	"robincart/internal/shares"
@@ -30,7 +30,7 @@
 // Set is the services in force.
 type Set struct {
 	// Keeper, if set before the first Apply, keeps the record of the services' servers.
-	Keeper *keeper.Keeper
+	Keeper *recordcache.Keeper
 	// Begun, if set before the first Apply, is told of each service's core before it hears of its servers.
 	Begun func(*node.Core)
 	// Keys, if set before the first Apply, are shown to discovery, and ask for its own.
@@ -63,7 +63,7 @@
 	service *frontend.Service
 	core    *node.Core
 	watcher *registry.Watcher // nil with a static list
-	sink    *keeper.Sink      // between discovery and the core, where there is a record
+	sink    *recordcache.Sink // between discovery and the core, where there is a record
 	conns   *upstream.Pool
 	share   *share
 	end     context.CancelFunc
--- a/internal/keeper/keeper.go
+++ b/internal/recordcache/recordcache.go
@@ -1,7 +1,7 @@
-// Package keeper keeps a node's copy of the record: it follows the store, writes what the node learns, keeps a snapshot on the
+// Package recordcache keeps a node's copy of the record: it follows the store, writes what the node learns, keeps a snapshot on the
 // local disk, and stands between discovery and the cores. What it knows is merged by record.View; nothing here keeps a request
 // or discovery waiting, whatever the store does.
-package keeper
+package recordcache
 
 import (
 	"context"
--- a/internal/keeper/keeper_test.go
+++ b/internal/recordcache/recordcache_test.go
@@ -1,4 +1,4 @@
-package keeper
+package recordcache
 
 import (
 	"context"
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,11 +19,11 @@
 	"go.uber.org/zap"
 
 	"robincart/decide"
-	"robincart/internal/keeper"
 	"robincart/internal/keys"
 	"robincart/internal/lab/pgstand"
 	"robincart/internal/node"
 	"robincart/internal/record"
+	"robincart/internal/recordcache"
 	"robincart/internal/store"
 	"robincart/internal/store/sqlstore"
 )
@@ -125,8 +125,8 @@
 	return c.state[id] == decide.Draining
 }
 
-func (p *place) node(name string, open func() (store.Store, error)) *keeper.Keeper {
-	k, err := keeper.Open(p.t.Context(), keeper.Config{Name: name, Store: "test", Open: open, Snapshot: filepath.Join(p.t.TempDir(), "snap"), Queue: 100, Timeout: time.Second,
+func (p *place) node(name string, open func() (store.Store, error)) *recordcache.Keeper {
+	k, err := recordcache.Open(p.t.Context(), recordcache.Config{Name: name, Store: "test", Open: open, Snapshot: filepath.Join(p.t.TempDir(), "snap"), Queue: 100, Timeout: time.Second,
 		Poll: 50 * time.Millisecond, MostAge: time.Hour}, zap.NewNop())
 	require.NoError(p.t, err)
 	p.t.Cleanup(sync.OnceFunc(k.Close))
@@ -185,8 +185,8 @@
 	later := ln.Addr().String()
 	ln.Close()
 	cores := map[string]*core{}
-	all := map[string]*keeper.Keeper{"old": p.node("old", p.direct()), "new": p.node("new", through(r.addr)), "early": p.node("early", through(later))}
-	sinks := map[string]*keeper.Sink{}
+	all := map[string]*recordcache.Keeper{"old": p.node("old", p.direct()), "new": p.node("new", through(r.addr)), "early": p.node("early", through(later))}
+	sinks := map[string]*recordcache.Sink{}
 	for name, k := range all {
 		cores[name] = &core{}
 		sinks[name] = k.Sink("s", cores[name])
@@ -549,8 +549,8 @@
 				addrs, replicas = append(addrs, r.addr), append(replicas, r)
 			}
 			var cores []*core
-			var sinks []*keeper.Sink
-			var nodes []*keeper.Keeper
+			var sinks []*recordcache.Sink
+			var nodes []*recordcache.Keeper
 			for i := range n {
 				c := &core{}
 				k := p.node(fmt.Sprint("n", i), through(addrs[i%3], addrs[(i+1)%3]))
