--- a/cmd/robincart/fastcgi_test.go
+++ b/cmd/robincart/fastcgi_test.go
@@ -22,10 +22,10 @@
 
 const fastcgiService = `
 [[service]]
-name = "desk"
+name = "gateway"
 speaks = "fastcgi"
 servers = [%s]
-params = { SCRIPT_FILENAME = "/srv/desk.php" }
+params = { SCRIPT_FILENAME = "/srv/gateway.php" }
   [[service.method]]
   name = "find"
   repeat = "idempotent"
@@ -214,7 +214,7 @@
 		r := p.ask("charge", "seats")
 		require.NoError(t, r.err)
 		assert.Equal(t, 200, r.status)
-		assert.Equal(t, "POST /charge/table?k=7 "+p.addr+" acme /srv/desk.php seats", r.body)
+		assert.Equal(t, "POST /charge/table?k=7 "+p.addr+" acme /srv/gateway.php seats", r.body)
 		assert.Equal(t, "text/x", r.header.Get("Content-Type"))
 		assert.Equal(t, 200, p.ask("find", "").status)
 	}
--- a/cmd/robincart/gateway_test.go
+++ b/cmd/robincart/gateway_test.go
@@ -54,7 +54,7 @@
 }
 
 func usual(method, verb string, more ...string) map[string]string {
-	p := map[string]string{"REQUEST_METHOD": verb, "REQUEST_URI": "/" + method + "/table?k=7", "HTTP_HOST": "desk", "HTTP_X_QOS": method, "HTTP_X_EXPIRES_IN_MS": "2900",
+	p := map[string]string{"REQUEST_METHOD": verb, "REQUEST_URI": "/" + method + "/table?k=7", "HTTP_HOST": "gateway", "HTTP_X_QOS": method, "HTTP_X_EXPIRES_IN_MS": "2900",
 		"HTTP_X_TRACE_ID": fmt.Sprintf("g%016x", asked.Add(1)), "SERVER_SOFTWARE": "an old gateway", "HTTP_PROXY": "x"}
 	for i := 0; i+1 < len(more); i += 2 {
 		if p[more[i]] = more[i+1]; more[i+1] == "" {
@@ -100,7 +100,7 @@
 	return h.Status, string(rest)
 }
 
-const deskGateways = `
+const unixGateways = `
 [[gateway]]
 listen = %q
 [[gateway]]
@@ -113,9 +113,9 @@
 
 // withGateways starts a node before a server that speaks HTTP, with an address and a Unix socket for gateways.
 func withGateways(t *testing.T, s *server, more string) (p *program, addr, path string) {
-	addr, path = freeAddress(t), filepath.Join(t.TempDir(), "desk.sock")
-	text := fmt.Sprintf(oneService, "desk", s.addr(), 0, more) + "  [[service.method]]\n  name = \"book\"\n  repeat = \"deduplicated\"\n  window = \"10s\"\n  deadline = \"3s\"\n"
-	return withServices(t, text+fmt.Sprintf(deskGateways, addr, "unix:"+path)), addr, path
+	addr, path = freeAddress(t), filepath.Join(t.TempDir(), "gateway.sock")
+	text := fmt.Sprintf(oneService, "gateway", s.addr(), 0, more) + "  [[service.method]]\n  name = \"book\"\n  repeat = \"deduplicated\"\n  window = \"10s\"\n  deadline = \"3s\"\n"
+	return withServices(t, text+fmt.Sprintf(unixGateways, addr, "unix:"+path)), addr, path
 }
 
 func TestGatewaysThatSpeakFastCGIAreServedAsAnyCaller(t *testing.T) {
@@ -291,7 +291,7 @@
 	for _, body := range []string{"", "seats", large, "seats"} {
 		status, text := g.ask(3, asking(3, true, usual("charge", "POST"), body, 30_000))
 		assert.Equal(t, 200, status)
-		assert.True(t, text == "desk"+body, "%d bytes of %d", len(text), len(body))
+		assert.True(t, text == "gateway"+body, "%d bytes of %d", len(text), len(body))
 	}
 	g.Write(asking(4, true, usual("book", "POST", "HTTP_IDEMPOTENCY_KEY", "k"), large, 30_000))
 	_, kind, _ := g.hears(4)
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -99,7 +99,7 @@
 		}
 		listeners = append(listeners, ln)
 	}
-	desks, err := openGateways(c)
+	gateways, err := openGateways(c)
 	if err != nil {
 		for _, open := range listeners {
 			open.Close()
@@ -162,7 +162,7 @@
 		zap.Int64("memory", l.Memory))
 	s := &served{front: front, listeners: listeners, limits: l, log: log, telemetry: recorder, open: set.Open,
 		serving: func() {
-			for _, d := range desks {
+			for _, d := range gateways {
 				front.ServeGateways(d.ln, d.way)
 			}
 			ops.taking.Store(true)
@@ -194,14 +194,14 @@
 	return nil
 }
 
-// gateways is one listener for them.
-type gateways struct {
+// gatewayListener is one listener for gateways that speak FastCGI.
+type gatewayListener struct {
 	ln  net.Listener
 	way *frontend.Gateway
 }
 
 // openGateways listens where gateways that speak FastCGI are to be served.
-func openGateways(c *operator.Config) (all []gateways, err error) {
+func openGateways(c *operator.Config) (all []gatewayListener, err error) {
 	for _, g := range c.Gateway {
 		network, addr := "tcp", g.Listen
 		if path, unix := strings.CutPrefix(g.Listen, "unix:"); unix {
@@ -219,13 +219,13 @@
 		if err != nil {
 			return nil, errors.Join(fmt.Errorf("listen: %w", err), closeGateways(all))
 		}
-		all = append(all, gateways{ln, &frontend.Gateway{Trace: g.Params.Trace, Class: g.Params.Class, Tenant: g.Params.Tenant, Key: g.Params.Key, Left: g.Params.Left,
+		all = append(all, gatewayListener{ln, &frontend.Gateway{Trace: g.Params.Trace, Class: g.Params.Class, Tenant: g.Params.Tenant, Key: g.Params.Key, Left: g.Params.Left,
 			OfTenant: g.Tenant, OfLeft: time.Duration(g.Left), Overloaded: g.Overloaded, Total: c.Limits.Callers}})
 	}
 	return all, nil
 }
 
-func closeGateways(all []gateways) (err error) {
+func closeGateways(all []gatewayListener) (err error) {
 	for _, g := range all {
 		err = errors.Join(err, g.ln.Close())
 	}
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -31,7 +31,7 @@
 	place  poller.Place
 	born   time.Duration
 	reader *httpwire.Reader         // while it is served
-	desk   *desk                    // nil: its caller speaks HTTP
+	gateway   *gateway                    // nil: its caller speaks HTTP
 	rpc    atomic.Pointer[node.RPC] // while one is out
 	ended  atomic.Bool              // the caller has closed its side
 	heard  atomic.Int64             // when the kernel was last asked whether it has, in nanoseconds of the server's clock
@@ -82,8 +82,8 @@
 
 // Read is what requests are read by.
 func (c *conn) Read(to []byte) (int, error) {
-	if c.desk != nil {
-		return c.desk.Read(to)
+	if c.gateway != nil {
+		return c.gateway.Read(to)
 	}
 	return c.readRaw(to)
 }
@@ -339,11 +339,11 @@
 // stays tells, when a caller seems to have left, whether it has only sent something. One that has ended its side has left,
 // whatever it sent before that: nothing is sent on for it, and what it had asked next nobody waits for.
 func (c *conn) stays(q *httpwire.Request, rpc *node.RPC) bool {
-	if c.desk == nil {
+	if c.gateway == nil {
 		return false
 	}
 	c.look.Lock()
-	stays := c.desk.stays(q)
+	stays := c.gateway.stays(q)
 	c.look.Unlock()
 	if !stays {
 		return false
@@ -354,7 +354,7 @@
 
 // shows lets those who carry a gateway's request out look at what has come behind it, until it is shown no more.
 func (c *conn) shows(q *httpwire.Request) {
-	if c.desk != nil {
+	if c.gateway != nil {
 		c.look.Lock()
 		c.out = q
 		c.look.Unlock()
@@ -364,7 +364,7 @@
 // Waits tells whether a request's caller still waits for its answer. The poller tells of its end, too, but a poller that has much to tell
 // may come to it late, and so may the request's own goroutine. While the kernel's last word is fresh it counts, and costs nothing.
 func (c *conn) Waits(q *httpwire.Request) bool {
-	if c.desk != nil {
+	if c.gateway != nil {
 		c.look.Lock()
 		defer c.look.Unlock()
 		if c.out != q {
@@ -376,7 +376,7 @@
 	if !fresh && socket.Ended(c.raw) {
 		c.ended.Store(true)
 	}
-	if c.ended.Load() || c.desk != nil && !c.desk.waits(fresh) {
+	if c.ended.Load() || c.gateway != nil && !c.gateway.waits(fresh) {
 		c.tell()
 		return false
 	}
@@ -391,19 +391,19 @@
 func (c *conn) abandoned(q *httpwire.Request) bool {
 	c.why = telemetry.PeerClosed
 	c.owed.Store(false)
-	if c.desk == nil || !c.desk.gone.Load() || q.Rest != nil && !q.Rest.Ended() {
+	if c.gateway == nil || !c.gateway.gone.Load() || q.Rest != nil && !q.Rest.Ended() {
 		return false
 	}
-	keep := c.desk.keep && !c.last && !c.server.closing()
+	keep := c.gateway.keep && !c.last && !c.server.closing()
 	c.SetWriteDeadline(time.Now().Add(c.server.limits.CallerWrite))
-	_, err := c.Conn.Write(c.desk.end(nil, 1, fcgi.Complete))
+	_, err := c.Conn.Write(c.gateway.end(nil, 1, fcgi.Complete))
 	return err == nil && keep
 }
 
 // watch lets the poller tell an RPC that its caller has left. It may have left already.
 func (c *conn) watch(rpc *node.RPC) {
 	c.rpc.Store(rpc)
-	if c.ended.Load() || c.desk != nil && c.server.unstir(c) {
+	if c.ended.Load() || c.gateway != nil && c.server.unstir(c) {
 		c.tell()
 	}
 }
@@ -497,11 +497,11 @@
 
 // answer writes a request's one answer.
 func (c *conn) answer(q *httpwire.Request, a *httpwire.Answer) bool {
-	a.Close = a.Close || q.Close || c.last || c.server.closing() || q.Rest != nil && !q.Rest.Ended() || c.desk != nil && !c.desk.keep
+	a.Close = a.Close || q.Close || c.last || c.server.closing() || q.Rest != nil && !q.Rest.Ended() || c.gateway != nil && !c.gateway.keep
 	if a.Close && (q.Rest == nil || q.Rest.Ended()) && (c.reader.Beyond() || socket.Peek(c.raw) == socket.Bytes) {
 		c.linger = true // closed with bytes unread the connection would be reset, and the answer lost with it; rest sees to a body's
 	}
-	if c.desk != nil && q.Rest != nil { // an exchange may still read the body, and the records are its own until then
+	if c.gateway != nil && q.Rest != nil { // an exchange may still read the body, and the records are its own until then
 		q.Rest.Stop(c.giveIn)
 	}
 	written := false
@@ -537,9 +537,9 @@
 	}
 	body := func(p []byte) bool { return write(httpwire.Frame(p, chunked, frame)) }
 	head := a.AppendHead
-	if c.desk != nil {
+	if c.gateway != nil {
 		chunked = false
-		head, body = func(to []byte) []byte { return c.desk.begin(to, a) }, func(p []byte) bool { return write(c.desk.frame(p)) }
+		head, body = func(to []byte) []byte { return c.gateway.begin(to, a) }, func(p []byte) bool { return write(c.gateway.frame(p)) }
 	}
 	ok := write(net.Buffers{head(nil)}) && (len(a.Body) == 0 || body(a.Body))
 	for ok {
@@ -555,8 +555,8 @@
 	if ok && chunked {
 		ok = write(net.Buffers{httpwire.LastChunk})
 	}
-	if ok && c.desk != nil { // else it looks broken: its request has no end
-		ok = write(net.Buffers{c.desk.end(nil, 0, fcgi.Complete)})
+	if ok && c.gateway != nil { // else it looks broken: its request has no end
+		ok = write(net.Buffers{c.gateway.end(nil, 0, fcgi.Complete)})
 	}
 	a.Rest.Close(ok)
 	if t, is := c.Conn.(*net.TCPConn); is && !ok && a.Old && a.Rest.Length() < 0 {
@@ -576,8 +576,8 @@
 	head := heads.Get().(*[]byte)
 	defer heads.Put(head)
 	var msg, body []byte
-	if c.desk != nil {
-		msg = c.desk.answer((*head)[:0], a, headOnly)
+	if c.gateway != nil {
+		msg = c.gateway.answer((*head)[:0], a, headOnly)
 	} else {
 		msg, body = a.AppendHead((*head)[:0]), a.Body
 	}
--- a/internal/frontend/desk.go
+++ b/internal/frontend/gateway.go
@@ -26,10 +26,10 @@
 	Total                           int  // requests that are told to who asks
 }
 
-// desk is what a connection has beside it where a gateway speaks FastCGI on it. What comes is read through it as HTTP/1.1 would have
+// gateway is what a connection has beside it where a gateway speaks FastCGI on it. What comes is read through it as HTTP/1.1 would have
 // it, so that a request's life, its times, sizes and places are those of any other. One request is on a connection at a time: a second is
 // told so.
-type desk struct {
+type gateway struct {
 	c       *conn
 	way     *Gateway
 	app     fcgi.Application
@@ -50,20 +50,20 @@
 	at    int
 }
 
-var deskBuffers = sync.Pool{New: func() any { b := make([]byte, 4096); return &b }}
+var gatewayBuffers = sync.Pool{New: func() any { b := make([]byte, 4096); return &b }}
 
-func newDesk(c *conn, way *Gateway) *desk {
-	d := &desk{c: c, way: way, told: -1}
+func newGateway(c *conn, way *Gateway) *gateway {
+	d := &gateway{c: c, way: way, told: -1}
 	d.app.Limits = fcgi.Limits{Requests: 1, Total: way.Total, Params: c.server.limits.Wire.Head}
 	return d
 }
 
 // source reads what the records are read from.
-type source desk
+type source gateway
 
 // Read waits for a byte only where a request has begun, and not for ever: who sends half a record would else hold a place for good.
 func (s *source) Read(to []byte) (int, error) {
-	d := (*desk)(s)
+	d := (*gateway)(s)
 	begun := d.app.Open() > 0 || d.records.Amid()
 	switch {
 	case d.looking:
@@ -80,17 +80,17 @@
 }
 
 // more tells whether the kernel may hold something that no event will tell of.
-func (d *desk) more() bool { return d.brim || d.gone.Load() }
+func (d *gateway) more() bool { return d.brim || d.gone.Load() }
 
-func (d *desk) awake() {
+func (d *gateway) awake() {
 	if d.buf == nil {
-		d.buf = deskBuffers.Get().(*[]byte)
+		d.buf = gatewayBuffers.Get().(*[]byte)
 		d.records.Init((*source)(d), *d.buf)
 	}
 }
 
 // rest gives the buffers up between two requests; it is false if a part of the next one is in them.
-func (d *desk) rest() bool {
+func (d *gateway) rest() bool {
 	if d.buf == nil {
 		return true
 	}
@@ -99,7 +99,7 @@
 		return false
 	}
 	if !padded { // else the reader has to know what is still to come of it
-		deskBuffers.Put(d.buf)
+		gatewayBuffers.Put(d.buf)
 		d.buf = nil
 	}
 	d.at = 0
@@ -113,7 +113,7 @@
 }
 
 // Read gives the next request as HTTP/1.1, as much as has come.
-func (d *desk) Read(to []byte) (int, error) {
+func (d *gateway) Read(to []byte) (int, error) {
 	d.awake()
 	if d.at == len(d.pend) {
 		d.pend, d.at = d.pend[:0], 0
@@ -129,7 +129,7 @@
 }
 
 // next takes one piece.
-func (d *desk) next() error {
+func (d *gateway) next() error {
 	p, err := d.records.Next()
 	if err == nil {
 		var e fcgi.Event
@@ -143,7 +143,7 @@
 	return err
 }
 
-func (d *desk) take(e fcgi.Event) error {
+func (d *gateway) take(e fcgi.Event) error {
 	switch e.Kind {
 	case fcgi.Reply:
 		d.c.SetWriteDeadline(time.Now().Add(d.c.server.limits.CallerWrite))
@@ -188,7 +188,7 @@
 const lookMost = 128 << 10
 
 // look takes in what has come while a request is out, without waiting, and tells whether its gateway still waits for it.
-func (d *desk) look() bool {
+func (d *gateway) look() bool {
 	d.looking = true
 	defer func() { d.looking, d.c.try = false, false }()
 	for !d.gone.Load() {
@@ -224,7 +224,7 @@
 const few = 64
 
 // collect takes the params apart. What could end a line, or says two things at once, is refused.
-func (d *desk) collect(params []byte) error {
+func (d *gateway) collect(params []byte) error {
 	bad := func(what string, name []byte) error {
 		return fmt.Errorf("%w: %s %.60q", httpwire.ErrMalformed, what, name)
 	}
@@ -263,7 +263,7 @@
 	return nil
 }
 
-func (d *desk) find(name string) ([]byte, bool) {
+func (d *gateway) find(name string) ([]byte, bool) {
 	for _, p := range d.pairs {
 		if string(p.name) == name {
 			return p.value, true
@@ -272,13 +272,13 @@
 	return nil, false
 }
 
-func (d *desk) get(name string) []byte {
+func (d *gateway) get(name string) []byte {
 	value, _ := d.find(name)
 	return value
 }
 
 // head makes a request's head of its params.
-func (d *desk) head(params []byte) error {
+func (d *gateway) head(params []byte) error {
 	defer func() { clear(d.pairs) }()
 	if err := d.collect(params); err != nil {
 		return err
@@ -335,7 +335,7 @@
 }
 
 // instead is what stands for a field that a gateway does not send.
-func (d *desk) instead(header string, class []byte) []byte {
+func (d *gateway) instead(header string, class []byte) []byte {
 	switch header {
 	case httpwire.HeaderTrace: // a gateway that has none can't ask for the same again, either
 		return fmt.Appendf(nil, "%016x%016x", rand.Uint64(), rand.Uint64())
@@ -388,7 +388,7 @@
 }
 
 // stays tells, when something has come while a request is out, whether its gateway still waits for it.
-func (d *desk) stays(q *httpwire.Request) bool {
+func (d *gateway) stays(q *httpwire.Request) bool {
 	if q.Rest != nil && !q.Rest.Ended() { // who passes its body on reads, and sees it first
 		return !d.gone.Load() && !d.c.ended.Load()
 	}
@@ -397,7 +397,7 @@
 
 // waits is stays for who is about to send the request on, and has claimed its body where that is coming. Fresh tells that what the
 // kernel holds is known; what has been read of it may hold more than the request.
-func (d *desk) waits(fresh bool) bool {
+func (d *gateway) waits(fresh bool) bool {
 	switch {
 	case d.gone.Load():
 		return false
@@ -408,7 +408,7 @@
 }
 
 // answer writes a whole answer to the request that is out, and its end.
-func (d *desk) answer(to []byte, a *httpwire.Answer, headOnly bool) []byte {
+func (d *gateway) answer(to []byte, a *httpwire.Answer, headOnly bool) []byte {
 	if d.id == 0 {
 		return to // nobody has asked anything yet
 	}
@@ -425,7 +425,7 @@
 }
 
 // begin writes an answer's head.
-func (d *desk) begin(to []byte, a *httpwire.Answer) []byte {
+func (d *gateway) begin(to []byte, a *httpwire.Answer) []byte {
 	var head [256]byte
 	again := ""
 	if a.RetryAfter > 0 {
@@ -434,10 +434,10 @@
 	return fcgi.AppendStream(to, fcgi.Stdout, d.id, fcgi.AppendCGI(head[:0], a.Status, httpwire.Reason(a.Status), a.Type, again))
 }
 
-func (d *desk) frame(p []byte) net.Buffers { return fcgi.Records(fcgi.Stdout, d.id, p) }
+func (d *gateway) frame(p []byte) net.Buffers { return fcgi.Records(fcgi.Stdout, d.id, p) }
 
 // end ends the request; its id may be used again.
-func (d *desk) end(to []byte, app uint32, s fcgi.Status) []byte {
+func (d *gateway) end(to []byte, app uint32, s fcgi.Status) []byte {
 	if s == fcgi.Complete {
 		to = fcgi.AppendStreamEnd(to, fcgi.Stdout, d.id)
 	}
--- a/internal/frontend/desk_test.go
+++ b/internal/frontend/gateway_test.go
@@ -46,9 +46,9 @@
 	server := New(l, limits.NewBudget(9, 0, nil), func() time.Duration { return 0 }, zap.NewNop(), nil)
 	read := func(t *testing.T, text []byte) (n int) {
 		c := &conn{Conn: quiet{}, server: server}
-		c.desk = newDesk(c, &Gateway{})
-		c.desk.awake()
-		c.desk.records.Init(iotest.HalfReader(bytes.NewReader(text)), *c.desk.buf)
+		c.gateway = newGateway(c, &Gateway{})
+		c.gateway.awake()
+		c.gateway.records.Init(iotest.HalfReader(bytes.NewReader(text)), *c.gateway.buf)
 		r := httpwire.NewReader(c, l.Wire)
 		r.Headers = true
 		for ; ; n++ {
@@ -61,10 +61,10 @@
 					return n
 				}
 			}
-			if r.Beyond() || !c.desk.here || c.desk.at != len(c.desk.pend) {
+			if r.Beyond() || !c.gateway.here || c.gateway.at != len(c.gateway.pend) {
 				t.Fatalf("%q is not the whole request", q.Target)
 			}
-			c.desk.end(nil, 0, fcgi.Complete)
+			c.gateway.end(nil, 0, fcgi.Complete)
 		}
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
@@ -157,7 +157,7 @@
 				c := f.newConn(in)
 				q := &httpwire.Request{Sender: c}
 				if way != nil {
-					c.desk = newDesk(c, way)
+					c.gateway = newGateway(c, way)
 					c.shows(q)
 				}
 				b.ReportAllocs()
--- a/internal/frontend/rest.go
+++ b/internal/frontend/idle.go
@@ -57,7 +57,7 @@
 		}
 	}
 	f.mu.Unlock()
-	if c.desk != nil { // a gateway may give up what is out
+	if c.gateway != nil { // a gateway may give up what is out
 		c.tell()
 	}
 	if lingers && !f.discard(c) {
@@ -194,17 +194,17 @@
 // again finds what comes next for a connection that has just been answered.
 func (f *Server) again(c *conn) step {
 	more := c.reader.Brim()
-	if c.desk != nil {
-		if !c.desk.rest() {
+	if c.gateway != nil {
+		if !c.gateway.rest() {
 			return goOn
 		}
-		more = c.desk.more()
+		more = c.gateway.more()
 	}
 	for {
 		f.mu.Lock()
 		drains := f.drained || f.emptied
 		ends := c.ending || drains
-		if pass := f.pass; pass != nil && !c.ending && !c.last && c.desk == nil {
+		if pass := f.pass; pass != nil && !c.ending && !c.last && c.gateway == nil {
 			f.mu.Unlock()
 			if f.passes(c, pass) {
 				return stood
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -236,7 +236,7 @@
 	if c := f.newConn(raw); c != nil {
 		c.first, c.asked, c.accepted = !asked, asked, accepted
 		if way != nil {
-			c.desk = newDesk(c, way)
+			c.gateway = newGateway(c, way)
 		}
 		f.add(c)
 	}
--- a/internal/lab/chaos/pairs.go
+++ b/internal/lab/chaos/pairs.go
@@ -99,19 +99,19 @@
 	if err != nil {
 		return err
 	}
-	desk, err := standin.FreeAddress("127.0.0.1")
+	gateway, err := standin.FreeAddress("127.0.0.1")
 	if err != nil {
 		return err
 	}
 	n := &standin.Node{Name: "n", Addr: addr, Program: r.Program, Dir: dir, Text: fmt.Sprintf("listen = [%q]\n[[gateway]]\nlisten = %q\n[[service]]\nname = \"s\"\nspeaks = %q\nservers = [%s]\n"+
 		"[[service.method]]\nname = \"find\"\nrepeat = \"idempotent\"\ndeadline = \"3s\"\n[[service.method]]\nname = \"book\"\nrepeat = \"deduplicated\"\nwindow = \"10s\"\ndeadline = \"3s\"\n"+
-		"[[service.method]]\nname = \"charge\"\ndeadline = \"3s\"\n", addr, desk, p.Out, strings.Join(addrs, ", "))}
+		"[[service.method]]\nname = \"charge\"\ndeadline = \"3s\"\n", addr, gateway, p.Out, strings.Join(addrs, ", "))}
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
 	defer n.Kill()
 	if p.In == "fastcgi" {
-		addr = desk
+		addr = gateway
 	}
 	cpu, _ := n.Use()
 	r.ask(ctx, p, addr, r.Calm, "c")
