--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -26,16 +26,16 @@
 // goroutine serves it, the only one that reads its requests and writes to it.
 type conn struct {
 	net.Conn
-	server *Server
-	raw    syscall.RawConn
-	place  poller.Place
-	born   time.Duration
-	reader *httpwire.Reader         // while it is served
-	gateway   *gateway                    // nil: its caller speaks HTTP
-	rpc    atomic.Pointer[node.RPC] // while one is out
-	ended  atomic.Bool              // the caller has closed its side
-	heard  atomic.Int64             // when the kernel was last asked whether it has, in nanoseconds of the server's clock
-	cut    atomic.Bool              // what is being read is given up: its deadline must not be put off
+	server  *Server
+	raw     syscall.RawConn
+	place   poller.Place
+	born    time.Duration
+	reader  *httpwire.Reader         // while it is served
+	gateway *gateway                 // nil: its caller speaks HTTP
+	rpc     atomic.Pointer[node.RPC] // while one is out
+	ended   atomic.Bool              // the caller has closed its side
+	heard   atomic.Int64             // when the kernel was last asked whether it has, in nanoseconds of the server's clock
+	cut     atomic.Bool              // what is being read is given up: its deadline must not be put off
 
 	// Its own goroutine's:
 	begun  time.Duration    // of the request that is being read
