Judge: a server that stands still past the window is no node's second effect

Followed by id through the nodes' events (docs/incidents/effect-twice-past-the-window.md): one attempt to a server that stood still, an abort, the caller's own second try within the window, and the first server's late work when the mark was forgotten. As strict where a node is at fault: sent past the window, or invited by a pushback, counts as before; seven planted cases say so.

--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -176,3 +176,41 @@
 		assert.NotNil(t, Judge(rules, l).Broken[EffectTwice], end)
 	}
 }
+
+// Two effects of one call, the first attempt of which reached a server that stood still and had its effect when the servers had forgotten the
+// other's: sent within the window it is nobody's doing, whoever sent it; sent past the window it is the node's, or its caller's who had been
+// promised nothing.
+func TestAServerThatStandsStillPastTheWindowIsNoCrimeOfTheNode(t *testing.T) {
+	for name, c := range map[string]struct {
+		between time.Duration // the sending of the two
+		first   End           // of the first try
+		same    bool          // try
+		apart   time.Duration // the effects
+		guilty  bool
+	}{
+		"two tries, sent in time":                       {290 * ms, Aborted, false, 2 * time.Second, false},
+		"two tries, sent in time, pushed back":          {290 * ms, PushedBack, false, 2 * time.Second, false},
+		"two tries, sent too late, promised nothing":    {310 * ms, Aborted, false, 2 * time.Second, false},
+		"two tries, sent too late, told it is harmless": {310 * ms, PushedBack, false, 2 * time.Second, true},
+		"one try, sent in time":                         {290 * ms, OK, true, 2 * time.Second, false},
+		"one try, sent too late":                        {310 * ms, OK, true, 2 * time.Second, true},
+		"servers that have not forgotten":               {10 * ms, OK, true, 200 * ms, true},
+	} {
+		l := &Log{}
+		try, pick := clean(l, 1, 1, 500*ms)
+		try.End, try.Answered = c.first, try.Sent+900*ms
+		l.Try(try)
+		other := pick
+		other.First += c.between
+		other.Start, other.End = other.First+ms, other.First+2*ms
+		if !c.same {
+			again := try
+			again.N, again.Sent, again.End, other.N = 1, try.Sent+c.between, OK, 1
+			l.Try(again)
+		}
+		pick.Start, pick.End = other.Start+c.apart, other.Start+c.apart+ms
+		l.Pick(pick)
+		l.Pick(other)
+		assert.Equal(t, c.guilty, Judge(rules, l).Broken[EffectTwice] != nil, name)
+	}
+}
