--- a/internal/lab/standin/rude.go
+++ b/internal/lab/standin/rude.go
@@ -16,7 +16,7 @@
 )
 
 // RudeClients misbehave at one node: they stop in the middle of a request and stay, connect and say nothing, send much at once and go, leave
-// early, and ask several things at once on one connection. What they ask is in the ledger like any other caller's.
+// early, ask several things at once on one connection, and ask with hardly any time left. What they ask is in the ledger like any other caller's.
 type RudeClients struct {
 	Begin   time.Time
 	Dest    load.Dest
@@ -38,7 +38,7 @@
 
 // Run goes on until the context ends, and waits for answers that are due.
 func (r *RudeClients) Run(ctx context.Context) {
-	ways := []func(context.Context){r.half, r.mute, r.flood, r.leave, r.pipeline}
+	ways := []func(context.Context){r.half, r.mute, r.flood, r.leave, r.pipeline, r.hasty}
 	var all sync.WaitGroup
 	for _, way := range ways {
 		all.Go(func() {
@@ -179,6 +179,31 @@
 	}
 }
 
+// hasty asks with hardly any time left.
+func (r *RudeClients) hasty(context.Context) {
+	c := r.dial()
+	if c == nil {
+		return
+	}
+	defer c.Close()
+	text, t := r.request(time.Millisecond+rand.N(40*time.Millisecond), 5*time.Millisecond)
+	c.SetDeadline(r.Begin.Add(t.Until + r.Lasting))
+	if _, err := c.Write([]byte(text)); err != nil {
+		return
+	}
+	p, err := wire.ReadResponse(bufio.NewReader(c))
+	t.Answered = r.now()
+	switch {
+	case err == nil:
+		t.End = rudeEnd(p.Status)
+	case r.Excused(t.Sent):
+		t.End = judge.Excused
+	default:
+		t.End = judge.Lost
+	}
+	r.Log.Try(t)
+}
+
 func rudeEnd(status int) judge.End {
 	switch status {
 	case 200:
