--- a/cmd/robinlab/hunt_test.go
+++ b/cmd/robinlab/hunt_test.go
@@ -200,3 +200,23 @@
 		})
 	}
 }
+
+// Watching a connection may fail for a moment. net's own accept closes the connection then, with the request that lies in it.
+func TestNoCallerIsLostWhereWatchingFailsForAMoment(t *testing.T) {
+	t.Parallel()
+	kept(t, playHunted(t, 60, `
+[[fault]]
+kind = "errno"
+on = "nodes"
+at = "500ms"
+for = "6s"
+call = "epoll_ctl"
+errors = ["ENOMEM", "ENOSPC"]
+share = 0.3
+[[fault]]
+kind = "rude"
+on = "nodes"
+at = "1s"
+for = "5s"
+`))
+}
