--- a/decide/choice_test.go
+++ b/decide/choice_test.go
@@ -58,7 +58,7 @@
 			assert.False(t, r.met(s, true))
 			assert.True(t, r.ran == nil || r.rules.within(s, r.ran.Server))
 			for _, o := range h.b.near {
-				sound := h.now >= o.ejected && o.strikes < strikeOut && !r.met(o, false) && h.b.cold(o, h.now) == 1
+				sound := h.now >= o.ejected && o.strikes < ejectAfter && !r.met(o, false) && h.b.cold(o, h.now) == 1
 				if sound && (r.ran == nil || r.rules.within(o, r.ran.Server)) {
 					assert.GreaterOrEqual(t, h.now, s.ejected, "an ejected one while a neighbour is sound")
 				}
--- a/decide/ejection.go
+++ b/decide/ejection.go
@@ -3,11 +3,11 @@
 // Outlier ejection: failures in a row, servers that fall silent, idle connections that are not to be trusted.
 
 const (
-	strikeOut = 3   // failures in a row that eject a server
-	ejectMin  = 1.0 // first ejection, in seconds; doubles while trials fail
-	ejectMax  = 8.0
-	idleHalf  = 10.0 // seconds in which an idle time that was too long is tried twice as long
-	idleSafe  = 0.7  // of an idle time that was too long
+	ejectAfter = 3   // failures in a row that eject a server
+	ejectMin   = 1.0 // first ejection, in seconds; doubles while trials fail
+	ejectMax   = 8.0
+	idleHalf   = 10.0 // seconds in which an idle time that was too long is tried twice as long
+	idleSafety = 0.7  // of an idle time that was too long
 )
 
 // fault counts a failure against its server and ejects one that only fails. The entries alone would send
@@ -16,7 +16,7 @@
 	s := p.Server
 	b.pay(p, paceCap*p.due, now)
 	b.learn(p, p.RPC.rules.Deadline, true, now)
-	if s.strikes++; s.strikes >= strikeOut && now >= s.ejected {
+	if s.strikes++; s.strikes >= ejectAfter && now >= s.ejected {
 		s.backoff = min(max(ejectMin, 2*s.backoff), ejectMax)
 		s.ejected = now + s.backoff
 	}
@@ -32,7 +32,7 @@
 	}
 	s.dead, s.linked = true, false
 	if b.mute != nil && b.mute != s && now < b.muteAt+othersHalf {
-		b.idleMost = max(idleSafe*p.idle, b.idleOK.sum)
+		b.idleMost = max(idleSafety*p.idle, b.idleOK.sum)
 		b.idleAt = now
 	}
 	b.mute, b.muteAt = s, now
--- a/decide/estimator.go
+++ b/decide/estimator.go
@@ -8,18 +8,18 @@
 )
 
 const (
-	alpha      = 0.7  // the paper's learning rate
-	levels     = 5    // load levels: 0, 1-2, 3-6, 7-14, 15 and more
-	rowLife    = 60.0 // an entry idle that long is dropped
-	fade       = 8.0  // mean times in which half of what one sample says beyond its row's mean is past
-	fadeMost   = 4.0  // seconds that it takes at most: a slow server may be another by then
-	paceHalf   = 6.0  // half-life of a server's pace, long enough for a few samples at an inner node
-	othersHalf = 20.0 // half-life of the pace of all servers tried, the jammed ones included
-	strange    = 1.4  // times that for a server not known: on a par with those known, every node tries it
-	paceDoubt  = 2.0  // samples' worth of doubt that holds a pace near 1
-	paceCap    = 4.0  // no sample counts as more than this many times its due: one outlier is no verdict
-	freshFor   = 2.5  // mean times in which half of a load report is past
-	doneHalf   = 5.0  // of times and rates that hardly change
+	alpha       = 0.7  // the paper's learning rate
+	levels      = 5    // load levels: 0, 1-2, 3-6, 7-14, 15 and more
+	rowLife     = 60.0 // an entry idle that long is dropped
+	fade        = 8.0  // mean times in which half of what one sample says beyond its row's mean is past
+	maxFade     = 4.0  // seconds that it takes at most: a slow server may be another by then
+	paceHalf    = 6.0  // half-life of a server's pace, long enough for a few samples at an inner node
+	othersHalf  = 20.0 // half-life of the pace of all servers tried, the jammed ones included
+	unknownPace = 1.4  // times that for a server not known: on a par with those known, every node tries it
+	paceDoubt   = 2.0  // samples' worth of doubt that holds a pace near 1
+	paceCap     = 4.0  // no sample counts as more than this many times its due: one outlier is no verdict
+	freshFor    = 2.5  // mean times in which half of a load report is past
+	doneHalf    = 5.0  // of times and rates that hardly change
 )
 
 type entry struct {
@@ -43,7 +43,7 @@
 		if now-e.at > rowLife {
 			b.forget(s, i)
 		} else {
-			weight := math.Exp2((e.at-now)/min(fade*typical, fadeMost)) * (1 - b.fresh(s, typical, now))
+			weight := math.Exp2((e.at-now)/min(fade*typical, maxFade)) * (1 - b.fresh(s, typical, now))
 			q += (e.q - q) * weight
 			if !e.failed {
 				known += (e.q - known) * weight // one failure is no reason to turn the next RPC away
--- a/decide/hedging.go
+++ b/decide/hedging.go
@@ -3,11 +3,11 @@
 // Second attempts beside a late one, and their budget.
 
 const (
-	overdue   = 2.5  // times the expected: a pick out for longer is late, above quiet
-	patience  = 1.2  // times the expected: by then a pick has had its chance
-	spare     = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
-	atOnce    = 0.25 // and at once for each server, over all nodes: a quiet node would else have none
-	extraHalf = 5.0  // of the budget for second copies
+	lateFactor   = 2.5  // times the expected: a pick out for longer is late, above quiet
+	patience     = 1.2  // times the expected: by then a pick has had its chance
+	hedgeShare   = 0.02 // second copies as a share of picks: they must not carry a slowdown into overload
+	hedgesAtOnce = 0.25 // and at once for each server, over all nodes: a quiet node would else have none
+	extraHalf    = 5.0  // of the budget for second copies
 )
 
 // lateAfter is when to look at a pick again: when it is late, or when another could just still be in time.
@@ -26,7 +26,7 @@
 		return
 	}
 	// A part of a copy is sent by chance: one always allowed would be hundreds at once over hundreds of nodes.
-	most := spare*b.sent.read(now, extraHalf) + min(1, atOnce*float64(b.ready)*b.part)
+	most := hedgeShare*b.sent.read(now, extraHalf) + min(1, hedgesAtOnce*float64(b.ready)*b.part)
 	if !b.mayRepeat(r, now) || b.extra.read(now, extraHalf)+b.rng.Float64() > most {
 		return
 	}
--- a/decide/membership.go
+++ b/decide/membership.go
@@ -48,8 +48,8 @@
 	})
 	b.weight /= float64(max(1, b.ready))
 	if b.room == 0 {
-		b.room, b.base, b.baseAt = 5*b.leastRoom(), goal, b.host.Now()
-		b.usual = b.room / roomMost
+		b.room, b.base, b.baseAt = 5*b.roomFloor(), goal, b.host.Now()
+		b.usual = b.room / maxRoom
 	}
 }
 
--- a/decide/requests.go
+++ b/decide/requests.go
@@ -32,7 +32,7 @@
 			value *= b.overShare
 		}
 	}
-	r.early = cheapest + (1-cheapest)*math.Cbrt(value)
+	r.early = roomForFree + (1-roomForFree)*math.Cbrt(value)
 	if !b.admit(r, now) {
 		b.giveUp(r)
 		return
@@ -198,7 +198,7 @@
 	b.join(r, s, typical, now)
 	p.extra = typical * r.size
 	// Where answers take a hair's breadth, the node's own hiccups would else pass for hung servers.
-	p.late = max(overdue*(p.due+max(p.extra, 0)), quiet*r.rules.LatencyTarget)
+	p.late = max(lateFactor*(p.due+max(p.extra, 0)), negligibleWait*r.rules.LatencyTarget)
 	if b.cold(s, now) < 1 {
 		s.tokens--
 	}
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -5,7 +5,7 @@
 import "slices"
 
 const (
-	comeBack = 0.1 // of the latency target: when a client pushed back may ask again
+	retryAfterShare = 0.1 // of the latency target: when a client pushed back may ask again
 )
 
 // pickOr sends the RPC's next pick or, if there is nowhere to send it, ends it.
@@ -64,7 +64,7 @@
 func (b *Balancer) giveUp(r *RPC) {
 	if r.harmless() {
 		// Soon enough that the next try can still be in time; a later one would take room from RPCs that can.
-		wait := comeBack * r.rules.LatencyTarget
+		wait := retryAfterShare * r.rules.LatencyTarget
 		if b.host.Now()-r.came > wait {
 			wait = b.maxWait
 		}
--- a/decide/selection.go
+++ b/decide/selection.go
@@ -8,22 +8,22 @@
 )
 
 const (
-	explore   = 0.01 // chance of a random server that is no neighbour
-	nearTie   = 1.1  // entries within a tenth of the lowest are tied
-	sight     = 128  // neighbours at most
-	fewest    = 4    // neighbours at least: one may be ill, and a retry needs another
-	breadth   = 2.5  // and as many for each pick that is out on average
-	strangers = 4    // others looked at for a pick
-	moving    = 0.1  // of the picks may bring a new neighbour in place of another
-	inTime    = 1.2  // times what is left: what is expected to take longer is turned away; times scatter
-	anyway    = 0.02 // of those are sent all the same: without picks nothing would be learnt of a recovery
+	explore             = 0.01 // chance of a random server that is no neighbour
+	nearTie             = 1.1  // entries within a tenth of the lowest are tied
+	neighborLimit       = 128  // neighbours at most
+	minNeighbors        = 4    // neighbours at least: one may be ill, and a retry needs another
+	neighborsPerAttempt = 2.5  // and as many for each pick that is out on average
+	exploreCandidates   = 4    // others looked at for a pick
+	newNeighborShare    = 0.1  // of the picks may bring a new neighbour in place of another
+	lateMargin          = 1.2  // times what is left: what is expected to take longer is turned away; times scatter
+	sendLateShare       = 0.02 // of those are sent all the same: without picks nothing would be learnt of a recovery
 )
 
 // choose is the Q-router: the lowest time-to-go at the present load, near-ties and exploration at random.
 func (b *Balancer) choose(r *RPC, now float64) *Server {
 	unit, typical := b.unit(now), b.typical(r.Method, now)
 	few := paceDoubt * typical
-	b.others = strange * max(1, (b.cost.read(now, othersHalf)+few)/(b.due.read(now, othersHalf)+few))
+	b.others = unknownPace * max(1, (b.cost.read(now, othersHalf)+few)/(b.due.read(now, othersHalf)+few))
 	best, due := math.Inf(1), 0.0
 	look := func(s *Server, pass int) {
 		if s.state != Ready || r.ran != nil && !r.rules.within(s, r.ran.Server) || !b.warm(s, unit, now) {
@@ -31,7 +31,7 @@
 		}
 		// The second pass takes what is left when all sound servers have been tried: an ejected one is
 		// better than none, and where all fail the fault lies elsewhere.
-		ill := now < s.ejected || s.strikes >= strikeOut && len(s.pending) > 0
+		ill := now < s.ejected || s.strikes >= ejectAfter && len(s.pending) > 0
 		if pass == 0 && (ill || r.met(s, false)) || r.met(s, true) {
 			return
 		}
@@ -47,8 +47,8 @@
 		look(b.near[i], 0)
 	}
 	spent := b.moved.read(now, extraHalf) + b.rng.Float64()
-	open := exploring || len(b.near) < b.most(now) || spent < moving*b.sent.read(now, extraHalf)
-	for i := 0; i < strangers && open && len(b.near) < len(b.servers); i++ {
+	open := exploring || len(b.near) < b.maxNeighbors(now) || spent < newNeighborShare*b.sent.read(now, extraHalf)
+	for i := 0; i < exploreCandidates && open && len(b.near) < len(b.servers); i++ {
 		if s := b.servers[b.rng.Intn(len(b.servers))]; !s.near {
 			look(s, 0)
 		}
@@ -62,7 +62,7 @@
 		return nil
 	}
 	// What would be late anyway only keeps others waiting.
-	if !b.inner && !exploring && due > inTime*(r.useful-now)*r.early && b.rng.Float64() >= anyway {
+	if !b.inner && !exploring && due > lateMargin*(r.useful-now)*r.early && b.rng.Float64() >= sendLateShare {
 		return nil
 	}
 	n := 0
@@ -75,9 +75,9 @@
 	return b.cands[b.rng.Intn(n)]
 }
 
-// most is how many neighbours the node's picks need.
-func (b *Balancer) most(now float64) int {
-	return min(fewest+int(breadth*b.outs.read(now, doneHalf, 0, 0)), sight)
+// maxNeighbors is how many neighbours the node's picks need.
+func (b *Balancer) maxNeighbors(now float64) int {
+	return min(minNeighbors+int(neighborsPerAttempt*b.outs.read(now, doneHalf, 0, 0)), neighborLimit)
 }
 
 // join makes a server a neighbour. The paper's router knows its neighbours only: a node that sends to all
@@ -87,10 +87,10 @@
 	if s.near || r.out+len(r.picks) > 0 {
 		return
 	}
-	if len(b.near) >= b.most(now) {
+	if len(b.near) >= b.maxNeighbors(now) {
 		b.moved.add(1, now, extraHalf)
 	}
-	for len(b.near) >= b.most(now) {
+	for len(b.near) >= b.maxNeighbors(now) {
 		worst, high := 0, -1.0
 		for i, o := range b.near {
 			e, _ := b.estimate(r, o, typical, now)
