A start that is told within 2.5 s is no sign of a wall clock ahead

First guess: servers are listed a second after their start, which passed for a clock that is ahead by a second, so that each looked younger than it is. The bound is 2.5 s now, the silence after which a watch is broken. The bound stays at 2.5 s, since boot times are no clock's fault; clocks ahead by less are not noticed. Core tests say both.

--- a/internal/node/starttimes.go
+++ b/internal/node/starttimes.go
@@ -10,8 +10,9 @@
 // while the process runs. What is older than what, and how old a server is, is known all the same: no start lies ahead of the list's own
 // time, and a start that was seen to happen is as old as the way of its news.
 
-// promptNews is how old a start may be when the first news of it comes, without this machine's clock being taken to be ahead.
-const promptNews = time.Second
+// promptNews is how old a start may be when the first news of it comes, without this machine's clock being taken to be ahead: a server needs
+// some time from its start until it is listed, and a watch that stands says something every two seconds.
+const promptNews = 2500 * time.Millisecond
 
 // oldLists is how many messages tell of starts long past: the list of the time before the process, and the first one of its own.
 const oldLists = 2
