--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -33,28 +33,27 @@
 	reader  *httpwire.Reader         // while it is served
 	gateway *gateway                 // nil: its caller speaks HTTP
 	rpc     atomic.Pointer[node.RPC] // while one is out
+	heard   atomic.Int64             // when the kernel was last asked whether it has ended, in nanoseconds of the server's clock
 	ended   atomic.Bool              // the caller has closed its side
-	heard   atomic.Int64             // when the kernel was last asked whether it has, in nanoseconds of the server's clock
 	cut     atomic.Bool              // what is being read is given up: its deadline must not be put off
+	owed    atomic.Bool              // a request was read and has had no answer
 
-	// Its own goroutine's:
-	begun  time.Duration    // of the request that is being read
+	// Its own goroutine's; the small ones together, since thousands of records rest:
+	reads  uint32           // that gave something
 	first  bool             // its first request is still to come
 	last   bool             // its next answer is its last
 	try    bool             // the next read must not wait
 	timed  bool             // a read deadline is set
-	counts int              // the bytes that it goes by
 	tired  bool             // it has waited for its place too long: it is told that the node is full
 	full   bool             // its request came too slowly for the places there are
 	linger bool             // what its caller still sends is to be taken in before the close
 	why    telemetry.Reason // that it ends for
+	counts int              // the bytes that its deadline goes by
+	begun  time.Duration    // of the request that is being read
 	read   time.Duration    // when the last bytes were read
-	reads  int              // that gave something
-	// When what is read next had come, as far as that is known: 0 is not. Set with the server's mutex held, while nobody serves it.
-	arrived  time.Duration
-	accepted time.Duration // from the listener
-
-	owed atomic.Bool // a request was read and has had no answer
+	// When what is read next had come, as far as that is known: 0 is not. Set with the server's mutex held, while nobody serves it; of a
+	// connection that has only just come it is when that was accepted.
+	arrived time.Duration
 
 	// Who else may look at what a gateway has sent while its request is out; guarded by its own mutex.
 	look sync.Mutex
@@ -66,15 +65,15 @@
 	since        time.Duration
 	list         *ring // it stands in
 	older, newer *conn
-	resting      bool          // between requests
-	stirred      bool          // something came while it was served
-	stirredAt    time.Duration // the first of it
-	asked        bool          // it has brought an RPC
-	turned       bool          // its last RPC was pushed back, where services share the door
-	ending       bool          // chosen to end
+	resting      bool // between requests
+	stirred      bool // something came while it was served
+	asked        bool // it has brought an RPC
+	turned       bool // its last RPC was pushed back, where services share the door
+	ending       bool // chosen to end
 	closed       bool
-	lingering    bool // it rests after its last answer
-	taking       int  // bytes it may still send then
+	lingering    bool          // it rests after its last answer
+	stirredAt    time.Duration // when the first of what came while it was served did
+	taking       int           // bytes it may still send then
 }
 
 // errNothing is a read that found nothing: the event it went by was of bytes that had been read already.
--- a/internal/frontend/idle.go
+++ b/internal/frontend/idle.go
@@ -124,9 +124,8 @@
 func (f *Server) rouse(c *conn) {
 	now := f.clock()
 	c.resting, c.stirred, c.tired = false, false, false
-	c.arrived = now
-	if c.first && now-c.born < f.limits.LastLook {
-		c.arrived = c.accepted // it may have lain in the socket while a place was looked for
+	if !c.first || now-c.born >= f.limits.LastLook { // else it may have lain in the socket while a place was looked for
+		c.arrived = now
 	}
 	f.ends.Remove(&c.ring)
 	regular := c.asked && now-c.since < f.limits.CallerLong
--- a/internal/frontend/observe.go
+++ b/internal/frontend/observe.go
@@ -35,7 +35,7 @@
 
 // waited is for how long a request that has just been read had lain unread: in the socket, while its connection waited for a place or
 // served an earlier one, or behind that in the buffer. Reads is the count of reads before it.
-func (c *conn) waited(reads int) time.Duration {
+func (c *conn) waited(reads uint32) time.Duration {
 	arrived := c.arrived
 	c.arrived = 0
 	switch {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -234,7 +234,7 @@
 		time.Sleep(f.limits.LastLook)
 	}
 	if c := f.newConn(raw); c != nil {
-		c.first, c.asked, c.accepted = !asked, asked, accepted
+		c.first, c.asked, c.arrived = !asked, asked, accepted
 		if way != nil {
 			c.gateway = newGateway(c, way)
 		}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -25,8 +25,8 @@
 
 func (k Kind) String() string { return kindNames[k] }
 
-// Reason is why it happened.
-type Reason int
+// Reason is why it happened. Each connection holds one, so it is small.
+type Reason uint8
 
 // The reasons. Some belong to one kind of event only.
 const (
