--- /dev/null
+++ b/cmd/robincart/stalled_test.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// stalledFor is the operators' bound for a client that stops in the middle of its request and stays: by then it has an error or a close.
+const stalledFor = 3 * time.Second
+
+// A client that stops in the middle of a request and stays is told so in time, wherever it stops, on a new connection and on one that has
+// brought a request before. Nothing of it goes to a server as a whole request.
+func TestAClientThatStopsInTheMiddleOfItsRequestIsToldInTime(t *testing.T) {
+	var asks, whole atomic.Int32 // requests sent whole, and those that a server has had whole
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if _, err := io.Copy(io.Discard, q.Body); err == nil {
+			whole.Add(1)
+		}
+		io.WriteString(w, "x")
+	}))
+	t.Cleanup(s.Close)
+	d := newDiscovery(t, listed("s0", s.Listener.Addr().String(), "ready"))
+	p := start(t, configuration(t, d, d.all()...))
+	head := func(lines string) string {
+		return fmt.Sprintf("POST /book/x HTTP/1.1\r\nHost: n\r\nX-Trace-Id: %016x\r\nX-Qos: book\r\nX-Customer: acme\r\nX-Expires-In-Ms: 3000\r\nIdempotency-Key: k%d\r\n%s\r\n",
+			asked.Add(1), asked.Load(), lines)
+	}
+	length := func(whole, sent int) string {
+		return head(fmt.Sprintf("Content-Length: %d\r\n", whole)) + strings.Repeat("x", sent)
+	}
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 4096, strings.Repeat("x", 4096))
+	stops := map[string]func() string{
+		"in the request line":             func() string { return "POST /bo" },
+		"in the head":                     func() string { return strings.TrimSuffix(head(""), "\r\n") },
+		"before the body":                 func() string { return length(200, 0) },
+		"in a small body":                 func() string { return length(200, 100) },
+		"in a body of 60 KB":              func() string { return length(60<<10, 40<<10) },
+		"in a body of 400 KB":             func() string { return length(400<<10, 300<<10) },
+		"in a chunk's size":               func() string { return head("Transfer-Encoding: chunked\r\n") + "10" },
+		"behind many chunks":              func() string { return head("Transfer-Encoding: chunked\r\n") + strings.Repeat(chunk, 10) },
+		"behind chunks of a large body":   func() string { return head("Transfer-Encoding: chunked\r\n") + strings.Repeat(chunk, 60) },
+		"before the body that it offered": func() string { return head("Content-Length: 100\r\nExpect: 100-continue\r\n") },
+	}
+	t.Cleanup(func() { assert.Equal(t, asks.Load(), whole.Load()) })
+	for name, text := range stops {
+		for _, used := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, used before: %v", name, used), func(t *testing.T) {
+				t.Parallel()
+				c, err := net.Dial("tcp", p.addr)
+				require.NoError(t, err)
+				defer c.Close()
+				buf := make([]byte, 4096)
+				if used {
+					asks.Add(1)
+					_, err := io.WriteString(c, length(4, 4))
+					require.NoError(t, err)
+					c.SetReadDeadline(time.Now().Add(5 * time.Second))
+					n, err := c.Read(buf)
+					require.NoError(t, err)
+					require.Contains(t, string(buf[:n]), "200")
+				}
+				began := time.Now()
+				_, err = io.WriteString(c, text())
+				require.NoError(t, err)
+				for {
+					c.SetReadDeadline(began.Add(10 * time.Second))
+					n, err := c.Read(buf)
+					if err == nil && strings.HasPrefix(string(buf[:n]), "HTTP/1.1 100") {
+						continue
+					}
+					took := time.Since(began)
+					t.Logf("%v: %.40q, %v", took, buf[:n], err)
+					assert.Less(t, took, stalledFor)
+					if err == nil {
+						assert.Regexp(t, "^HTTP/1.1 [45]", string(buf[:n]))
+					}
+					break
+				}
+			})
+		}
+	}
+}
--- a/internal/lab/shim/spec.go
+++ b/internal/lab/shim/spec.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -20,6 +21,7 @@
 	Short  bool          `json:"short,omitempty"`  // it is made with one byte, or one buffer
 	Delay  time.Duration `json:"delay,omitempty"`  // it is made so much later
 	Share  float64       `json:"share"`
+	Folder string        `json:"folder,omitempty"` // only calls on files below it, by its absolute path
 }
 
 // Plan is what happens to a process from now on.
@@ -35,7 +37,9 @@
 	number     uint64
 	errors     []unix.Errno
 	sizes      int  // the argument that holds a size, 0 for none
-	socketOnly bool // the first argument is a descriptor, and only sockets are met
+	socketOnly bool // the first argument is a descriptor, and only sockets are met, unless a folder is named
+	path       bool // the second argument points to a file's path: it is met only with a folder
+	file       bool // the first argument is a file's descriptor: it is met only with a folder
 }
 
 // calls by name. An error that says that a connection is broken is not here: it would have to be.
@@ -51,11 +55,17 @@
 	"poll":        {number: unix.SYS_POLL, errors: []unix.Errno{unix.EINTR, unix.ENOMEM}},
 	"ppoll":       {number: unix.SYS_PPOLL, errors: []unix.Errno{unix.EINTR, unix.ENOMEM}},
 	"recvfrom":    {number: unix.SYS_RECVFROM, errors: []unix.Errno{unix.EINTR}, sizes: 3, socketOnly: true},
-	"read":        {number: unix.SYS_READ, errors: []unix.Errno{unix.EINTR}, sizes: 3, socketOnly: true},
-	"write":       {number: unix.SYS_WRITE, errors: []unix.Errno{unix.EINTR}, sizes: 3, socketOnly: true},
+	"read":        {number: unix.SYS_READ, errors: []unix.Errno{unix.EINTR, unix.EIO}, sizes: 3, socketOnly: true},
+	"write":       {number: unix.SYS_WRITE, errors: []unix.Errno{unix.EINTR, unix.EIO, unix.ENOSPC}, sizes: 3, socketOnly: true},
 	"writev":      {number: unix.SYS_WRITEV, errors: []unix.Errno{unix.EINTR}, sizes: 3, socketOnly: true},
+	"openat":      {number: unix.SYS_OPENAT, errors: []unix.Errno{unix.EINTR, unix.EIO, unix.ENOSPC, unix.EMFILE, unix.ENFILE, unix.ENOMEM}, path: true},
+	"renameat":    {number: unix.SYS_RENAMEAT, errors: []unix.Errno{unix.EIO, unix.ENOSPC, unix.ENOMEM}, path: true},
+	"fsync":       {number: unix.SYS_FSYNC, errors: []unix.Errno{unix.EIO, unix.ENOSPC}, file: true},
 }
 
+// fileErrors are those that only files return: a socket that did would be broken for good.
+var fileErrors = []string{"EIO", "ENOSPC"}
+
 // errnos are the errors by name.
 var errnos = func() map[string]unix.Errno {
 	all := map[string]unix.Errno{}
@@ -84,6 +94,18 @@
 			all = append(all, fmt.Errorf("%s is no error that %s may return here", name, i.Call))
 		}
 	}
+	if (c.path || c.file) && i.Folder == "" {
+		all = append(all, fmt.Errorf("%s is met in a folder only, and none is named", i.Call))
+	}
+	if c.socketOnly && i.Folder == "" && slices.ContainsFunc(i.Errors, func(name string) bool { return slices.Contains(fileErrors, name) }) {
+		all = append(all, fmt.Errorf("%s returns %v in a folder only, and none is named", i.Call, fileErrors))
+	}
+	if i.Folder != "" && !filepath.IsAbs(i.Folder) {
+		all = append(all, fmt.Errorf("the folder %q is no absolute path", i.Folder))
+	}
+	if i.Folder != "" && !c.path && !c.file && !c.socketOnly {
+		all = append(all, fmt.Errorf("%s is no call on files", i.Call))
+	}
 	if i.Short && c.sizes == 0 {
 		all = append(all, fmt.Errorf("%s has no length to be cut short", i.Call))
 	}
--- a/internal/lab/shim/tracer.go
+++ b/internal/lab/shim/tracer.go
@@ -190,7 +190,7 @@
 	}
 	for _, i := range t.plan.Injections {
 		c := calls[i.Call]
-		if c.number != regs.Orig_rax || t.random.Float64() >= i.Share || c.socketOnly && !isSocket(pid, regs.Rdi) {
+		if c.number != regs.Orig_rax || t.random.Float64() >= i.Share || !c.meets(i.Folder, pid, &regs) {
 			continue
 		}
 		switch {
@@ -218,9 +218,47 @@
 	return 0
 }
 
-func isSocket(pid int, fd uint64) bool {
+// meets tells whether a call is on what an injection is for: a socket or, with a folder, a file below it.
+func (c call) meets(folder string, pid int, regs *syscall.PtraceRegs) bool {
+	switch {
+	case folder == "" && c.socketOnly:
+		return strings.HasPrefix(descriptorName(pid, regs.Rdi), "socket:")
+	case folder == "":
+		return true
+	case c.path:
+		return below(folder, pathArgument(pid, regs.Rsi)) // the second argument of each call that is known
+	default:
+		return below(folder, descriptorName(pid, regs.Rdi))
+	}
+}
+
+func below(folder, path string) bool {
+	return strings.HasPrefix(path, strings.TrimSuffix(folder, "/")+"/")
+}
+
+// descriptorName is what a thread's descriptor stands for; empty where that is not known.
+func descriptorName(pid int, fd uint64) string {
 	name, err := os.Readlink("/proc/" + strconv.Itoa(pid) + "/fd/" + strconv.FormatUint(fd, 10))
-	return err == nil && strings.HasPrefix(name, "socket:")
+	if err != nil {
+		return ""
+	}
+	return name
+}
+
+// maxPath is the longest path that the kernel takes.
+const maxPath = 4096
+
+// pathArgument reads the path that an argument points to; empty where it can't be read.
+func pathArgument(pid int, address uint64) string {
+	memory, err := os.Open("/proc/" + strconv.Itoa(pid) + "/mem")
+	if err != nil {
+		return ""
+	}
+	defer memory.Close()
+	text := make([]byte, maxPath)
+	n, _ := memory.ReadAt(text, int64(address)) // it may end with its page
+	path, _, _ := strings.Cut(string(text[:n]), "\x00")
+	return path
 }
 
 // note writes what was injected, and when by the machine's monotonic clock.
