A caller that stops in the middle of its request is told in 2.5 s, whatever it has sent

Cause: conn.Progress put the read deadline off by a second for each 32 KB that had come, which is meant for what still comes, and nothing bounded a single wait. Ruled out: the gate's place for slow requests (one that needs it takes it, others stay), the server's side (it waits for the body).

Now each wait for more has an end of its own, CallerRead, beside the one for the whole.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -49,6 +49,7 @@
 	linger bool             // what its caller still sends is to be taken in before the close
 	why    telemetry.Reason // that it ends for
 	counts int              // the bytes that its deadline goes by
+	paced  time.Duration    // when its read deadline was last set
 	begun  time.Duration    // of the request that is being read
 	read   time.Duration    // when the last bytes were read
 	// When what is read next had come, as far as that is known: 0 is not. Set with the server's mutex held, while nobody serves it; of a
@@ -417,16 +418,21 @@
 // slowStep is how many bytes of a request put its deadline off.
 const slowStep = 8 << 10
 
-// Progress is told that a request does not come whole. Its rest has a time, more for what is large, and places for such
-// requests are few.
+// paceStep is how long a read deadline may stand that should have been put off: where a request comes in small pieces most reads leave it.
+const paceStep = 100 * time.Millisecond
+
+// Progress is told, before each further read, that a request does not come whole. Its rest has a time, more for what is large, and places
+// for such requests are few. Whatever has come gives a caller no more time once it has stopped sending: each wait has an end of its own.
 func (c *conn) Progress(bool) {
 	f := c.server
-	if c.timed && c.reader.Got() < c.counts+slowStep {
+	now := f.clock()
+	if c.timed && c.reader.Got() < c.counts+slowStep && now < c.paced+paceStep {
 		return
 	}
 	first := !c.timed
-	c.timed, c.counts = true, c.reader.Got()
-	c.SetReadDeadline(f.started.Add(c.begun + f.limits.CallerRead + f.limits.Slowest(c.counts)))
+	c.timed, c.paced, c.counts = true, now, c.reader.Got()
+	whole := c.begun + f.limits.CallerRead + f.limits.Slowest(c.counts)
+	c.SetReadDeadline(f.started.Add(min(whole, now+f.limits.CallerRead)))
 	if c.cut.Load() { // given up just now
 		c.SetReadDeadline(time.Unix(1, 0))
 	}
