What operators said outlives a kill and a folder that fails

Seen: TestABanOutlivesAKillAndAFolderThatFails, 12 of 12 cases sent to servers that operators had taken out. Cause, four mistakes on one path: nothing was kept without EDGE_ACCEPT_FD (succession.succeed); a write was tried once and answered yes whatever came of it (operations.do); each error of reading was taken for a torn file (handover.Load); nothing was synced. Ruled out: the list (it had all servers ready), the handover (there was no predecessor).

Now internal/statefile writes, syncs and renames, and tells a file that can't be read from one that is torn; operatorFile writes until the latest state is kept; a call that is not kept within 0.6 s gets 503 and is in force; a start waits 4 s for its file, then takes it over as soon as it can be read.

--- a/cmd/robincart/operate.go
+++ b/cmd/robincart/operate.go
@@ -1,8 +1,8 @@
 package main
 
 import (
+	"context"
 	"fmt"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,9 +18,9 @@
 
 // operations are what the operators' address acts on.
 type operations struct {
-	front  *frontend.Server
+	front  interface{ Lame(on bool) }
 	cores  func() []*node.Core // of all services
-	file   string              // where what operators said is kept, for a process that follows this one; empty: nowhere
+	file   *operatorFile       // where what operators said is kept, for a process that follows this one; nil: nowhere
 	log    *zap.Logger
 	taking atomic.Bool // callers are taken
 
@@ -30,31 +30,19 @@
 	// Apart, since a service that begins asks for it while its set is locked, and a call asks the set for its cores.
 	state sync.Mutex
 	said  said
-}
-
-// said is what operators have said and not taken back.
-type said struct {
-	Out  map[string]int64 `json:"out"` // servers taken out, since when in milliseconds of Unix time
-	Lame bool             `json:"lame"`
-}
-
-func (s said) out() map[string]time.Time {
-	all := make(map[string]time.Time, len(s.Out))
-	for id, since := range s.Out {
-		all[id] = time.UnixMilli(since)
-	}
-	return all
+	// What this process was told of while the file could not be read: servers, and "" for the whole node. Nil: the file is known.
+	spoken map[string]bool
 }
 
 func (o *operations) Ready() bool { return o.taking.Load() }
 
 // Detach takes a server out of every service that lists it, or did.
-func (o *operations) Detach(server string) bool {
+func (o *operations) Detach(server string) error {
 	return o.do(handover.Word{Call: admin.PathDetach, Server: server}, nil)
 }
 
 // Attach lets it back into all of them.
-func (o *operations) Attach(server string) bool {
+func (o *operations) Attach(server string) error {
 	return o.do(handover.Word{Call: admin.PathAttach, Server: server}, nil)
 }
 
@@ -68,18 +56,47 @@
 	return ""
 }
 
-func (o *operations) Lame(on bool) {
+func (o *operations) Lame(on bool) error {
 	w := handover.Word{Call: admin.PathOff}
 	if on {
 		w.Call = admin.PathOn
 	}
-	o.do(w, nil)
+	return o.do(w, nil)
 }
 
-// do does a call, tells this node's other processes but the one that it came from, and keeps what it says.
-func (o *operations) do(w handover.Word, from *handover.Link) bool {
+// do does a call, tells this node's other processes but the one that it came from, and keeps what it says. What can't be kept is in force
+// all the same, and written as soon as that can be; whoever called is told.
+func (o *operations) do(w handover.Word, from *handover.Link) error {
 	o.mu.Lock()
-	defer o.mu.Unlock()
+	if err := o.apply(w); err != nil {
+		o.mu.Unlock()
+		return err
+	}
+	for l := range o.links {
+		if l != from {
+			if err := l.Word(w); err != nil {
+				o.log.Warn("another process of this node could not be told", zap.String("call", w.Call), zap.Error(err))
+			}
+		}
+	}
+	number := uint64(0)
+	if o.file != nil {
+		number = o.file.put(o.sayings())
+	}
+	o.mu.Unlock()
+	if o.file == nil || from != nil { // what comes from another process has its answer there, and connections come behind it
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), keepWithin)
+	defer cancel()
+	if err := o.file.await(ctx, number); err != nil {
+		return &admin.NotKeptError{Cause: err}
+	}
+	return nil
+}
+
+// apply puts a call in force. The lock of calls is held.
+func (o *operations) apply(w handover.Word) error {
 	switch w.Call {
 	case admin.PathDetach:
 		// Noted first: a service that begins meanwhile hears of it one way or the other.
@@ -88,11 +105,11 @@
 			if fresh {
 				o.note(w.Server, false)
 			}
-			return false
+			return admin.ErrNeverListed
 		}
 	case admin.PathAttach:
 		if !o.each(w.Server, (*node.Core).Attach) {
-			return false
+			return admin.ErrNeverListed
 		}
 		o.note(w.Server, false)
 	case admin.PathOn, admin.PathOff:
@@ -102,26 +119,19 @@
 		o.state.Unlock()
 		o.front.Lame(on)
 	default:
-		return false
+		return fmt.Errorf("%q is no call", w.Call)
 	}
-	for l := range o.links {
-		if l != from {
-			if err := l.Word(w); err != nil {
-				o.log.Warn("another process of this node could not be told", zap.String("call", w.Call), zap.Error(err))
-			}
-		}
-	}
-	if o.file != "" {
-		// In force all the same: what a full disk costs is only that a process killed now is followed by one that does not know.
-		if err := handover.Save(o.file, o.sayings()); err != nil {
-			o.log.Error("what operators said could not be kept", zap.Error(err))
-		}
+	o.state.Lock()
+	if o.spoken != nil {
+		o.spoken[w.Server] = true
 	}
-	return true
+	o.state.Unlock()
+	return nil
 }
 
 // note puts a server among those that are out, or takes it from them, and tells whether that is new.
 func (o *operations) note(server string, out bool) bool {
+	started, known := o.started(server)
 	o.state.Lock()
 	defer o.state.Unlock()
 	_, was := o.said.Out[server]
@@ -130,17 +140,39 @@
 		return false
 	case out:
 		o.said.Out[server] = time.Now().UnixMilli()
+		if known {
+			o.said.Starts[server] = started
+		}
 	default:
 		delete(o.said.Out, server)
+		delete(o.said.Starts, server)
 	}
 	return true
 }
 
+// started is the start that the list tells of a server, in milliseconds of Unix time, 0 for long ago.
+func (o *operations) started(server string) (ms int64, known bool) {
+	for _, c := range o.cores() {
+		if at, listed := c.Started(server); listed {
+			return unixMilli(at), true
+		}
+	}
+	return 0, false
+}
+
+// unixMilli is a listed start as milliseconds of Unix time; the zero time is 0.
+func unixMilli(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixMilli()
+}
+
 // sayings are a copy of what was said.
 func (o *operations) sayings() said {
 	o.state.Lock()
 	defer o.state.Unlock()
-	return said{Out: maps.Clone(o.said.Out), Lame: o.said.Lame}
+	return o.said.clone()
 }
 
 func (o *operations) each(server string, do func(*node.Core, string) bool) bool {
@@ -158,17 +190,78 @@
 	if s.Out == nil {
 		s.Out = map[string]int64{}
 	}
+	if s.Starts == nil {
+		s.Starts = map[string]int64{}
+	}
 	o.state.Lock()
 	o.said = s
 	o.state.Unlock()
 	for _, c := range o.cores() {
-		c.Succeed(s.out(), listed)
+		c.Succeed(s.bans(), listed)
 	}
 	o.front.Lame(s.Lame)
 }
 
+// restore puts in force what stands in the operators' file. Where that can't be read for long the node serves without it, and takes it over
+// as soon as it can: but for what operators have said meanwhile.
+func (o *operations) restore() {
+	before, err := o.file.load()
+	if err == nil {
+		o.succeed(before, nil)
+		return
+	}
+	o.log.Error("what operators told the process before can't be read yet; servers that they took out are sent to until it can", zap.Error(err),
+		zap.String("advice", "mend the folder of this file, or take the servers out again"))
+	o.succeed(said{}, nil)
+	o.state.Lock()
+	o.spoken = map[string]bool{}
+	o.state.Unlock()
+	go o.restoreLater()
+}
+
+func (o *operations) restoreLater() {
+	for {
+		time.Sleep(loadPauseLater)
+		before, err := o.file.peek()
+		if err != nil {
+			continue
+		}
+		o.merge(before)
+		o.log.Info("what operators told the process before is in force again", zap.Int("out", len(before.Out)))
+		return
+	}
+}
+
+// merge adds what an earlier process had been told to what this one has, and keeps both.
+func (o *operations) merge(before said) {
+	o.mu.Lock()
+	o.state.Lock()
+	for server, since := range before.Out {
+		if o.spoken[server] {
+			continue
+		}
+		o.said.Out[server] = since
+		if started, known := before.Starts[server]; known {
+			o.said.Starts[server] = started
+		}
+	}
+	if !o.spoken[""] {
+		o.said.Lame = before.Lame
+	}
+	o.spoken = nil
+	state := o.said.clone()
+	o.state.Unlock()
+	for _, c := range o.cores() {
+		c.Succeed(state.bans(), nil)
+	}
+	o.front.Lame(state.Lame)
+	o.file.put(state)
+	o.file.adopt()
+	o.mu.Unlock()
+}
+
 // begun tells the core of a service that has just begun what was said before.
-func (o *operations) begun(c *node.Core) { c.Succeed(o.sayings().out(), nil) }
+func (o *operations) begun(c *node.Core) { c.Succeed(o.sayings().bans(), nil) }
 
 // link has another process of this node told of calls, or no longer.
 func (o *operations) link(l *handover.Link, on bool) {
@@ -183,7 +276,8 @@
 
 // newOperations starts with nothing said.
 func newOperations(front *frontend.Server, cores func() []*node.Core, log *zap.Logger) *operations {
-	return &operations{front: front, cores: cores, log: log, links: map[*handover.Link]struct{}{}, said: said{Out: map[string]int64{}}}
+	return &operations{front: front, cores: cores, log: log, links: map[*handover.Link]struct{}{},
+		said: said{Out: map[string]int64{}, Starts: map[string]int64{}}}
 }
 
 // operated serves the operators' address, if there is one, and returns its end.
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap/zapcore"
 
 	"robincart/internal/frontend"
-	"robincart/internal/handover"
 	"robincart/internal/httpwire"
 	"robincart/internal/keys"
 	"robincart/internal/limits"
@@ -124,13 +123,9 @@
 	set := pools.New(c, clk, budget, log, watch)
 	set.Telemetry = recorder
 	ops := newOperations(front, set.Cores, log)
-	if ops.file = c.Admin.Kept; ops.file != "" {
-		kept := said{}
-		if err := handover.Load(ops.file, &kept); err != nil {
-			log.Error("what operators told the process before can't be read; bans have to be told again", zap.Error(err))
-			kept = said{}
-		}
-		ops.succeed(kept, nil)
+	if c.Admin.Kept != "" {
+		ops.file = newOperatorFile(c.Admin.Kept, log)
+		ops.restore()
 	}
 	set.Begun = ops.begun
 	if c.Keys.On() {
--- a/cmd/robincart/succeed.go
+++ b/cmd/robincart/succeed.go
@@ -137,37 +137,28 @@
 	all      sync.WaitGroup
 }
 
-// succeed looks for a process of this node that serves now, takes over what it knows, and lets this one be succeeded. The
-// directory is the node's own; without one, or without a listener that outlives this process, there is no succession.
+// succeed looks for a process of this node that serves now, takes over what it knows, and lets this one be succeeded. The directory is the
+// node's own. Without one nothing outlives this process; without a listener that outlives it there is no succession, but what operators have
+// said is kept.
 func (s *succession) succeed(dir, name string) {
-	if dir == "" || s.door.file == nil {
+	if dir == "" {
 		return
 	}
 	s.path = handover.Path(dir, name)
-	s.ops.file = s.path + ".said"
-	var k known
-	if err := handover.Load(s.ops.file, &k.Said); err != nil {
-		s.log.Error("what operators told the process before can't be read; bans have to be told again", zap.Error(err))
-		k.Said = said{}
+	s.ops.file = newOperatorFile(s.path+".said", s.log)
+	if s.door.file == nil {
+		s.ops.restore()
+		return
 	}
 	told, err := s.reach()
-	switch {
-	case err != nil:
+	if err != nil {
 		s.log.Warn("the process before this one does not hand over", zap.Error(err))
-	case s.before != nil:
-		k = told
 	}
 	if s.before != nil {
-		s.lent = s.budget.Lend(k.Held + ownFiles)
-		s.front.Seeded(k.Seed)
-		s.part(2) // both together count against it
-		s.core.FollowListTime(k.ListTime)
-		if len(k.Servers) > 0 {
-			s.core.Listed(k.Servers, true)
-		}
-		s.ops.link(s.before, true)
+		s.takeOver(told)
+	} else {
+		s.ops.restore()
 	}
-	s.ops.succeed(k.Said, k.Listed)
 	ln, err := handover.Listen(s.path)
 	if err != nil {
 		s.log.Error("a successor will have to do without this process", zap.Error(err))
@@ -177,6 +168,21 @@
 	s.all.Go(func() { s.accept(ln) })
 }
 
+// takeOver goes on with what the process before this one has told.
+func (s *succession) takeOver(told known) {
+	s.lent = s.budget.Lend(told.Held + ownFiles)
+	s.front.Seeded(told.Seed)
+	s.part(2) // both together count against it
+	s.core.FollowListTime(told.ListTime)
+	if len(told.Servers) > 0 {
+		s.core.Listed(told.Servers, true)
+	}
+	s.ops.link(s.before, true)
+	s.ops.succeed(told.Said, told.Listed)
+	s.ops.file.adopt()
+	s.ops.file.put(s.ops.sayings()) // the process before may not have been able to
+}
+
 // reach asks the process before this one what it knows; without one there is no error either. Where it hangs up it is asked again
 // for a while: it may not have noticed yet that another successor has died.
 func (s *succession) reach() (told known, err error) {
--- a/cmd/robinlab/folders_test.go
+++ b/cmd/robinlab/folders_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -120,6 +121,14 @@
 	return r.StatusCode
 }
 
+// struck is that the shim has met such a call at least once.
+func (b *bannedNode) struck(call string) {
+	b.t.Helper()
+	text, err := os.ReadFile(filepath.Join(filepath.Dir(b.plan), "shim.log"))
+	require.NoError(b.t, err)
+	assert.Contains(b.t, string(text), " "+call+" ", "the fault met nothing")
+}
+
 // quiet asks for a while, several at once so that no server is enough for all, and looks that what is out gets nothing while the others serve.
 func (b *bannedNode) quiet(why string) {
 	b.t.Helper()
@@ -190,6 +199,7 @@
 			} else {
 				b.quiet("what can't be kept yet is in force all the same")
 			}
+			b.struck(failing[i].Call)
 			b.inject()
 			time.Sleep(1500 * time.Millisecond)
 			b.killed()
@@ -206,6 +216,7 @@
 			works := time.AfterFunc(time.Second, func() { b.inject() })
 			defer works.Stop()
 			b.killed()
+			b.struck(call.Call)
 			b.quiet("while the folder can't be read, or right after")
 			time.Sleep(1200 * time.Millisecond)
 			b.quiet("once it can")
@@ -221,6 +232,7 @@
 			b.inject(shim.Injection{Call: call, Delay: 2 * time.Second})
 			go http.Post("http://"+b.admin+"/_servers/detach", "application/json", strings.NewReader(`{"host":"s2"}`))
 			time.Sleep(200 * time.Millisecond)
+			b.struck(call)
 			b.node.Kill()
 			b.inject()
 			b.killed()
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -26,13 +26,34 @@
 	PathOff    = "/_lameduck/off"
 )
 
-// Node is what the calls act on. None of them may wait for a peer.
+// Node is what the calls act on. None of them may wait for a peer. A call that changes something returns ErrNeverListed where it names a
+// server that was never listed, and a NotKeptError where what it says is in force but would be forgotten by a process that follows.
 type Node interface {
-	Ready() bool               // this process takes callers
-	Detach(server string) bool // nothing more to a server; false: no such server was ever listed
-	Attach(server string) bool // it may serve again
-	Kept(server string) string // what keeps it out all the same
-	Lame(on bool)              // empty the node, or let it work again
+	Ready() bool                // this process takes callers
+	Detach(server string) error // nothing more to a server
+	Attach(server string) error // it may serve again
+	Kept(server string) string  // what keeps it out all the same
+	Lame(on bool) error         // empty the node, or let it work again
+}
+
+// ErrNeverListed is of a call that names a server which no list ever had.
+var ErrNeverListed = errors.New("no such server was ever listed")
+
+// NotKeptError is of a call that is in force and could not be written down.
+type NotKeptError struct{ Cause error }
+
+func (e *NotKeptError) Error() string {
+	return "it is in force, and not kept: a process that follows a kill would not know it; it is tried again, and this call may be, too: " + e.Cause.Error()
+}
+
+func (e *NotKeptError) Unwrap() error { return e.Cause }
+
+// refusal is the answer to a call that has failed.
+func refusal(err error) (status int, body []byte) {
+	if errors.Is(err, ErrNeverListed) {
+		return http.StatusNotFound, says(err.Error())
+	}
+	return http.StatusServiceUnavailable, says(err.Error())
 }
 
 // Limits bound what callers may cost.
@@ -178,8 +199,12 @@
 		return http.StatusOK, "", says("ready")
 	case PathOn, PathOff:
 		on := q.Path == PathOn
-		s.node.Lame(on)
-		s.log.Info("the node is emptied", zap.Bool("on", on))
+		err := s.node.Lame(on)
+		s.log.Info("the node is emptied", zap.Bool("on", on), zap.NamedError("not kept", err))
+		if err != nil {
+			status, body := refusal(err)
+			return status, "", body
+		}
 		if on {
 			return http.StatusOK, "", says("emptying")
 		}
@@ -199,8 +224,10 @@
 	if q.Path == PathAttach {
 		do, done = s.node.Attach, "back"
 	}
-	if !do(*of.Host) {
-		return http.StatusNotFound, "", says("no such server was ever listed")
+	if err := do(*of.Host); err != nil {
+		s.log.Info("an operator's call on a server is refused", zap.String("call", q.Path), zap.String("server", *of.Host), zap.Error(err))
+		status, body := refusal(err)
+		return status, "", body
 	}
 	s.log.Info("a server is taken "+done+" by an operator", zap.String("server", *of.Host))
 	if why := s.node.Kept(*of.Host); q.Path == PathAttach && why != "" {
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,8 +26,9 @@
 
 // fake knows one server, and notes what it is told.
 type fake struct {
-	mu    sync.Mutex
-	heard []string
+	mu      sync.Mutex
+	heard   []string
+	failing bool // nothing can be kept
 }
 
 func (f *fake) note(what string) {
@@ -34,11 +36,27 @@
 	defer f.mu.Unlock()
 	f.heard = append(f.heard, what)
 }
-func (f *fake) Ready() bool           { return true }
-func (f *fake) Detach(id string) bool { f.note("out " + id); return id == "s1" }
-func (f *fake) Attach(id string) bool { f.note("back " + id); return id == "s1" }
-func (f *fake) Kept(string) string    { return "" }
-func (f *fake) Lame(on bool)          { f.note(fmt.Sprint("lame ", on)) }
+func (f *fake) Ready() bool            { return true }
+func (f *fake) Detach(id string) error { f.note("out " + id); return f.outcome(id) }
+func (f *fake) Attach(id string) error { f.note("back " + id); return f.outcome(id) }
+
+func (f *fake) outcome(id string) error {
+	if f.failing {
+		return &NotKeptError{Cause: syscall.ENOSPC}
+	}
+	if id != "s1" {
+		return ErrNeverListed
+	}
+	return nil
+}
+func (f *fake) Kept(string) string { return "" }
+func (f *fake) Lame(on bool) error {
+	f.note(fmt.Sprint("lame ", on))
+	if f.failing {
+		return &NotKeptError{Cause: syscall.ENOSPC}
+	}
+	return nil
+}
 
 func begin(t *testing.T, l Limits) (*Server, *fake) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -71,6 +89,18 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: n\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
 }
 
+// What can't be kept is refused, though it is in force, and the answer says so.
+func TestACallThatCannotBeKeptIsRefused(t *testing.T) {
+	s, f := begin(t, Defaults())
+	f.failing = true
+	for _, text := range []string{post(PathDetach, `{"host":"s1"}`), post(PathAttach, `{"host":"s1"}`), post(PathOn, ""), post(PathOff, "")} {
+		assert.Equal(t, 503, call(t, s, text), "%.40q", text)
+	}
+	assert.Equal(t, []string{"out s1", "back s1", "lame true", "lame false"}, f.heard)
+	assert.ErrorContains(t, &NotKeptError{Cause: syscall.ENOSPC}, "in force")
+	assert.ErrorIs(t, &NotKeptError{Cause: syscall.ENOSPC}, syscall.ENOSPC)
+}
+
 func TestEachCallIsDoneOrRefused(t *testing.T) {
 	s, f := begin(t, Defaults())
 	for _, x := range []struct {
--- a/internal/node/barred.go
+++ b/internal/node/barred.go
@@ -11,12 +11,12 @@
 // An operator's word on a server lies over the list's: whatever the list says, the module hears that a server which was
 // taken out drains, until it is called back.
 
-// ban is a server's that an operator has taken out.
-type ban struct {
-	since time.Time // by the wall clock
-	// The start that the list told of then, where this process heard the word; else it is not known.
-	started time.Time
-	heard   bool
+// Ban is of a server that an operator has taken out.
+type Ban struct {
+	Since time.Time // by the wall clock of the process that was told
+	// Started is the start that the list told of then, the zero time for long ago, where StartKnown says so.
+	Started    time.Time
+	StartKnown bool
 }
 
 // Detach takes a server out: nothing more goes to it. It is false for one that was never listed.
@@ -34,10 +34,10 @@
 	if _, out := c.barred[id]; out || !c.everListed(id) {
 		return nil, nil, out
 	}
-	b := ban{since: c.wall(), heard: true}
+	b := Ban{Since: c.wall(), StartKnown: true}
 	s := c.servers[id]
 	if s != nil {
-		b.started = s.last.Started
+		b.Started = s.last.Started
 	}
 	c.barred[id] = b
 	if s != nil && s.state == decide.Ready {
@@ -70,11 +70,22 @@
 
 // toldRestart tells whether the list has told of a start since a server was taken out: by the start itself where it is known which one was
 // listed then, else by the clocks.
-func (c *Core) toldRestart(s *Server, b ban) bool {
-	if b.heard {
-		return !s.last.Started.Equal(b.started)
+func (c *Core) toldRestart(s *Server, b Ban) bool {
+	if b.StartKnown {
+		return !s.last.Started.Equal(b.Started)
 	}
-	return s.last.Started.After(b.since.Add(-c.listClock.lead))
+	return s.last.Started.After(b.Since.Add(-c.listClock.lead))
+}
+
+// Started is the start that the list tells of a server, the zero time for long ago.
+func (c *Core) Started(id string) (at time.Time, listed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[id]
+	if s == nil {
+		return time.Time{}, false
+	}
+	return s.last.Started, true
 }
 
 // Kept tells what keeps a server from being sent to: "" is nothing, or it was never listed here.
@@ -97,17 +108,6 @@
 // everListed tells whether a server stands in the list or did lately.
 func (c *Core) everListed(id string) bool { return c.servers[id] != nil || c.known.has(id) }
 
-// Barred is who is out by an operator's word, and since when.
-func (c *Core) Barred() map[string]time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := make(map[string]time.Time, len(c.barred))
-	for id, b := range c.barred {
-		out[id] = b.since
-	}
-	return out
-}
-
 // Listings are the names of servers that were ever listed, as far as they are remembered.
 func (c *Core) Listings() []string {
 	c.mu.Lock()
@@ -115,16 +115,19 @@
 	return c.known.all()
 }
 
-// Succeed takes over what another process of this node knew: who is out and since when, and which servers were listed.
-func (c *Core) Succeed(barred map[string]time.Time, listed []string) {
+// Succeed takes over what another process of this node knew: who is out, and which servers were listed. A ban of this process stays as it is.
+func (c *Core) Succeed(barred map[string]Ban, listed []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range listed {
 		c.known.add(id)
 	}
-	for id, since := range barred {
+	for id, ban := range barred {
 		c.known.add(id)
-		c.barred[id] = ban{since: since}
+		if _, out := c.barred[id]; out {
+			continue
+		}
+		c.barred[id] = ban
 		if s := c.servers[id]; s != nil {
 			c.tell(s)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -152,7 +152,7 @@
 	settings *settings.Node // in force; names in their slots
 	methods  []slot         // of the module's, by number
 	tenants  []slot
-	barred   map[string]ban // taken out by an operator
+	barred   map[string]Ban // taken out by an operator
 	known    names          // that were ever listed
 	picks    []*Pick        // out
 	open     int            // RPCs owed an answer
@@ -169,7 +169,7 @@
 // New starts the core. The module's wish to watch the list goes to watch, which must not wait.
 func New(s *settings.Node, seed int64, clock Clock, wall time.Time, watch func()) *Core {
 	c := &Core{clock: clock, origin: wall.Add(-clock.Now()), settings: s, watch: watch,
-		servers: map[string]*Server{}, barred: map[string]ban{}, timers: timingwheel.New(grain, clock.Now(), 1024)}
+		servers: map[string]*Server{}, barred: map[string]Ban{}, timers: timingwheel.New(grain, clock.Now(), 1024)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.methods, c.tenants = make([]slot, len(s.Methods)), make([]slot, max(1, len(s.Tenants)))
--- a/internal/node/starttimes_test.go
+++ b/internal/node/starttimes_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"robincart/decide"
 )
@@ -80,3 +81,19 @@
 		assert.InDelta(t, 0, s.age("a"), 0.01, "the list has not told of its restart")
 	}
 }
+
+// The same where a process was told and another one hears of the restart: the start that was listed then goes over with the ban, since the
+// wall clock may have been stepped between, or while the ban lasted.
+func TestARestartBehindABanOfAnotherProcessIsKnownWhateverTheClock(t *testing.T) {
+	for _, off := range []time.Duration{-time.Hour, 0, time.Hour} {
+		s := begin(t, nil)
+		a := s.started("a", 30*time.Minute, 0)
+		s.Listed([]Entry{a}, true)
+		started, listed := s.Started("a")
+		require.True(t, listed)
+		s.Succeed(map[string]Ban{"a": {Since: s.wall().Add(off), Started: started, StartKnown: true}}, nil)
+		s.clock.now += time.Minute
+		assert.True(t, s.Attach("a"))
+		assert.InDelta(t, 0, s.age("a"), 0.01, "the list has not told of its restart: %v", off)
+	}
+}
--- a/internal/recordcache/recordcache.go
+++ b/internal/recordcache/recordcache.go
@@ -97,8 +97,11 @@
 	})
 	k.view.MostAge = c.MostAge.Milliseconds()
 	if c.Snapshot != "" {
-		s, found, err := ReadSnapshot(c.Snapshot)
+		s, found, err := awaitSnapshot(c.Snapshot)
 		switch {
+		case err != nil && !errors.Is(err, ErrTorn):
+			// Begun without it, the next snapshot would be written over what nobody else may know.
+			return nil, fmt.Errorf("the snapshot can't be read; mend its folder, or move it away to begin without: %w", err)
 		case err != nil:
 			log.Error("the snapshot can't be used", zap.Error(err))
 		case found:
@@ -452,11 +455,13 @@
 		if err != nil && !failing {
 			k.log.Error("writing the snapshot failed; the last one stays", zap.Error(err))
 		}
-		if failing = err != nil; !failing {
-			k.mu.Lock()
-			k.saved = k.now()
-			k.mu.Unlock()
+		if failing = err != nil; failing {
+			ring(k.dirty) // tried again, also where nothing changes any more
+			continue
 		}
+		k.mu.Lock()
+		k.saved = k.now()
+		k.mu.Unlock()
 	}
 }
 
--- a/internal/recordcache/recordcache_test.go
+++ b/internal/recordcache/recordcache_test.go
@@ -436,3 +436,41 @@
 		})
 	}
 }
+
+// A folder that fails for a while loses nothing of what only this node knows, though nothing changes any more once it works again.
+func TestASnapshotThatCouldNotBeWrittenIsWrittenOnceItCan(t *testing.T) {
+	r := newRig(t)
+	folder := filepath.Join(t.TempDir(), "folder")
+	r.c.Snapshot = filepath.Join(folder, "snap")
+	r.s.Refuse(true)
+	k := r.open()
+	defer k.Close()
+	k.Sink("s", &core{}).Listed(list(decide.Ready, "a"), true)
+	k.Drain("s/a", record.Drained{Start: 1000, Since: 1, By: "op"})
+	time.Sleep(500 * time.Millisecond) // some tries have failed by now
+	require.NoError(t, os.Mkdir(folder, 0o700))
+	require.Eventually(t, func() bool {
+		s, found, err := PeekSnapshot(r.c.Snapshot)
+		return err == nil && found && len(s.Drains) == 1
+	}, 20*time.Second, time.Millisecond)
+}
+
+// A snapshot that can't be read for now is no torn one: it stays, and a start waits for it.
+func TestASnapshotThatCannotBeReadForNowStays(t *testing.T) {
+	r := newRig(t)
+	require.NoError(t, os.Mkdir(r.c.Snapshot, 0o700)) // it opens, and reading fails
+	_, found, err := ReadSnapshot(r.c.Snapshot)
+	assert.Error(t, err)
+	assert.NotErrorIs(t, err, ErrTorn)
+	assert.False(t, found)
+	assert.DirExists(t, r.c.Snapshot, "not set aside")
+	mended := time.AfterFunc(300*time.Millisecond, func() {
+		assert.NoError(t, os.Remove(r.c.Snapshot))
+		assert.NoError(t, WriteSnapshot(r.c.Snapshot, record.Snapshot{Drains: map[string]record.Drained{"s/a": {Since: 1, By: "x"}}}))
+	})
+	defer mended.Stop()
+	s, found, err := awaitSnapshot(r.c.Snapshot)
+	require.NoError(t, err)
+	assert.True(t, found)
+	assert.Len(t, s.Drains, 1)
+}
--- a/internal/recordcache/snapshot.go
+++ b/internal/recordcache/snapshot.go
@@ -6,13 +6,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io/fs"
-	"os"
-	"path/filepath"
 	"time"
 
 	"robincart/internal/record"
-	"robincart/internal/tomlfile"
+	"robincart/internal/statefile"
 )
 
 // form is a snapshot's first line: what it is, its version, the length and the checksum of the rest.
@@ -86,48 +83,49 @@
 	if err != nil {
 		return err
 	}
-	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(text)
-	err = errors.Join(err, f.Sync(), f.Close())
-	if err != nil {
-		os.Remove(path + ".new") // a full disk keeps the old one
-		return err
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return err
-	}
-	d, err := os.Open(filepath.Dir(path)) // the name itself has to last, too
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
+	return statefile.Write(path, text)
 }
 
 // PeekSnapshot reads a file and leaves it where it is.
 func PeekSnapshot(path string) (s record.Snapshot, found bool, err error) {
-	text, err := tomlfile.Read(path, mostSnapshot)
-	if errors.Is(err, fs.ErrNotExist) {
-		return s, false, nil
-	}
-	if err == nil {
-		s, err = decode(text)
+	text, found, err := statefile.Read(path, mostSnapshot)
+	var large *statefile.TooLargeError
+	switch {
+	case errors.As(err, &large):
+		return s, false, fmt.Errorf("%w: %w", ErrTorn, err)
+	case err != nil || !found:
+		return s, false, err
 	}
+	s, err = decode(text)
 	return s, err == nil, err
 }
 
-// ReadSnapshot reads a file; there being none is no error. One that can't be read whole is set aside under another name, which
-// the error tells, and never half used.
+// ReadSnapshot reads a file; there being none is no error. One that was not written to its end, ErrTorn, is set aside under another name,
+// which the error tells, and never half used. Any other error says that it can't be read for now, and it stays where it is.
 func ReadSnapshot(path string) (s record.Snapshot, found bool, err error) {
 	s, found, err = PeekSnapshot(path)
-	if err == nil {
-		return s, found, nil
+	if !errors.Is(err, ErrTorn) {
+		return s, found, err
 	}
 	aside := path + ".aside"
-	if e := os.Rename(path, aside); e != nil {
+	if e := statefile.SetAside(path, aside); e != nil {
 		return record.Snapshot{}, false, errors.Join(err, e)
 	}
 	return record.Snapshot{}, false, fmt.Errorf("%w; it was set aside as %s", err, aside)
 }
+
+// A snapshot that can't be read for now is tried again for a while: what stands in it nobody else may know.
+const (
+	readFor   = 4 * time.Second
+	readPause = 50 * time.Millisecond
+)
+
+// awaitSnapshot is ReadSnapshot for a start, which waits for a folder that fails for a moment.
+func awaitSnapshot(path string) (s record.Snapshot, found bool, err error) {
+	for end := time.Now().Add(readFor); ; time.Sleep(readPause) {
+		s, found, err = ReadSnapshot(path)
+		if err == nil || errors.Is(err, ErrTorn) || time.Now().After(end) {
+			return s, found, err
+		}
+	}
+}
