A connection that can't be watched for a moment is kept, and tried again

Cause: net's accept closes the descriptor that accept4 gave where the runtime's poller can't take it, with the request that lies in it.

socket.Listener waits by the listener's own file and takes connections itself; one that can't be taken over yet stays with it, and each Accept tries it again, so that the loop round it makes idle callers give way meanwhile. TCP_NODELAY is the listener's, which connections inherit, and is tried again towards servers. The wrapper for listeners that others hold is part of it.

--- a/cmd/robincart/succeed.go
+++ b/cmd/robincart/succeed.go
@@ -51,42 +51,16 @@
 }
 
 func (d *door) open() error {
-	ln, err := net.FileListener(d.file)
+	ln, err := socket.FileListener(d.file)
 	if err != nil {
 		return err
 	}
-	t, ok := ln.(*net.TCPListener)
-	if !ok {
-		ln.Close()
-		return errors.New("no TCP listener")
-	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		ln.Close()
-		return err
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.ln = &shared{t, raw}
+	d.ln = ln
 	return nil
 }
 
-// shared is a listener that other processes hold, too. Whether it blocks is a flag of the socket itself, so any of them can make it
-// block for all, and an accept that blocks can't be ended: a process would hang at its end, with its callers' connections.
-type shared struct {
-	*net.TCPListener
-	raw syscall.RawConn
-}
-
-// Accept makes the socket one that does not block before it waits for a connection.
-func (s *shared) Accept() (net.Conn, error) {
-	var bad error
-	if err := errors.Join(s.raw.Control(func(fd uintptr) { bad = syscall.SetNonblock(int(fd), true) }), bad); err != nil {
-		return nil, err
-	}
-	return s.TCPListener.Accept()
-}
-
 func (d *door) listener() net.Listener {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -92,6 +92,9 @@
 // Accept takes a connection that stands in a listener's queue, or nil: it does not wait, and no deadline counts. An error is a
 // passing one, and the queue may hold some.
 func Accept(ln net.Listener) (net.Conn, error) {
+	if l, own := ln.(*Listener); own {
+		return l.TryAccept()
+	}
 	sc, ok := ln.(syscall.Conn)
 	if !ok {
 		return nil, nil
@@ -101,28 +104,41 @@
 		return nil, nil
 	}
 	for {
-		n, failed := -1, error(nil)
-		err = raw.Control(func(fd uintptr) {
-			if failed = syscall.SetNonblock(int(fd), true); failed != nil { // another holder of the socket may have made it block
-				return
-			}
-			n, failed = again(func() (int, error) {
-				n, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-				return n, err
-			})
-		})
+		fd, failed := acceptOnce(raw)
 		switch {
-		case err == nil && acceptPasses(failed):
+		case acceptPasses(failed):
 			return nil, failed
-		case err != nil || failed != nil:
+		case failed != nil:
 			return nil, nil
 		}
-		if c, err := Conn(os.NewFile(uintptr(n), "caller")); err == nil {
+		if c, err := Conn(os.NewFile(uintptr(fd), "caller")); err == nil {
 			return c, nil
 		}
 	}
 }
 
+// acceptOnce takes one connection without waiting, though another holder of the listener may have made it block. Its descriptor blocks: what
+// makes a net.Conn of it changes that.
+func acceptOnce(raw syscall.RawConn) (fd int, err error) {
+	fd = -1
+	outer := raw.Control(func(listener uintptr) {
+		if err = syscall.SetNonblock(int(listener), true); err == nil {
+			fd, err = acceptNow(listener)
+		}
+	})
+	if outer != nil {
+		return -1, outer
+	}
+	return fd, err
+}
+
+func acceptNow(listener uintptr) (int, error) {
+	return again(func() (int, error) {
+		fd, _, err := syscall.Accept4(int(listener), syscall.SOCK_CLOEXEC)
+		return fd, err
+	})
+}
+
 // Taking a descriptor over needs another one, and a place among those that are watched: it is tried for half a second.
 const (
 	connTries = 100
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -91,7 +91,7 @@
 
 // NewPool starts with no connection. The poller may be nil.
 func NewPool(core Core, l limits.Limits, budget Budget, t *poller.Poller) *Pool {
-	p := &Pool{core: core, limits: l, budget: budget, bytes: budget.Bytes().Answers(), poller: t, idle: map[*node.Server]*conn{}, dialer: net.Dialer{KeepAlive: -1}}
+	p := &Pool{core: core, limits: l, budget: budget, bytes: budget.Bytes().Answers(), poller: t, idle: map[*node.Server]*conn{}, dialer: net.Dialer{KeepAlive: -1, Control: socket.NoDelay}}
 	p.oldest.older, p.oldest.newer = &p.oldest, &p.oldest
 	p.Tune(l)
 	budget.Evict(p.Evict)
