--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -123,6 +123,8 @@
 		}
 		bad(f.Kind == "trickle" && f.By <= 0, "%s.by: how long between two pieces?", at)
 		bad(f.Answers && f.Kind != "drain", "%s.answers: only a drain has it", at)
+		bad(f.Kind == "pause" && slices.ContainsFunc(e.Fault, Fault.Shimmed), "%s: a process under a shim can't be paused: leave errno, short, stall and clock out", at)
+		bad(f.Kind == "pause" && (f.By <= 0 || f.By.Of() > time.Second), "%s.by: for how long is the process held up each time? Up to a second", at)
 		bad(f.Kind == "late" && f.By <= 0, "%s.by: how late?", at)
 		bad(f.Kind == "busy" && f.By <= 0, "%s.by: how long for a call?", at)
 		if known {
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"robincart/internal/lab/judge"
@@ -180,7 +181,7 @@
 // Faults by kind, with what each may be on.
 var faults = map[string]string{"freeze": "server", "slow": "server", "silent": "server", "fail": "server", "reset-before": "server",
 	"reset-after": "server", "die-mid": "server", "spoil": "server", "refuse": "server", "drain": "server", "restart": "server",
-	"roll": "server", "kill": "node", "stop": "node", "reload": "node", "gone": "discovery", "late": "discovery", "replay": "discovery", "silence": "discovery", "reset-watches": "discovery",
+	"roll": "server", "kill": "node", "stop": "node", "reload": "node", "reconfigure": "node", "replace": "node", "pause": "node", "gone": "discovery", "late": "discovery", "replay": "discovery", "silence": "discovery", "reset-watches": "discovery",
 	"busy": "discovery", "mute": "server", "cut": "server", "trickle": "server", "rude": "node", "errno": "node", "short": "node", "stall": "node", "clock": "node"}
 
 // Shimmed tells whether a fault is made by a node's shim.
@@ -197,6 +198,11 @@
 	return i
 }
 
+// Replaces tells whether any fault replaces processes of nodes, which then share their callers' listener.
+func (e *Experiment) Replaces() bool {
+	return slices.ContainsFunc(e.Fault, func(f Fault) bool { return f.Kind == "replace" })
+}
+
 // Proxied tells whether a fault is made by a proxy before a server.
 func (f Fault) Proxied() bool { return f.Kind == "mute" || f.Kind == "cut" || f.Kind == "trickle" }
 
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -50,11 +50,15 @@
 	ToDrained    = "sent to a drained server"
 	PushedOver   = "cold server pushed over"
 	ToldTooMuch  = "told more time than its caller has"
+	StalledKept  = "client that stopped in its request kept on"
 )
 
 // RuleNames lists them in the order of reports.
 var RuleNames = []string{NoAnswer, LateAnswer, SecondAnswer, ForeignOK, SentAfter, EffectTwice, FalsePromise, PastWindow,
-	ToDrained, PushedOver, ToldTooMuch}
+	ToDrained, PushedOver, ToldTooMuch, StalledKept}
+
+// StalledMost is how long a client that stops in the middle of a request and stays may wait for its error or close.
+const StalledMost = 3 * time.Second
 
 const mostExamples = 5
 
@@ -192,7 +196,7 @@
 		s.mu.Unlock()
 	}
 	l.mu.Lock()
-	words, falls := slices.Clone(l.words), slices.Clone(l.falls)
+	words, falls, stalls := slices.Clone(l.words), slices.Clone(l.falls), slices.Clone(l.stalls)
 	l.mu.Unlock()
 	slices.SortFunc(tries, func(a, b Try) int { return cmp.Or(a.ID.compare(b.ID), cmp.Compare(a.Sent, b.Sent)) })
 	slices.SortFunc(picks, func(a, b Pick) int { return cmp.Or(a.ID.compare(b.ID), cmp.Compare(a.First, b.First)) })
@@ -230,6 +234,11 @@
 			v.breach(PushedOver, "server %d at %v, %.0f%% of it by nodes that knew", f.Server, f.At, 100*share)
 		}
 	}
+	for _, s := range stalls {
+		if s.Ended-s.Stopped > StalledMost+rules.Wire {
+			v.breach(StalledKept, "node %d, stopped at %v, ended %v later", s.Node, s.Stopped, s.Ended-s.Stopped)
+		}
+	}
 	v.schedule(rules, tries)
 	for s, list := range perSecond {
 		slices.Sort(list)
--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -64,6 +64,11 @@
 			l.Fall(Fall{Server: p.Server, Up: p.First - 200*ms, At: p.First, Window: time.Second})
 		},
 		ToldTooMuch: func(l *Log, t Try, p Pick) { p.Until = t.Until + 251*ms; l.Try(t); l.Pick(p) },
+		StalledKept: func(l *Log, t Try, p Pick) {
+			l.Try(t)
+			l.Pick(p)
+			l.Stall(Stall{Node: t.Node, Stopped: t.Planned, Ended: t.Planned + StalledMost + 101*ms})
+		},
 	}
 	require.Len(t, plants, len(RuleNames))
 	rapid.Check(t, func(t *rapid.T) {
@@ -85,6 +90,7 @@
 			l.Word(Word{Node: try.Node + 1, Server: pick.Server, State: Gone, At: 0})
 			l.Word(Word{Node: try.Node, Server: pick.Server, State: Ready, At: pick.First - 400*ms})
 			l.Fall(Fall{Server: pick.Server, Up: pick.First - 300*ms, At: pick.First, Window: time.Second})
+			l.Stall(Stall{Node: try.Node, Stopped: try.Planned, Ended: try.Planned + StalledMost + 99*ms})
 		}
 		v := Judge(rules, l)
 		if guilty == n {
--- a/internal/lab/judge/log.go
+++ b/internal/lab/judge/log.go
@@ -90,12 +90,19 @@
 	_     [64]byte
 }
 
+// Stall is a client that stopped in the middle of a request and stayed until it had an error or its connection was closed.
+type Stall struct {
+	Node           int32
+	Stopped, Ended time.Duration
+}
+
 // Log is the ledger. Many may write at once.
 type Log struct {
 	shards [32]shard
 	mu     sync.Mutex
 	words  []Word
 	falls  []Fall
+	stalls []Stall
 }
 
 // Try notes a try that has ended.
@@ -121,6 +128,13 @@
 	l.mu.Unlock()
 }
 
+// Stall notes a client that had stopped in the middle of a request.
+func (l *Log) Stall(s Stall) {
+	l.mu.Lock()
+	l.stalls = append(l.stalls, s)
+	l.mu.Unlock()
+}
+
 // Fall notes a server pushed over.
 func (l *Log) Fall(f Fall) {
 	l.mu.Lock()
--- a/internal/lab/run/faults.go
+++ b/internal/lab/run/faults.go
@@ -66,6 +66,12 @@
 					f.shimmed(ctx, x, i)
 				case x.Kind == "rude":
 					f.rudely(ctx, x, i)
+				case x.Kind == "reconfigure":
+					f.reconfigure(ctx, x, i)
+				case x.Kind == "replace":
+					f.replace(ctx, i)
+				case x.Kind == "pause":
+					f.pause(ctx, x, f.nodes[i])
 				default:
 					f.node(ctx, x, f.nodes[i], f.Front, f.dests[i].ID)
 				}
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -50,7 +51,7 @@
 	disc   []*standin.Discovery
 	nodes  []*standin.Node
 	dests  []load.Dest
-	doors  []*standin.Door
+	doors  map[int32][]*standin.Door // by node: where each asks now, for each of its services
 	Front  *standin.Front
 	index  atomic.Int32 // of servers, one a process
 	inner  atomic.Uint32
@@ -67,7 +68,7 @@
 // NewFleet starts servers, discovery and, if nodes are wanted, nodes.
 func NewFleet(ctx context.Context, e *experiment.Experiment, begin time.Time, log *judge.Log, dir string, nodes, shared bool,
 	notes func(string, ...any)) (f *Fleet, err error) {
-	f = &Fleet{e: e, shared: shared, begin: begin, log: log, dir: dir, notes: notes}
+	f = &Fleet{e: e, shared: shared, begin: begin, log: log, dir: dir, notes: notes, doors: map[int32][]*standin.Door{}}
 	defer func() {
 		if err != nil {
 			f.Stop()
@@ -201,7 +202,7 @@
 		if err != nil {
 			return nil, err
 		}
-		f.doors, doors = append(f.doors, door), append(doors, door)
+		doors = append(doors, door)
 	}
 	addr, err := e.Fleet.Listen, error(nil)
 	if addr == "" || tier > 0 || len(f.nodes) > 0 {
@@ -219,8 +220,27 @@
 	if len(e.Services()) > 0 {
 		n.Text = f.operatorFile(n, doors)
 	}
+	f.doors[f.nodeNo] = doors
 	f.nodeNo++
-	return n, nil
+	if e.Replaces() && tier == 0 {
+		err = f.hold(n)
+	}
+	return n, err
+}
+
+// hold opens a node's listener for it, which all its processes share, and gives it a folder that outlives them.
+func (f *Fleet) hold(n *standin.Node) error {
+	ln, err := net.Listen("tcp", n.Addr)
+	if err != nil {
+		return err
+	}
+	defer ln.Close()
+	if n.Held, err = ln.(*net.TCPListener).File(); err != nil {
+		return err
+	}
+	folder := filepath.Join(f.dir, n.Name+".tmp")
+	n.Env = append(n.Env, "TMPDIR="+folder)
+	return os.MkdirAll(folder, 0o700)
 }
 
 // operatorFile is a node's configuration where the fleet has services.
--- /dev/null
+++ b/internal/lab/run/processes.go
@@ -0,0 +1,84 @@
+package run
+
+import (
+	"context"
+	"errors"
+	"os"
+	"syscall"
+	"time"
+
+	"robincart/internal/lab/experiment"
+	"robincart/internal/lab/standin"
+)
+
+const (
+	// reconfigureEvery is the pause between two configurations in a row, where a fault does not say.
+	reconfigureEvery = 200 * time.Millisecond
+	// movedCloses is how long a discovery that has moved leaves its connections open.
+	movedCloses = 1500 * time.Millisecond
+	// pausedPart is what part of the time a process is held up, one in so many.
+	pausedPart = 6
+)
+
+// reconfigure gives a node several configurations in a row: each moves discovery, and each other one changes the settings.
+func (f *Fleet) reconfigure(ctx context.Context, x experiment.Fault, number int) {
+	n, id := f.nodes[number], f.dests[number].ID
+	every := x.By.Of()
+	if every <= 0 {
+		every = reconfigureEvery
+	}
+	zone := f.e.Fleet.Zones[number%len(f.e.Fleet.Zones)]
+	end := time.Now().Add(time.Duration(x.For))
+	for i := 0; ctx.Err() == nil && (i == 0 || time.Now().Before(end)); i++ {
+		door, err := f.Discovery().Door(id, f.e.Fleet.Host+":0")
+		if err != nil {
+			f.crash(err)
+			return
+		}
+		settings := f.settings(0, zone)
+		if i%2 == 0 {
+			settings["Classes"] = append(settings["Classes"].([]map[string]any), map[string]any{"Name": "further", "AimMs": 500, "DeadlineMs": 1000, "Credit": 1, "Repeat": "once"})
+			settings["Limits"].(map[string]any)["MaxAttempts"] = max(1, f.e.Fleet.MaxPicks-1)
+		}
+		n.Configure(func(config map[string]any) { config["discovery"], config["settings"] = door.Addr(), settings })
+		if err := n.Write(); err != nil {
+			f.crash(err)
+			return
+		}
+		n.Signal(syscall.SIGHUP)
+		f.mu.Lock()
+		before := f.doors[id]
+		f.doors[id] = []*standin.Door{door}
+		f.mu.Unlock()
+		for _, b := range before {
+			b.Close(movedCloses)
+		}
+		sleep(ctx, every)
+	}
+}
+
+// replace has another process take a node's callers over under load.
+func (f *Fleet) replace(ctx context.Context, number int) {
+	n := f.nodes[number]
+	n.Knows(f.Discovery().Known())
+	if err := n.Replace(ctx); err != nil && ctx.Err() == nil {
+		f.crash(err)
+	}
+}
+
+// pause holds a process up again and again, each time for as long as the fault says.
+func (f *Fleet) pause(ctx context.Context, x experiment.Fault, n *standin.Node) {
+	signal := func(s syscall.Signal) bool {
+		err := n.Signal(s)
+		return err == nil || errors.Is(err, os.ErrProcessDone)
+	}
+	for end := time.Now().Add(time.Duration(x.For)); ctx.Err() == nil && time.Now().Before(end); {
+		if !signal(syscall.SIGSTOP) {
+			return
+		}
+		time.Sleep(x.By.Of())
+		signal(syscall.SIGCONT)
+		sleep(ctx, (pausedPart-1)*x.By.Of())
+	}
+	signal(syscall.SIGCONT)
+}
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -272,13 +272,14 @@
 // settle waits until each front node's watch stands.
 func (f *Fleet) settle(ctx context.Context) {
 	for limit := time.Now().Add(10 * time.Second); time.Now().Before(limit) && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
-		standing := 0
-		for _, d := range f.doors {
-			if _, last := d.Watches(); last > 0 {
-				standing++
+		settled := true
+		for _, doors := range f.doors {
+			for _, d := range doors {
+				_, standing := d.Watches()
+				settled = settled && standing > 0
 			}
 		}
-		if standing == len(f.doors) {
+		if settled {
 			return
 		}
 	}
--- a/internal/lab/shim/tracer.go
+++ b/internal/lab/shim/tracer.go
@@ -51,7 +51,7 @@
 	signal.Notify(forward, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 
 	runtime.LockOSThread() // the tracer is a thread, not a process
-	p, err := os.StartProcess(t.Starter[0], t.Starter, &os.ProcAttr{Env: os.Environ(), Files: []*os.File{nil, os.Stdout, os.Stderr},
+	p, err := os.StartProcess(t.Starter[0], t.Starter, &os.ProcAttr{Env: os.Environ(), Files: inherited(),
 		Sys: &syscall.SysProcAttr{Ptrace: true, Pdeathsig: syscall.SIGKILL}})
 	if err != nil {
 		return 0, err
@@ -90,6 +90,15 @@
 	}
 }
 
+// inherited are the descriptors that the program gets: the streams and, where the platform hands one on, its callers' listener.
+func inherited() []*os.File {
+	files := []*os.File{nil, os.Stdout, os.Stderr}
+	if os.Getenv("EDGE_ACCEPT_FD") == "3" {
+		files = append(files, os.NewFile(3, "listener"))
+	}
+	return files
+}
+
 // next waits for one stop of the process and deals with it; at its end it returns how it ended.
 func (t *Tracer) next() (ended *unix.WaitStatus, err error) {
 	var ws unix.WaitStatus
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -88,6 +89,17 @@
 	{"clock", share("nodes", "0.5", "1"), 2 * time.Second, 6 * time.Second, lines(`by = "5s"`, `by = "-5s"`, `by = "1h"`, `by = "-1h"`)},
 }
 
+// processes are the kinds of trouble that a third of the seeds have each: several configurations in a row, processes that are replaced under load
+// (nobody kills or stops nodes then, since their listener outlives them), and processes that are held up (under no shim then).
+var processes = []trouble{
+	{"reconfigure", share("nodes", "0.3", "1"), 300 * time.Millisecond, 2 * time.Second, lines(`by = "150ms"`, `by = "700ms"`)},
+	{"replace", share("nodes", "0.2", "0.5"), 0, 0, nil},
+	{"pause", share("nodes", "0.3", "1"), time.Second, 3 * time.Second, lines(`by = "50ms"`, `by = "150ms"`)},
+}
+
+// excludes are the kinds that a seed with one of processes does not have.
+var excludes = map[string][]string{"replace": {"kill", "stop"}, "pause": {"errno", "short", "stall", "clock"}}
+
 // moments is how often troubles come together.
 const moments = 3
 
@@ -150,27 +162,35 @@
 honour = 0.5
 marks = true
 `, seed, s.Lasts, s.Nodes, 2+r.IntN(4), r.IntN(3) == 0, []string{"streams", "waits", "ends-with-list"}[r.IntN(3)], s.Servers, window, s.Rate)
+	// Drawn apart, so that what else a seed draws stays what it was before there were these.
+	own := rand.New(rand.NewPCG(seed, 46))
+	process := processes[own.IntN(len(processes))]
 	for m := range moments {
 		at := s.Lasts * time.Duration(1+2*m) / (2*moments + 1)
 		for _, kind := range [][]trouble{servers, servers, nodes, lists, calls, calls} {
 			if r.IntN(4) > 0 { // three to five of the six
-				fault(&b, r, s, kind, at)
+				text := fault(r, s, kind, at)
+				if !slices.ContainsFunc(excludes[process.kind], func(out string) bool { return strings.Contains(text, fmt.Sprintf("kind = %q", out)) }) {
+					b.WriteString(text)
+				}
 			}
 		}
+		b.WriteString(fault(own, s, []trouble{process}, at))
 	}
 	return b.String()
 }
 
-// fault writes one drawn from a kind, near a moment.
-func fault(b *strings.Builder, r *rand.Rand, s Size, kind []trouble, near time.Duration) {
+// fault is one drawn from a kind, near a moment, as an experiment says it.
+func fault(r *rand.Rand, s Size, kind []trouble, near time.Duration) string {
 	t := kind[r.IntN(len(kind))]
 	at := (near + time.Duration(r.Int64N(int64(1200*time.Millisecond)))).Round(10 * time.Millisecond)
 	lasts := t.least
 	if t.most > t.least {
 		lasts += time.Duration(r.Int64N(int64(t.most - t.least))).Round(10 * time.Millisecond)
 	}
-	fmt.Fprintf(b, "[[fault]]\nkind = %q\non = %q\nat = %q\nfor = %q\n", t.kind, t.on(r, s), at, lasts)
+	text := fmt.Sprintf("[[fault]]\nkind = %q\non = %q\nat = %q\nfor = %q\n", t.kind, t.on(r, s), at, lasts)
 	if t.more != nil {
-		fmt.Fprintln(b, t.more(r))
+		text += t.more(r) + "\n"
 	}
+	return text
 }
--- a/internal/lab/standin/door.go
+++ b/internal/lab/standin/door.go
@@ -59,6 +59,20 @@
 	return o.watches, last
 }
 
+// Close takes no new call from now on, and ends those that are open after a while: discovery has moved.
+func (o *Door) Close(after time.Duration) {
+	o.d.mu.Lock()
+	o.ln.Close()
+	o.d.mu.Unlock()
+	time.AfterFunc(after, func() {
+		o.d.mu.Lock()
+		defer o.d.mu.Unlock()
+		for c := range o.conns {
+			reset(c)
+		}
+	})
+}
+
 func (o *Door) open() error {
 	ln, err := net.Listen("tcp", o.addr)
 	if err != nil {
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -32,6 +32,7 @@
 	Config  map[string]any // of the platform's form; listen and name are set here
 	Text    string         // instead of it: an operator's file
 	Dir     string         // its configuration and its log
+	Held    *os.File       // its callers' listener, which all its processes share; nil: each has its own
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -89,6 +90,13 @@
 	}
 }
 
+// Configure changes the configuration; Write puts it where the process reads it.
+func (n *Node) Configure(change func(config map[string]any)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(n.Config)
+}
+
 // Write writes the configuration, as a whole or not at all.
 func (n *Node) Write() error {
 	n.mu.Lock()
@@ -110,13 +118,98 @@
 
 // Start starts the process and waits until it is ready.
 func (n *Node) Start(ctx context.Context) error {
-	if err := n.Write(); err != nil {
+	ended, err := n.launch()
+	if err != nil {
 		return err
 	}
-	log, err := os.OpenFile(filepath.Join(n.Dir, n.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	for limit := time.Now().Add(60 * time.Second); time.Now().Before(limit); {
+		if ready(n.Addr) {
+			return nil
+		}
+		select {
+		case <-ended:
+			return fmt.Errorf("node %s ended at its start: %s", n.Name, n.lastLine())
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("node %s is not ready", n.Name)
+}
+
+// Bounds of a replacement: how long a new process may take until it takes callers, and an old one until it has ended.
+const (
+	takesMost = 6 * time.Second
+	endsMost  = 5 * time.Second
+)
+
+// Replace starts another process beside the one that serves, waits until it takes callers, and ends the old one. The listener has to be held.
+func (n *Node) Replace(ctx context.Context) error {
+	n.mu.Lock()
+	old, oldEnded := n.cmd, n.ended
+	n.mu.Unlock()
+	ended, err := n.launch()
 	if err != nil {
 		return err
 	}
+	for limit := time.Now().Add(takesMost); !takes(n.adminAddr()); {
+		select {
+		case <-ended:
+			return fmt.Errorf("node %s ended at its start: %s", n.Name, n.lastLine())
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+		if time.Now().After(limit) {
+			return fmt.Errorf("node %s: the new process does not take callers", n.Name)
+		}
+	}
+	old.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-oldEnded:
+		return nil
+	case <-time.After(endsMost):
+		old.Process.Kill()
+		return fmt.Errorf("node %s: the old process did not end", n.Name)
+	}
+}
+
+func (n *Node) adminAddr() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	addr, _ := n.Config["admin_addr"].(string)
+	return addr
+}
+
+// takes asks a process at its operators' address whether it takes callers.
+func takes(addr string) bool {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	fmt.Fprint(c, "GET /_ready HTTP/1.1\r\nHost: lab\r\n\r\n")
+	p, err := wire.ReadResponse(bufio.NewReader(c))
+	return err == nil && p.Status == 200
+}
+
+// launch starts a process; the channel is closed at its end.
+func (n *Node) launch() (chan struct{}, error) {
+	if n.Held != nil {
+		admin, err := FreeAddress("127.0.0.1")
+		if err != nil {
+			return nil, err
+		}
+		n.Configure(func(config map[string]any) { config["admin_addr"] = admin })
+	}
+	if err := n.Write(); err != nil {
+		return nil, err
+	}
+	log, err := os.OpenFile(filepath.Join(n.Dir, n.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
 	defer log.Close()
 	command := append(slices.Clone(n.Wrap), n.Program)
 	cmd := exec.Command(command[0], command[1:]...)
@@ -124,11 +217,15 @@
 	if n.Text != "" {
 		cmd.Args = append(cmd.Args, "--config", filepath.Join(n.Dir, n.Name+".toml"))
 	}
+	if n.Held != nil {
+		cmd.ExtraFiles = []*os.File{n.Held}
+		cmd.Env = append(cmd.Env, "EDGE_ACCEPT_FD=3")
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	// A lab that is killed outright must leave no node behind.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("node %s: %w", n.Name, err)
+		return nil, fmt.Errorf("node %s: %w", n.Name, err)
 	}
 	ended := make(chan struct{})
 	n.mu.Lock()
@@ -147,19 +244,7 @@
 		n.mu.Unlock()
 		close(ended)
 	}()
-	for limit := time.Now().Add(60 * time.Second); time.Now().Before(limit); {
-		if ready(n.Addr) {
-			return nil
-		}
-		select {
-		case <-ended:
-			return fmt.Errorf("node %s ended at its start: %s", n.Name, n.lastLine())
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(10 * time.Millisecond):
-		}
-	}
-	return fmt.Errorf("node %s is not ready", n.Name)
+	return ended, nil
 }
 
 func ready(addr string) bool {
--- a/internal/lab/standin/rude.go
+++ b/internal/lab/standin/rude.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,7 +76,7 @@
 		wire.Trace, wire.ID{Call: id.Call}.String(), wire.Method, r.Name, wire.Tenant, r.Tenant, wire.Left, lasts.Milliseconds()), t
 }
 
-// half sends half a request and stays.
+// half sends half a request and stays: it stops in the head, or in a body of up to half a megabyte.
 func (r *RudeClients) half(ctx context.Context) {
 	c := r.dial()
 	if c == nil {
@@ -83,8 +84,18 @@
 	}
 	defer c.Close()
 	text, _ := r.request(time.Second, 0)
-	c.Write([]byte(text[:len(text)/2]))
+	if body := []int{0, 1 << 10, 60 << 10, 512 << 10}[rand.IntN(4)]; body == 0 {
+		text = text[:len(text)/2]
+	} else {
+		text = strings.TrimSuffix(text, "\r\n") + fmt.Sprintf("Content-Length: %d\r\n\r\n", body) + strings.Repeat("x", body*3/4)
+	}
+	c.SetWriteDeadline(time.Now().Add(time.Second))
+	c.Write([]byte(text))
+	stopped := r.now()
 	r.stay(ctx, c)
+	if ctx.Err() == nil {
+		r.Log.Stall(judge.Stall{Node: r.Dest.Node, Stopped: stopped, Ended: r.now()})
+	}
 }
 
 // mute says nothing.
@@ -95,15 +106,14 @@
 	}
 }
 
-// stay reads whatever comes for some seconds.
+// stayMost is how long such a client stays.
+const stayMost = 5 * time.Second
+
+// stay waits until something comes, or the connection ends.
 func (r *RudeClients) stay(ctx context.Context, c net.Conn) {
 	defer context.AfterFunc(ctx, func() { c.Close() })()
-	c.SetReadDeadline(time.Now().Add(4 * time.Second))
-	for b := make([]byte, 512); ; {
-		if _, err := c.Read(b); err != nil {
-			return
-		}
-	}
+	c.SetReadDeadline(time.Now().Add(stayMost))
+	c.Read(make([]byte, 512))
 }
 
 // flood sends much that is no request, and goes.
