--- a/cmd/robinlab/folders_test.go
+++ b/cmd/robinlab/folders_test.go
@@ -30,6 +30,8 @@
 	folder  string
 	planned shim.Plan
 	plan    string // its file
+	lists   *standin.Discovery
+	door    *standin.Door
 	servers []*standin.Server
 	asked   int
 }
@@ -52,6 +54,7 @@
 	}
 	door, err := discovery.Door(0, "127.0.0.1:0")
 	require.NoError(t, err)
+	b.lists, b.door = discovery, door
 	addr, err := standin.FreeAddress("127.0.0.1")
 	require.NoError(t, err)
 	b.admin, err = standin.FreeAddress("127.0.0.1")
@@ -82,11 +85,16 @@
 	}
 }
 
-// inject has calls in the folder fail from now on, or none.
+// inject has calls in the folder that lasts fail from now on, or none.
 func (b *bannedNode) inject(all ...shim.Injection) {
+	b.t.Helper()
+	b.injectIn(b.folder, all...)
+}
+
+func (b *bannedNode) injectIn(folder string, all ...shim.Injection) {
 	b.t.Helper()
 	for i := range all {
-		all[i].Folder, all[i].Share = b.folder, 1
+		all[i].Folder, all[i].Share = folder, 1
 	}
 	b.planned.Injections = all
 	require.NoError(b.t, b.planned.Check())
@@ -242,3 +250,38 @@
 		})
 	}
 }
+
+// A configuration that can't be read for a moment, at a start or at SIGHUP, is read as soon as it can: the node would else not start, or hold on
+// to a discovery that has moved away.
+func TestAConfigurationThatCannotBeReadForAMomentIsReadThen(t *testing.T) {
+	for _, call := range []shim.Injection{{Call: "openat", Errors: []string{"ENFILE"}}, {Call: "openat", Errors: []string{"EIO"}}, {Call: "openat", Errors: []string{"ENOMEM"}},
+		{Call: "read", Errors: []string{"EIO"}}} {
+		t.Run(call.Call+" with "+call.Errors[0], func(t *testing.T) {
+			t.Parallel()
+			b := newBannedNode(t)
+			b.injectIn(b.node.Dir, call)
+			moved, err := b.lists.Door(0, "127.0.0.1:0")
+			require.NoError(t, err)
+			b.node.Configure(func(config map[string]any) { config["discovery"] = moved.Addr() })
+			require.NoError(t, b.node.Write())
+			require.NoError(t, b.node.Signal(syscall.SIGHUP))
+			b.door.Close(1500 * time.Millisecond)
+			time.Sleep(1500 * time.Millisecond)
+			b.struck(call.Call)
+			b.inject()
+			_, members := b.lists.List()
+			for _, m := range members[:2] {
+				m.Phase = "draining"
+				b.lists.Tell(m)
+			}
+			time.Sleep(4 * time.Second) // from SIGHUP what discovery has binds
+			b.quiet("the node has followed discovery")
+
+			b.node.Kill()
+			b.injectIn(b.node.Dir, call)
+			works := time.AfterFunc(1500*time.Millisecond, func() { b.inject() })
+			defer works.Stop()
+			b.killed()
+		})
+	}
+}
