A configuration that can't be read for a moment is read as soon as it can

Seen: TestAConfigurationThatCannotBeReadForAMomentIsReadThen, 4 of 4 cases. Cause: config.reload took an error of reading for a file that can't be used (reading tried on for 0.2 s, and only where descriptors were wanting), logged it and forgot the SIGHUP; a start ended on the same error. A node whose discovery had moved then kept its old list for good: it sent to both servers that drained, seconds past 4 s after SIGHUP. Ruled out: the watch (it is not told of the move), the shim (without its fault the same steps pass).

An UnreadableError is apart from a mistake now: after SIGHUP the file is read again each 50 ms for a minute, between signals, and a start waits 5 s. The same for an operator's file.

--- a/cmd/robincart/config.go
+++ b/cmd/robincart/config.go
@@ -102,9 +102,14 @@
 
 // reload reads the file again and returns the configuration in force. Of what has changed the discovery's
 // address and the settings are taken, and the address goes before EDGE_DISCOVERY, which is as old as the process; all else
-// waits for a restart. A file that can't be used, or lacks what the one in force has, changes nothing.
-func (c *config) reload(getenv func(string) string, w mover, tune func(*config), log *zap.Logger) *config {
+// waits for a restart. A file that can't be used, or lacks what the one in force has, changes nothing; one that can't be read for now is an
+// error, and to be read again.
+func (c *config) reload(getenv func(string) string, w mover, tune func(*config), log *zap.Logger) (*config, error) {
 	fresh, err := readConfig(getenv)
+	var unreadable *UnreadableError
+	if errors.As(err, &unreadable) {
+		return c, err
+	}
 	if err == nil {
 		if _, _, bad := net.SplitHostPort(fresh.file); bad != nil && fresh.file != c.file {
 			err = fmt.Errorf("discovery: %w", bad)
@@ -115,7 +120,7 @@
 	}
 	if err != nil {
 		log.Error("the new configuration can't be used; the old one stays", zap.Strings("mistakes", strings.Split(err.Error(), "\n")))
-		return c
+		return c, nil
 	}
 	var waits []string
 	for name, same := range map[string]bool{
@@ -140,7 +145,7 @@
 	}
 	log.Info("configuration read again", zap.String("discovery", now.Discovery), zap.Bool("settings", tuned),
 		zap.Strings("only after a restart", waits))
-	return &now
+	return &now, nil
 }
 
 // seed is the start of the node's random numbers. The name counts too: two nodes started with one seed must
--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -72,8 +72,8 @@
 	log       *zap.Logger
 	telemetry *telemetry.Recorder
 	open      func() int
-	serving   func() // callers are taken from now on; may be nil
-	reload    func()
+	serving   func()          // callers are taken from now on; may be nil
+	reload    func() error    // an UnreadableError: it is to be tried again
 	news      <-chan struct{} // the record's services, routes or tenants have changed; nil: there is none
 	took      func()
 	close     func() // after the last answer
@@ -87,10 +87,14 @@
 	if s.serving != nil {
 		s.serving()
 	}
+	again := rereading{log: s.log}
 	for stops := false; !stops; {
 		select {
 		case <-sig.hup:
-			s.reload()
+			again.told()
+			again.tried(s.reload())
+		case <-again.due():
+			again.tried(s.reload())
 		case <-s.news:
 			s.took()
 		case <-sig.counters:
@@ -116,7 +120,7 @@
 
 // platform is the node as the platform starts it, by EDGE_CONFIG: one service.
 func platform(sig signals) error {
-	c, err := readConfig(os.Getenv)
+	c, err := starting(func() (*config, error) { return readConfig(os.Getenv) })
 	if err != nil {
 		return err
 	}
@@ -185,8 +189,8 @@
 			owned.Wait()
 		}}
 	tune := &tuning{core: core, now: time.Now, last: c.node}
-	s.reload = func() {
-		c = c.reload(os.Getenv, watcher, func(now *config) {
+	s.reload = func() (err error) {
+		c, err = c.reload(os.Getenv, watcher, func(now *config) {
 			is := tune.to(now.node, now.limits.ClassLeaves)
 			none := func(int) bool { return false }
 			service = frontend.NewService("", now.node.Over(is, none, none), core, pool, nil).Follows(service, clk.Now(), clk.Now()+now.limits.ClassLeaves)
@@ -195,6 +199,7 @@
 			pool.Tune(now.limits)
 			s.limits = now.limits
 		}, log)
+		return err
 	}
 	s.until(sig)
 	return nil
--- a/cmd/robincart/operate_test.go
+++ b/cmd/robincart/operate_test.go
@@ -156,7 +156,11 @@
 	require.NoError(t, err)
 	moves := &moved{}
 	tuned := 0
-	reload := func() *config { return c.reload(env, moves, func(*config) { tuned++ }, zap.NewNop()) }
+	reload := func() *config {
+		now, err := c.reload(env, moves, func(*config) { tuned++ }, zap.NewNop())
+		require.NoError(t, err, "a mistake is none that passes")
+		return now
+	}
 	for n := range len(text) {
 		write(text[:n])
 		require.Same(t, c, reload(), "%s", text[:n])
--- a/cmd/robincart/services.go
+++ b/cmd/robincart/services.go
@@ -75,7 +75,7 @@
 
 // services is the node with an operator's file: several services behind one set of sockets.
 func services(file string, sig signals) error {
-	c, err := readOperators(file)
+	c, err := starting(func() (*operator.Config, error) { return readOperators(file) })
 	if err != nil {
 		return err
 	}
@@ -166,11 +166,15 @@
 			closeAdmin()
 			set.Close()
 		},
-		reload: func() {
+		reload: func() error {
 			fresh, err := readOperators(file)
-			if err != nil {
+			var unreadable *UnreadableError
+			switch {
+			case errors.As(err, &unreadable):
+				return err
+			case err != nil:
 				log.Error("the new configuration can't be used; the old one stays", zap.Strings("mistakes", strings.Split(err.Error(), "\n")))
-				return
+				return nil
 			}
 			if waits := fresh.KeepProcess(c); len(waits) > 0 {
 				log.Warn("some of the new configuration waits for a restart", zap.Strings("keys", waits))
@@ -178,6 +182,7 @@
 			written = fresh
 			c = over(written, set.Keeper, c, log)
 			front.Swap(set.Apply(c))
+			return nil
 		},
 		news: facts, took: func() {
 			if fresh := over(written, set.Keeper, c, log); fresh != c {
--- a/internal/lab/run/faults.go
+++ b/internal/lab/run/faults.go
@@ -184,6 +184,9 @@
 func (f *Fleet) node(ctx context.Context, x experiment.Fault, n *standin.Node, front *standin.Front, id int32) {
 	switch x.Kind {
 	case "reload":
+		if !n.Reloads() {
+			return
+		}
 		if err := n.Write(); err != nil {
 			f.crash(err)
 		}
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -157,6 +157,12 @@
 	if p.proxy != nil {
 		addr = f.e.Fleet.Host + ":0" // the proxy keeps the address
 	}
+	if strings.HasSuffix(addr, ":0") { // none of those that connections take: a server that refuses for a while wants its own back
+		var err error
+		if addr, err = standin.FreeAddress(f.e.Fleet.Host); err != nil {
+			return fmt.Errorf("a server: %w", err)
+		}
+	}
 	if err := s.Start(addr); err != nil {
 		return fmt.Errorf("a server: %w", err)
 	}
--- a/internal/lab/run/processes.go
+++ b/internal/lab/run/processes.go
@@ -30,6 +30,10 @@
 	zone := f.e.Fleet.Zones[number%len(f.e.Fleet.Zones)]
 	end := time.Now().Add(time.Duration(x.For))
 	for i := 0; ctx.Err() == nil && (i == 0 || time.Now().Before(end)); i++ {
+		if !n.Reloads() {
+			sleep(ctx, every)
+			continue
+		}
 		door, err := f.Discovery().Door(id, f.e.Fleet.Host+":0")
 		if err != nil {
 			f.crash(err)
@@ -37,7 +41,8 @@
 		}
 		settings := f.settings(0, zone)
 		if i%2 == 0 {
-			settings["Classes"] = append(settings["Classes"].([]map[string]any), map[string]any{"Name": "further", "AimMs": 500, "DeadlineMs": 1000, "Credit": 1, "Repeat": "once"})
+			settings["Classes"] = append(settings["Classes"].([]map[string]any), map[string]any{"Name": "further", "AimMs": 500, "DeadlineMs": 1000, "Credit": 1,
+				"LateWorth": 0, "WindowMs": 0, "Repeat": "once", "DedupScope": "all"})
 			settings["Limits"].(map[string]any)["MaxAttempts"] = max(1, f.e.Fleet.MaxPicks-1)
 		}
 		n.Configure(func(config map[string]any) { config["discovery"], config["settings"] = door.Addr(), settings })
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -37,8 +37,9 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	ended   chan struct{}
-	err     error // how it ended
-	ordered bool  // its end was asked for
+	err     error     // how it ended
+	ordered bool      // its end was asked for
+	ready   time.Time // when the process had become ready; zero: it has not, or is to end
 	cpu     time.Duration
 	rss     int64
 }
@@ -124,6 +125,7 @@
 	}
 	for limit := time.Now().Add(60 * time.Second); time.Now().Before(limit); {
 		if ready(n.Addr) {
+			n.becameReady()
 			return nil
 		}
 		select {
@@ -164,6 +166,7 @@
 			return fmt.Errorf("node %s: the new process does not take callers", n.Name)
 		}
 	}
+	n.becameReady()
 	n.mu.Lock()
 	n.sample(old.Process.Pid)
 	n.mu.Unlock()
@@ -177,6 +180,22 @@
 	}
 }
 
+func (n *Node) becameReady() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ready = time.Now()
+}
+
+// firstReload is for how long a process that has become ready is not told to read its configuration.
+const firstReload = time.Second
+
+// Reloads tells whether the process may be told to read its configuration: the platform does not before it is ready, nor in the second after.
+func (n *Node) Reloads() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.ready.IsZero() && time.Since(n.ready) >= firstReload
+}
+
 func (n *Node) adminAddr() string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -232,7 +251,7 @@
 	}
 	ended := make(chan struct{})
 	n.mu.Lock()
-	n.cmd, n.ended, n.ordered = cmd, ended, false
+	n.cmd, n.ended, n.ordered, n.ready = cmd, ended, false, time.Time{}
 	n.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
@@ -272,7 +291,7 @@
 		return errors.New("not started")
 	}
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
-		n.ordered = true
+		n.ordered, n.ready = true, time.Time{}
 		n.sample(n.cmd.Process.Pid)
 	}
 	return n.cmd.Process.Signal(s)
