The end by force waits for answers that are on their way

Cause: Drain closed what was left over requests whose goroutines had not run yet. Connections that owe nothing are closed as before.

--- a/internal/frontend/endings_test.go
+++ b/internal/frontend/endings_test.go
@@ -252,3 +252,22 @@
 	_, err := net.Dial("tcp", addr)
 	assert.Error(t, err, "the listener is closed in the end")
 }
+
+// On a core that others share the last answers may take longer than they are given: a connection that owes one is not closed over it.
+func TestAnAnswerThatIsLateAtTheEndByForceIsStillWritten(t *testing.T) {
+	l := bounds()
+	l.StopWrite = time.Millisecond
+	f, core, addr := beginWith(t, l)
+	core.atVanished = func(*node.RPC) { time.Sleep(100 * time.Millisecond) } // the answer follows it
+	rests, c := dial(t, addr), dial(t, addr)
+	rests.ask()
+	first := testutil.Receive(t, core.came)
+	first.Orders <- node.Order{Kind: node.PushBack}
+	rests.hears(t)
+	c.ask()
+	testutil.Receive(t, core.came)
+	over, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Error(t, f.Drain(over))
+	assert.Equal(t, 503, c.hears(t).StatusCode, "nothing was sent for it")
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -521,14 +521,32 @@
 	select {
 	case <-empty:
 	case <-time.After(f.limits.StopWrite):
-		f.mu.Lock()
-		for c := range f.conns {
+		f.force(empty)
+	}
+	return fmt.Errorf("%d connections were still in use", n)
+}
+
+// force closes what is still there, but for connections whose answer is on its way: on a core that others share the last answers may take long,
+// and who ends the process by force costs them no more than a close would. A caller that takes nothing has its answer's own time.
+func (f *Server) force(empty <-chan struct{}) {
+	f.closeAll(func(c *conn) bool { return !c.owed.Load() })
+	select {
+	case <-empty:
+	case <-time.After(f.limits.CallerWrite):
+		f.closeAll(func(*conn) bool { return true })
+	}
+}
+
+// closeAll closes connections by force, whoever serves them.
+func (f *Server) closeAll(which func(*conn) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if which(c) {
 			f.records(c, telemetry.Forced)
 			c.Close()
 		}
-		f.mu.Unlock()
 	}
-	return fmt.Errorf("%d connections were still in use", n)
 }
 
 // asks notes that a connection has brought an RPC.
--- a/internal/lab/run/faults.go
+++ b/internal/lab/run/faults.go
@@ -102,10 +102,14 @@
 		sleep(ctx, lasts)
 		each(func(p *place) { p.now().Slow(1) })
 	case "refuse":
-		each(func(p *place) { p.now().Refuse() })
-		sleep(ctx, lasts)
 		each(func(p *place) {
-			if err := p.now().Listen(""); err != nil {
+			s := p.now()
+			s.Refuse()
+			sleep(ctx, lasts)
+			if p.now() != s {
+				return // restarted meanwhile: the new process has the door
+			}
+			if err := s.Listen(""); err != nil {
 				f.crash(fmt.Errorf("a server's door: %w", err))
 			}
 		})
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -147,7 +147,13 @@
 // Listen opens the door, at its old address if none is given.
 func (s *Server) Listen(addr string) error {
 	if addr == "" {
+		s.mu.Lock()
+		open := s.ln != nil
 		addr = s.addr
+		s.mu.Unlock()
+		if open { // by another fault's end
+			return nil
+		}
 	}
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
