Failing: callers lost where the machine has no memory for a read or write for a moment

Found by reading each place that takes an error of a read or write against socket.KindOf: none but accept, connect and peeks asks it.

--- a/cmd/robinlab/hunt_test.go
+++ b/cmd/robinlab/hunt_test.go
@@ -220,3 +220,13 @@
 for = "5s"
 `))
 }
+
+// The machine may lack memory for a moment where a node reads or writes: no caller's request or answer may be lost by that.
+func TestNoAnswerIsLostWhereMemoryIsShortForAMoment(t *testing.T) {
+	t.Parallel()
+	faults := ""
+	for call, errors := range map[string]string{"read": `["ENOMEM"]`, "write": `["ENOBUFS", "ENOMEM"]`, "writev": `["ENOBUFS", "ENOMEM"]`, "recvfrom": `["ENOMEM"]`} {
+		faults += fmt.Sprintf("[[fault]]\nkind = \"errno\"\non = \"nodes\"\nat = \"1s\"\nfor = \"6s\"\ncall = %q\nerrors = %s\nshare = 0.2\n", call, errors)
+	}
+	kept(t, playHunted(t, 60, faults))
+}
