--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"robincart/internal/httpwire"
+	"robincart/internal/socket"
 )
 
 // The calls.
@@ -152,7 +153,7 @@
 		}
 	}()
 	c.SetReadDeadline(time.Now().Add(s.limits.Call))
-	q, err := httpwire.NewReader(c, s.limits.Wire).ReadRequest()
+	q, err := httpwire.NewReader(socket.Patient{Conn: c}, s.limits.Wire).ReadRequest()
 	a := &httpwire.Answer{}
 	if err != nil {
 		refusal, ok := httpwire.Refusal(err)
@@ -169,7 +170,7 @@
 	if q != nil && q.Verb == "HEAD" {
 		body = nil
 	}
-	c.Write(append(a.AppendHead(nil), body...))
+	socket.Write(c, append(a.AppendHead(nil), body...))
 	if half, ok := c.(*net.TCPConn); ok && err != nil && half.CloseWrite() == nil {
 		// Closed with bytes unread, the connection would be reset and the answer lost with it.
 		c.SetReadDeadline(time.Now().Add(s.limits.Linger))
--- a/internal/socket/listen.go
+++ b/internal/socket/listen.go
@@ -186,14 +186,14 @@
 // adoptFor is how long a connection is tried to be taken over.
 const adoptFor = 2 * time.Second
 
-// keep has a descriptor tried again, unless that has been done for too long or the listener has ended.
+// keep has a descriptor tried again, unless that has been done for too long.
 func (l *Listener) keep(f *os.File) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.since.IsZero() {
 		l.since = time.Now()
 	}
-	if l.closed.Load() || time.Since(l.since) > adoptFor {
+	if time.Since(l.since) > adoptFor {
 		l.since = time.Time{}
 		return false
 	}
@@ -226,12 +226,10 @@
 	return &net.OpError{Op: "accept", Net: "tcp", Addr: l.addr, Err: err}
 }
 
-// Close ends it; who waits in Accept returns with net.ErrClosed.
+// Close ends it; who waits in Accept returns with net.ErrClosed, but for a connection that was still to be taken over: Accept goes on with that
+// one first.
 func (l *Listener) Close() error {
 	l.closed.Store(true)
-	if f := l.unadopted(); f != nil {
-		f.Close()
-	}
 	return l.file.Close()
 }
 
--- a/internal/socket/listen_test.go
+++ b/internal/socket/listen_test.go
@@ -110,3 +110,25 @@
 	var errno syscall.Errno
 	assert.False(t, errors.As(err, &errno) && KindOf(err).Passing())
 }
+
+// A connection that could not be taken over before the listener was closed, as it is for a successor, still is.
+func TestAConnectionThatIsStillToBeTakenOverOutlivesItsListener(t *testing.T) {
+	ln := listening(t)
+	there, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer there.Close()
+	var fd int
+	require.NoError(t, ln.raw.Read(func(listener uintptr) bool {
+		fd, err = ln.accept(listener)
+		return err != syscall.EAGAIN
+	}))
+	require.NoError(t, err)
+	require.True(t, ln.keep(os.NewFile(uintptr(fd), "caller")), "as after an attempt that failed for want of a descriptor")
+	require.NoError(t, ln.Close())
+	here, err := ln.Accept()
+	require.NoError(t, err)
+	defer here.Close()
+	assert.Equal(t, there.LocalAddr().String(), here.RemoteAddr().String())
+	_, err = ln.Accept()
+	assert.ErrorIs(t, err, net.ErrClosed)
+}
