Front: a caller's connection in a file for its life, its reads and its writes

Moved without a change: conn.go is the record and the life of one request, conn_read.go what is waited for and how long, conn_write.go how an answer is written. The package's tests pass with the race detector.

--- /dev/null
+++ b/internal/frontend/conn_write.go
@@ -0,0 +1,135 @@
+package frontend
+
+import (
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"robincart/internal/fcgi"
+	"robincart/internal/httpwire"
+	"robincart/internal/socket"
+	"robincart/internal/telemetry"
+)
+
+// What follows is how a caller's answer is written, whole or as it comes.
+
+// answer writes a request's one answer.
+func (c *conn) answer(q *httpwire.Request, a *httpwire.Answer) bool {
+	a.Close = a.Close || q.Close || c.last || c.server.closing() || q.Rest != nil && !q.Rest.Ended() || c.gateway != nil && !c.gateway.keep
+	if a.Close && (q.Rest == nil || q.Rest.Ended()) && (c.reader.Beyond() || socket.Peek(c.raw) == socket.Bytes) {
+		c.linger = true // closed with bytes unread the connection would be reset, and the answer lost with it; rest sees to a body's
+	}
+	if c.gateway != nil && q.Rest != nil { // an exchange may still read the body, and the records are its own until then
+		q.Rest.Stop(c.giveIn)
+	}
+	written := false
+	if a.Rest != nil {
+		written = c.stream(a)
+	} else {
+		written = c.write(a, q.Verb == "HEAD")
+	}
+	c.owed.Store(false)
+	c.why = telemetry.AnswerLast
+	if !written {
+		c.why = telemetry.WriteFailed
+	}
+	return written && !a.Close
+}
+
+// stream passes an answer on while it comes, at its reader's pace. One that breaks off looks broken: the connection ends
+// short of the length, without the last chunk or, where neither can be told, by a reset.
+func (c *conn) stream(a *httpwire.Answer) bool {
+	piece, frame := httpwire.Piece(), make([]byte, 0, 16)
+	defer httpwire.Done(piece)
+	chunked := a.Chunked()
+	// A reader may stand still for a while, and slower than the least rate in the long run nobody may be: its place would be
+	// held for hours. What its server takes is not its own.
+	l, taken, waited := &c.server.limits, 0, time.Duration(0)
+	write := func(parts net.Buffers) bool {
+		began := time.Now()
+		c.SetWriteDeadline(began.Add(min(l.CallerTakes, l.CallerTakes+l.Slowest(taken)-waited)))
+		size := 0
+		for _, p := range parts {
+			size += len(p)
+		}
+		err := socket.WriteBuffers(c.Conn, &parts)
+		if err == nil { // else nothing more is written
+			taken += size
+		}
+		waited += time.Since(began)
+		return err == nil
+	}
+	body := func(p []byte) bool { return write(httpwire.Frame(p, chunked, frame)) }
+	head := a.AppendHead
+	if c.gateway != nil {
+		chunked = false
+		head, body = func(to []byte) []byte { return c.gateway.begin(to, a) }, func(p []byte) bool { return write(c.gateway.frame(p)) }
+	}
+	ok := write(net.Buffers{head(nil)}) && (len(a.Body) == 0 || body(a.Body))
+	for ok {
+		n, err := a.Rest.Read(*piece)
+		if n > 0 {
+			ok = body((*piece)[:n])
+		}
+		if err == io.EOF {
+			break
+		}
+		ok = ok && err == nil
+	}
+	if ok && chunked {
+		ok = write(net.Buffers{httpwire.LastChunk})
+	}
+	if ok && c.gateway != nil { // else it looks broken: its request has no end
+		ok = write(net.Buffers{c.gateway.end(nil, 0, fcgi.Complete)})
+	}
+	a.Rest.Close(ok)
+	if t, is := c.Conn.(*net.TCPConn); is && !ok && a.Old && a.Rest.Length() < 0 {
+		t.SetLinger(0)
+	}
+	return ok
+}
+
+// mostHead is the largest buffer that is kept: a gateway's answer has its body in it.
+const mostHead = 4 << 10
+
+// heads are buffers that answers are written from.
+var heads = sync.Pool{New: func() any { b := make([]byte, 0, 1024); return &b }}
+
+// write writes an answer. Nearly always the kernel takes all of it, and no deadline is set.
+func (c *conn) write(a *httpwire.Answer, headOnly bool) bool {
+	head := heads.Get().(*[]byte)
+	defer heads.Put(head)
+	var msg, body []byte
+	if c.gateway != nil {
+		msg = c.gateway.answer((*head)[:0], a, headOnly)
+	} else {
+		msg, body = a.AppendHead((*head)[:0]), a.Body
+	}
+	if cap(msg) <= mostHead {
+		*head = msg
+	}
+	if headOnly {
+		body = nil
+	}
+	if cap(msg)-len(msg) >= len(body) {
+		msg, body = append(msg, body...), nil
+	}
+	n := 0
+	if c.raw != nil && len(body) == 0 {
+		c.raw.Write(func(fd uintptr) bool {
+			n, _ = syscall.Write(int(fd), msg)
+			return true
+		})
+		if n = max(n, 0); n == len(msg) {
+			return true
+		}
+	}
+	c.SetWriteDeadline(time.Now().Add(c.server.limits.CallerWrite))
+	rest := net.Buffers{msg[n:]}
+	if len(body) > 0 {
+		rest = append(rest, body)
+	}
+	return socket.WriteBuffers(c.Conn, &rest) == nil
+}
