Settings that allow any number of attempts can't end the process

Found by reading Core.Arrived: each request made a channel of MaxAttempts + 3 orders, so a configuration with a huge MaxAttempts, which is accepted, ended the node with its first request (seen: makechan panics at 1<<40), and a class that has left the settings keeps more attempts than a channel by the settings after it has room for, which could stop the core under its lock. The channel has room for the most attempts of any settings in this process, 61 at most: they are taken one after another. The test fails without it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,6 +136,13 @@
 // grain is the step of the core's timers.
 const grain = time.Millisecond
 
+const (
+	// endOrders is how many orders an RPC may have beside its attempts: an answer, its caller's end, and one to spare.
+	endOrders = 3
+	// maxQueued is how many attempts of an RPC can wait to be carried out: whoever serves it takes them one after another.
+	maxQueued = 61
+)
+
 // atOnce is how many timers end in one go while the mutex is held.
 const atOnce = 256
 
@@ -150,16 +157,18 @@
 	balancer *decide.Balancer
 	servers  map[string]*Server
 	settings *settings.Node // in force; names in their slots
-	methods  []slot         // of the module's, by number
-	tenants  []slot
-	barred   map[string]Ban // taken out by an operator
-	known    names          // that were ever listed
-	picks    []*Pick        // out
-	open     int            // RPCs owed an answer
-	timers   *timingwheel.Wheel
-	armed    time.Duration // when the clock will ring; 0: not at all
-	lists    int
-	closed   bool
+	// The most attempts that any settings of this process allowed: a class that has left them keeps its own.
+	mostPicks int
+	methods   []slot // of the module's, by number
+	tenants   []slot
+	barred    map[string]Ban // taken out by an operator
+	known     names          // that were ever listed
+	picks     []*Pick        // out
+	open      int            // RPCs owed an answer
+	timers    *timingwheel.Wheel
+	armed     time.Duration // when the clock will ring; 0: not at all
+	lists     int
+	closed    bool
 
 	listClock listClock
 	telemetry *telemetry.Recorder // may be nil
@@ -172,6 +181,7 @@
 		servers: map[string]*Server{}, barred: map[string]Ban{}, timers: timingwheel.New(grain, clock.Now(), 1024)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.mostPicks = s.MaxPicks
 	c.methods, c.tenants = make([]slot, len(s.Methods)), make([]slot, max(1, len(s.Tenants)))
 	c.balancer = decide.New(c, s.Settings, seed)
 	c.arm()
@@ -319,7 +329,7 @@
 		r.obj.Work = a.Work
 	}
 	r.method = c.balancer.Method(a.Method)
-	r.Orders = make(chan Order, c.settings.MaxPicks+3)
+	r.Orders = make(chan Order, min(c.mostPicks, maxQueued)+endOrders)
 	c.open++
 	c.methods[a.Method].held++
 	c.tenants[a.Tenant].held++
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -509,3 +509,18 @@
 	s.Attach(busiest)
 	assert.Nil(t, s.servers[busiest], "it has gone meanwhile, and is forgotten")
 }
+
+// Settings may allow any number of attempts, and fewer after a change: an RPC's orders find room without the memory for all of them.
+func TestOrdersHaveRoomWhateverTheSettingsAllow(t *testing.T) {
+	for _, most := range []int{1, 5, 1 << 40} {
+		s := begin(t, func(n *settings.Node) { n.MaxPicks = most })
+		s.list("a")
+		r := s.arrive(find)
+		assert.LessOrEqual(t, cap(r.Orders), maxQueued+endOrders)
+		assert.GreaterOrEqual(t, cap(r.Orders), min(most, maxQueued)+endOrders)
+		fewer := &settings.Node{Settings: s.settings.Settings, MethodNames: []string{"find"}}
+		fewer.MaxPicks = 1
+		s.Retune(fewer)
+		assert.GreaterOrEqual(t, cap(s.arrive(find).Orders), min(most, maxQueued)+endOrders, "a class that has left keeps its attempts")
+	}
+}
--- a/internal/node/retune.go
+++ b/internal/node/retune.go
@@ -29,6 +29,7 @@
 	c.methods = moved(c.methods, c.settings.MethodNames, fresh.MethodNames, now)
 	c.tenants = moved(c.tenants, c.settings.TenantNames, fresh.TenantNames, now)
 	c.settings = fresh
+	c.mostPicks = max(c.mostPicks, fresh.MaxPicks)
 	c.balancer.Retune(fresh.Settings)
 	c.arm()
 	return fresh
