Soak: operators take servers out and call them back, under every other trouble

What an operator takes out was judged by no soak. The trouble ban takes a tenth or three tenths of the servers out at nodes with an operators' address and a folder that lasts, and calls them back later; the judge finds attempts between the yes, its grace, and the call back (a test of its own, five cases). Kills, reloads and failing calls lie over it.

--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -181,7 +181,7 @@
 // Faults by kind, with what each may be on.
 var faults = map[string]string{"freeze": "server", "slow": "server", "silent": "server", "fail": "server", "reset-before": "server",
 	"reset-after": "server", "die-mid": "server", "spoil": "server", "refuse": "server", "drain": "server", "restart": "server",
-	"roll": "server", "kill": "node", "stop": "node", "reload": "node", "reconfigure": "node", "replace": "node", "pause": "node", "gone": "discovery", "late": "discovery", "replay": "discovery", "silence": "discovery", "reset-watches": "discovery",
+	"roll": "server", "kill": "node", "stop": "node", "reload": "node", "reconfigure": "node", "replace": "node", "pause": "node", "ban": "node", "gone": "discovery", "late": "discovery", "replay": "discovery", "silence": "discovery", "reset-watches": "discovery",
 	"busy": "discovery", "mute": "server", "cut": "server", "trickle": "server", "rude": "node", "errno": "node", "short": "node", "stall": "node", "clock": "node"}
 
 // Shimmed tells whether a fault is made by a node's shim.
@@ -203,6 +203,11 @@
 	return slices.ContainsFunc(e.Fault, func(f Fault) bool { return f.Kind == "replace" })
 }
 
+// Operated tells whether nodes have an operators' address and a folder that lasts: for replacements, and for calls.
+func (e *Experiment) Operated() bool {
+	return e.Replaces() || slices.ContainsFunc(e.Fault, func(f Fault) bool { return f.Kind == "ban" })
+}
+
 // Proxied tells whether a fault is made by a proxy before a server.
 func (f Fault) Proxied() bool { return f.Kind == "mute" || f.Kind == "cut" || f.Kind == "trickle" }
 
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -196,7 +196,7 @@
 		s.mu.Unlock()
 	}
 	l.mu.Lock()
-	words, falls, stalls := slices.Clone(l.words), slices.Clone(l.falls), slices.Clone(l.stalls)
+	words, falls, stalls, bans := slices.Clone(l.words), slices.Clone(l.falls), slices.Clone(l.stalls), slices.Clone(l.bans)
 	l.mu.Unlock()
 	slices.SortFunc(tries, func(a, b Try) int { return cmp.Or(a.ID.compare(b.ID), cmp.Compare(a.Sent, b.Sent)) })
 	slices.SortFunc(picks, func(a, b Pick) int { return cmp.Or(a.ID.compare(b.ID), cmp.Compare(a.First, b.First)) })
@@ -219,6 +219,7 @@
 			at++
 		}
 		v.effects(rules, tries[i:end], picks[first:at], drains)
+		v.banned(rules, tries[i:end], picks[first:at], bans)
 		for _, t := range tries[i:end] {
 			// A close that crosses a request is no loss, unless the node had read it and sent it on.
 			sentOn := slices.ContainsFunc(picks[first:at], func(p Pick) bool { return p.N == t.N })
@@ -321,6 +322,21 @@
 	}
 }
 
+// banned finds attempts at servers that operators had taken out.
+func (v *Verdict) banned(rules Rules, tries []Try, picks []Pick, bans []Ban) {
+	for _, p := range picks {
+		t := find(tries, p.ID)
+		if t == nil {
+			continue
+		}
+		for _, b := range bans {
+			if b.Node == t.Node && b.Server == p.Server && p.First > b.From+rules.Grace+rules.Slack && p.First < b.To {
+				v.breach(ToDrained, "%v at server %d through node %d, %v after an operator's call", p.ID, p.Server, t.Node, p.First-b.From)
+			}
+		}
+	}
+}
+
 // deadlineSlack is by how much the time that an attempt is told may be more than what its caller has left.
 const deadlineSlack = 150 * time.Millisecond
 
--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -220,3 +220,24 @@
 		assert.Equal(t, c.guilty, Judge(rules, l).Broken[EffectTwice] != nil, name)
 	}
 }
+
+// An operator's call binds from its yes and the grace on, until the call back, at the node that was told.
+func TestAServerThatAnOperatorTookOutGetsNothingFromThatNode(t *testing.T) {
+	for name, x := range map[string]struct {
+		ban    Ban
+		broken int
+	}{
+		"long out":           {Ban{Node: 0, Server: 0, From: 0, To: time.Minute}, 1},
+		"another node":       {Ban{Node: 1, Server: 0, From: 0, To: time.Minute}, 0},
+		"another server":     {Ban{Node: 0, Server: 1, From: 0, To: time.Minute}, 0},
+		"called back before": {Ban{Node: 0, Server: 0, From: 0, To: time.Second}, 0},
+		"within the grace":   {Ban{Node: 0, Server: 0, From: 2*time.Second - 400*ms, To: time.Minute}, 0},
+	} {
+		l := &Log{}
+		try, pick := clean(l, 0, 0, 2*time.Second)
+		l.Try(try)
+		l.Pick(pick)
+		l.Ban(x.ban)
+		assert.Equal(t, x.broken, Judge(rules, l).Breaches(), name)
+	}
+}
--- a/internal/lab/judge/log.go
+++ b/internal/lab/judge/log.go
@@ -103,6 +103,7 @@
 	words  []Word
 	falls  []Fall
 	stalls []Stall
+	bans   []Ban
 }
 
 // Try notes a try that has ended.
@@ -128,6 +129,19 @@
 	l.mu.Unlock()
 }
 
+// Ban is a server that an operator has taken out at one node, from its yes to the call back.
+type Ban struct {
+	Node, Server int32
+	From, To     time.Duration
+}
+
+// Ban notes one.
+func (l *Log) Ban(b Ban) {
+	l.mu.Lock()
+	l.bans = append(l.bans, b)
+	l.mu.Unlock()
+}
+
 // Stall notes a client that had stopped in the middle of a request.
 func (l *Log) Stall(s Stall) {
 	l.mu.Lock()
@@ -171,6 +185,12 @@
 	for i := range l.falls {
 		l.falls[i].At, l.falls[i].Up = l.falls[i].At-by, l.falls[i].Up-by
 	}
+	for i := range l.stalls {
+		l.stalls[i].Stopped, l.stalls[i].Ended = l.stalls[i].Stopped-by, l.stalls[i].Ended-by
+	}
+	for i := range l.bans {
+		l.bans[i].From, l.bans[i].To = l.bans[i].From-by, l.bans[i].To-by
+	}
 }
 
 // Tries goes through all tries.
--- a/internal/lab/run/faults.go
+++ b/internal/lab/run/faults.go
@@ -68,6 +68,8 @@
 					f.rudely(ctx, x, i)
 				case x.Kind == "reconfigure":
 					f.reconfigure(ctx, x, i)
+				case x.Kind == "ban":
+					f.ban(ctx, x, i)
 				case x.Kind == "replace":
 					f.replace(ctx, i)
 				case x.Kind == "pause":
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -228,25 +228,28 @@
 	}
 	f.doors[f.nodeNo] = doors
 	f.nodeNo++
-	if e.Replaces() && tier == 0 {
-		err = f.hold(n)
+	if e.Operated() && tier == 0 {
+		err = f.operate(n)
 	}
 	return n, err
 }
 
-// hold opens a node's listener for it, which all its processes share, and gives it a folder that outlives them.
-func (f *Fleet) hold(n *standin.Node) error {
+// operate gives a node an operators' address and a folder that outlives its processes and, where they are replaced, opens the listener that they
+// share.
+func (f *Fleet) operate(n *standin.Node) error {
+	n.Admin = true
+	folder := filepath.Join(f.dir, n.Name+".tmp")
+	n.Env = append(n.Env, "TMPDIR="+folder)
+	if err := os.MkdirAll(folder, 0o700); err != nil || !f.e.Replaces() {
+		return err
+	}
 	ln, err := net.Listen("tcp", n.Addr)
 	if err != nil {
 		return err
 	}
 	defer ln.Close()
-	if n.Held, err = ln.(*net.TCPListener).File(); err != nil {
-		return err
-	}
-	folder := filepath.Join(f.dir, n.Name+".tmp")
-	n.Env = append(n.Env, "TMPDIR="+folder)
-	return os.MkdirAll(folder, 0o700)
+	n.Held, err = ln.(*net.TCPListener).File()
+	return err
 }
 
 // operatorFile is a node's configuration where the fleet has services.
--- a/internal/lab/run/processes.go
+++ b/internal/lab/run/processes.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"os"
 	"syscall"
 	"time"
 
 	"robincart/internal/lab/experiment"
+	"robincart/internal/lab/judge"
 	"robincart/internal/lab/standin"
 )
 
@@ -87,3 +89,43 @@
 	}
 	signal(syscall.SIGCONT)
 }
+
+// The operators' calls.
+const (
+	detachPath = "/_servers/detach"
+	attachPath = "/_servers/attach"
+)
+
+// banAgain is the pause between two calls of an operator that were not answered with a yes.
+const banAgain = 100 * time.Millisecond
+
+// ban takes one server in so many out at a node, for as long as the fault lasts.
+func (f *Fleet) ban(ctx context.Context, x experiment.Fault, number int) {
+	n, id := f.nodes[number], f.dests[number].ID
+	type out struct {
+		name   string
+		server int32
+		from   time.Duration
+	}
+	var all []out
+	list := f.tiers[0]
+	for i := range max(1, int(x.Share*float64(len(list)))) {
+		p := list[(number+i)%len(list)]
+		p.mu.Lock()
+		o := out{name: p.member.ID, server: p.member.Index}
+		p.mu.Unlock()
+		for ctx.Err() == nil && n.Call(detachPath, o.name) != http.StatusOK {
+			sleep(ctx, banAgain)
+		}
+		o.from = time.Since(f.begin)
+		all = append(all, o)
+	}
+	sleep(ctx, time.Duration(x.For))
+	for _, o := range all {
+		to := time.Since(f.begin) // the node may send again from when it has the call
+		f.log.Ban(judge.Ban{Node: id, Server: o.server, From: o.from, To: to})
+		for ctx.Err() == nil && n.Call(attachPath, o.name) != http.StatusOK {
+			sleep(ctx, banAgain)
+		}
+	}
+}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -90,12 +90,14 @@
 }
 
 // processes are the kinds of trouble of which each seed has one: several configurations in a row, processes that are replaced under load (nobody
-// kills or stops nodes then, since their listener outlives them), processes that are held up (under no shim then), and memory that is short for reads,
+// kills or stops nodes then, since their listener outlives them), processes that are held up (under no shim then), servers that operators take out at
+// nodes, and memory that is short for reads,
 // writes and watches.
 var processes = []trouble{
 	{"reconfigure", share("nodes", "0.3", "1"), 300 * time.Millisecond, 2 * time.Second, lines(`by = "150ms"`, `by = "700ms"`)},
 	{"replace", share("nodes", "0.2", "0.5"), 0, 0, nil},
 	{"pause", share("nodes", "0.3", "1"), time.Second, 3 * time.Second, lines(`by = "50ms"`, `by = "150ms"`)},
+	{"ban", share("nodes", "0.5", "1"), time.Second, 3 * time.Second, lines("share = 0.1", "share = 0.3")},
 	{"errno", share("nodes", "0.5", "1"), time.Second, 3 * time.Second, lines(
 		"call = \"read\"\nerrors = [\"ENOMEM\"]\nshare = 0.2",
 		"call = \"write\"\nerrors = [\"ENOBUFS\", \"ENOMEM\"]\nshare = 0.2",
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -33,6 +33,7 @@
 	Text    string         // instead of it: an operator's file
 	Dir     string         // its configuration and its log
 	Held    *os.File       // its callers' listener, which all its processes share; nil: each has its own
+	Admin   bool           // it has an operators' address, a new one with each process
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -180,6 +181,23 @@
 	}
 }
 
+// Call makes an operator's call on a server and returns its status; 0 where the node can't be asked now.
+func (n *Node) Call(path, server string) int {
+	c, err := net.DialTimeout("tcp", n.adminAddr(), time.Second)
+	if err != nil {
+		return 0
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	body := fmt.Sprintf(`{"host":%q}`, server)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: lab\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+	p, err := wire.ReadResponse(bufio.NewReader(c))
+	if err != nil {
+		return 0
+	}
+	return p.Status
+}
+
 func (n *Node) becameReady() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -218,7 +236,7 @@
 
 // launch starts a process; the channel is closed at its end.
 func (n *Node) launch() (chan struct{}, error) {
-	if n.Held != nil {
+	if n.Admin {
 		admin, err := FreeAddress("127.0.0.1")
 		if err != nil {
 			return nil, err
