Test: a client that stops behind a whole request is told in time

The crossing next to the stalled clients' find: the part of a request comes in one piece with the whole one before it.

--- a/cmd/robincart/stalled_test.go
+++ b/cmd/robincart/stalled_test.go
@@ -90,3 +90,28 @@
 		}
 	}
 }
+
+// The same where the part of a request comes in one piece with the whole one before it: that is answered, and the rest has its bound.
+func TestAClientThatStopsBehindAWholeRequestIsToldInTime(t *testing.T) {
+	p, _ := serving(t, newServer(t, says(200, "x")))
+	request := func() string {
+		return fmt.Sprintf("GET /find/x HTTP/1.1\r\nHost: n\r\nX-Trace-Id: %016x\r\nX-Qos: find\r\nX-Customer: acme\r\nX-Expires-In-Ms: 3000\r\n\r\n", asked.Add(1))
+	}
+	for _, part := range []int{1, 30, 100} {
+		t.Run(fmt.Sprint(part, " bytes"), func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", p.addr)
+			require.NoError(t, err)
+			defer c.Close()
+			began := time.Now()
+			_, err = io.WriteString(c, request()+request()[:part])
+			require.NoError(t, err)
+			c.SetReadDeadline(began.Add(10 * time.Second))
+			all, err := io.ReadAll(c)
+			took := time.Since(began)
+			require.NoError(t, err)
+			assert.Contains(t, string(all), "200 OK")
+			assert.Less(t, took, stalledFor)
+		})
+	}
+}
