A start waits until the kernel lets it watch descriptors

Go's runtime sets its poller up with the first file or timer, and throws where epoll_ctl is refused. Ruled out: the node's own poller, which tries again.

A call refused just between the look and the runtime's own still ends the process: open.

--- a/cmd/robincart/main.go
+++ b/cmd/robincart/main.go
@@ -27,6 +27,10 @@
 )
 
 func main() {
+	if err := socket.AwaitWatching(); err != nil {
+		fmt.Fprintf(os.Stderr, "robincart: files and connections can't be watched: %v; %s\n", err, socket.KindOf(err).Advice())
+		os.Exit(1)
+	}
 	// A log that nobody reads any more must not end the node; on sockets a broken pipe is only an error anyway.
 	signal.Ignore(syscall.SIGPIPE)
 	// Caught from the first moment on: uncaught, either would end the node and lose what it holds, or what the kernel has taken for it.
--- a/cmd/robinlab/hunt_test.go
+++ b/cmd/robinlab/hunt_test.go
@@ -230,3 +230,56 @@
 	}
 	kept(t, playHunted(t, 60, faults))
 }
+
+// Nodes are stopped while accept and what makes a connection of its result fail for a moment: whoever stands in a listener's queue is served.
+func TestAStopLosesNobodyWhereAcceptFailsForAMoment(t *testing.T) {
+	t.Parallel()
+	kept(t, playHunted(t, 240, `
+[[fault]]
+kind = "errno"
+on = "nodes"
+at = "1s"
+for = "6s"
+call = "accept4"
+errors = ["ECONNABORTED", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO"]
+share = 0.5
+[[fault]]
+kind = "errno"
+on = "nodes"
+at = "1s"
+for = "6s"
+call = "epoll_ctl"
+errors = ["ENOMEM"]
+share = 0.3
+[[fault]]
+kind = "rude"
+on = "nodes"
+at = "1s"
+for = "5s"
+[[fault]]
+kind = "stop"
+on = "nodes:0.5"
+at = "2s"
+for = "5s"
+`))
+}
+
+// The runtime ends a process that can't set its poller up. One that is started in such a moment waits for the kernel.
+func TestANodeStartsOnceTheKernelCanWatchDescriptors(t *testing.T) {
+	t.Parallel()
+	kept(t, playHunted(t, 60, `
+[[fault]]
+kind = "errno"
+on = "nodes:0.5"
+at = "900ms"
+for = "2s"
+call = "epoll_ctl"
+errors = ["ENOMEM"]
+share = 1.0
+[[fault]]
+kind = "kill"
+on = "nodes:0.5"
+at = "1s"
+for = "300ms"
+`))
+}
--- a/internal/lab/run/trouble.go
+++ b/internal/lab/run/trouble.go
@@ -75,8 +75,11 @@
 	if err := s.plan.Write(s.planFile); err != nil {
 		return err
 	}
+	if !n.Ready() {
+		return nil // it reads the plan at its start, or soon after: told before it listens to signals, the shim would end
+	}
 	if err := n.Signal(syscall.SIGUSR2); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		return err // one that is down reads it at its start
+		return err
 	}
 	return nil
 }
--- a/internal/lab/shim/tracer.go
+++ b/internal/lab/shim/tracer.go
@@ -21,11 +21,13 @@
 	maxLines = 100_000
 	// delayGrain is how often a thread that is held up is looked at.
 	delayGrain = 200 * time.Microsecond
+	// planGrain is how often the plan's file is looked at.
+	planGrain = 20 * time.Millisecond
 )
 
 // Tracer runs one process under a plan.
 type Tracer struct {
-	PlanFile string   // read again at each SIGUSR2
+	PlanFile string   // read again at each SIGUSR2, and soon after it has been replaced
 	Journal  *os.File // a line for each injection; may be nil
 	Starter  []string // the command that calls Exec with the plan's calls, the program and its arguments
 
@@ -36,6 +38,8 @@
 	held   map[int]time.Time
 	clock  *clock
 	lines  int
+	looked time.Time // at the plan's file
+	read   time.Time // the file's time when it was last read
 }
 
 // Run runs the program to its end and returns its exit status. SIGTERM, SIGINT, SIGHUP and SIGUSR1 go to it; its end goes with the tracer's.
@@ -76,6 +80,9 @@
 		case <-reload:
 			t.reload()
 		default:
+			if t.replaced() {
+				t.reload()
+			}
 		}
 		ended, err := t.next()
 		if err != nil || ended != nil {
@@ -171,6 +178,20 @@
 	}
 }
 
+// replaced tells whether the plan's file is another than the one that was read.
+func (t *Tracer) replaced() bool {
+	if time.Since(t.looked) < planGrain {
+		return false
+	}
+	t.looked = time.Now()
+	info, err := os.Stat(t.PlanFile)
+	if err != nil || info.ModTime().Equal(t.read) {
+		return false
+	}
+	t.read = info.ModTime()
+	return true
+}
+
 // reload takes another plan; one that can't be read changes nothing, and the journal says so.
 func (t *Tracer) reload() {
 	plan, err := ReadPlan(t.PlanFile)
--- a/internal/lab/standin/node.go
+++ b/internal/lab/standin/node.go
@@ -204,6 +204,13 @@
 	n.ready = time.Now()
 }
 
+// Ready tells whether the process has become ready and is not to end.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.ready.IsZero()
+}
+
 // firstReload is for how long a process that has become ready is not told to read its configuration.
 const firstReload = time.Second
 
