A folder that fails at a start leaves a successor its way once it works

The same mistake as the bans': succession.succeed listened for a successor once, and a folder that failed in that moment left the process without one for good, so that a later replacement closed all its callers' connections. It is tried again each 0.2 s.

--- a/cmd/robincart/succeed.go
+++ b/cmd/robincart/succeed.go
@@ -86,7 +86,9 @@
 	reachTime  = 500 * time.Millisecond
 	reachAgain = 20 * time.Millisecond
 	stateTime  = time.Second
-	ownFiles   = 24 // of a process, beside those that the budget counts
+	// listenAgain is the pause between two tries to listen for a successor.
+	listenAgain = 200 * time.Millisecond
+	ownFiles    = 24 // of a process, beside those that the budget counts
 )
 
 // succession is this process's side towards the ones before and after it.
@@ -133,13 +135,43 @@
 	} else {
 		s.ops.restore()
 	}
+	if err := s.listen(); err != nil {
+		s.log.Error("a successor would have to do without this process; it is tried again", zap.Error(err))
+		s.all.Go(s.listenLater)
+	}
+}
+
+// listen lets a successor reach this process.
+func (s *succession) listen() error {
 	ln, err := handover.Listen(s.path)
 	if err != nil {
-		s.log.Error("a successor will have to do without this process", zap.Error(err))
-		return
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return ln.Close()
 	}
 	s.ln = ln
 	s.all.Go(func() { s.accept(ln) })
+	return nil
+}
+
+// listenLater goes on trying, since a folder may fail for a while.
+func (s *succession) listenLater() {
+	for {
+		time.Sleep(listenAgain)
+		s.mu.Lock()
+		stopping := s.stopping
+		s.mu.Unlock()
+		if stopping {
+			return
+		}
+		if s.listen() == nil {
+			s.log.Info("a successor can reach this process now")
+			return
+		}
+	}
 }
 
 // takeOver goes on with what the process before this one has told.
--- a/cmd/robincart/succeed_test.go
+++ b/cmd/robincart/succeed_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -367,3 +368,29 @@
 	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
 	p.exits(t)
 }
+
+// A folder that fails at a start and works later: the process hands over all the same.
+func TestAProcessWhoseFolderComesLateHandsOver(t *testing.T) {
+	l, _ := newPlace(t, newServer(t, says(200, "x")))
+	l.dir = filepath.Join(l.dir, "later")
+	first := l.start()
+	c, err := net.Dial("tcp", l.addr)
+	require.NoError(t, err)
+	defer c.Close()
+	ask := func(id string) {
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		fmt.Fprintf(c, "GET /find/x HTTP/1.1\r\nHost: n\r\nX-Trace-Id: %s\r\nX-Qos: find\r\nX-Customer: acme\r\nX-Expires-In-Ms: 3000\r\n\r\n", id)
+		buf := make([]byte, 4096)
+		n, err := c.Read(buf)
+		require.NoError(t, err, "%s", first.log)
+		require.Contains(t, string(buf[:n]), "200")
+	}
+	ask("a")
+	require.NoError(t, os.Mkdir(l.dir, 0o700))
+	require.Eventually(t, func() bool { return strings.Contains(first.log.String(), "can reach this process now") }, 10*time.Second, 10*time.Millisecond)
+	second := l.start()
+	require.NoError(t, first.Process.Signal(syscall.SIGTERM))
+	first.exits(t)
+	ask("b")
+	assert.Contains(t, second.log.String(), "callers are taken over")
+}
