--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -114,12 +114,13 @@
 		if f.Shimmed() {
 			bad(f.Kind == "clock" && (f.By == 0 || f.By.Of()%time.Second != 0), "%s.by: by how many whole seconds is the clock stepped?", at)
 			bad(len(f.Errors) == 0 && f.Kind == "errno", "%s.errors: which?", at)
+			bad(f.Folder != "" && f.Folder != StateFolder && f.Folder != ConfigurationFolder, "%s.folder: %q is neither %q nor %q", at, f.Folder, StateFolder, ConfigurationFolder)
 			if f.Kind != "clock" {
-				err := f.Injection().Check()
+				err := f.Injection("/").Check()
 				bad(err != nil, "%s: %v", at, err)
 			}
 		} else {
-			bad(f.Call != "" || len(f.Errors) > 0, "%s: only errno, short and stall name a call", at)
+			bad(f.Call != "" || len(f.Errors) > 0 || f.Folder != "", "%s: only errno, short and stall name a call", at)
 		}
 		bad(f.Kind == "trickle" && f.By <= 0, "%s.by: how long between two pieces?", at)
 		bad(f.Answers && f.Kind != "drain", "%s.answers: only a drain has it", at)
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -152,9 +152,11 @@
 	Answers bool // of drain: the server goes on answering what comes all the same
 	Keep    bool // its length stays where the run is shortened
 
-	// Of errno, short and stall: the system call, and the errors that it returns.
+	// Of errno, short and stall: the system call, and the errors that it returns. Of calls on files: in which of a node's folders, "state" (that
+	// outlives its processes) or "configuration".
 	Call   string
 	Errors []string
+	Folder string
 }
 
 // Bound is what a figure has to keep to.
@@ -189,9 +191,18 @@
 	return f.Kind == "errno" || f.Kind == "short" || f.Kind == "stall" || f.Kind == "clock"
 }
 
-// Injection is what a node's shim does for a fault, but for steps of the clock.
-func (f Fault) Injection() shim.Injection {
+// Folders are those of a node in which calls on files may be made to fail.
+const (
+	StateFolder         = "state"
+	ConfigurationFolder = "configuration"
+)
+
+// Injection is what a node's shim does for a fault, but for steps of the clock. Folder is the path of the fault's folder, if it has one.
+func (f Fault) Injection(folder string) shim.Injection {
 	i := shim.Injection{Call: f.Call, Errors: f.Errors, Short: f.Kind == "short", Share: f.Share}
+	if f.Folder != "" {
+		i.Folder = folder
+	}
 	if f.Kind == "stall" {
 		i.Delay = f.By.Of()
 	}
@@ -205,7 +216,7 @@
 
 // Operated tells whether nodes have an operators' address and a folder that lasts: for replacements, and for calls.
 func (e *Experiment) Operated() bool {
-	return e.Replaces() || slices.ContainsFunc(e.Fault, func(f Fault) bool { return f.Kind == "ban" })
+	return e.Replaces() || slices.ContainsFunc(e.Fault, func(f Fault) bool { return f.Kind == "ban" || f.Folder == StateFolder })
 }
 
 // Proxied tells whether a fault is made by a proxy before a server.
--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -234,11 +234,20 @@
 	return n, err
 }
 
+// stateFolder is where a node keeps what outlives its processes.
+func (f *Fleet) stateFolder(n *standin.Node) string {
+	path := filepath.Join(f.dir, n.Name+".tmp")
+	if whole, err := filepath.Abs(path); err == nil {
+		return whole
+	}
+	return path
+}
+
 // operate gives a node an operators' address and a folder that outlives its processes and, where they are replaced, opens the listener that they
 // share.
 func (f *Fleet) operate(n *standin.Node) error {
 	n.Admin = true
-	folder := filepath.Join(f.dir, n.Name+".tmp")
+	folder := f.stateFolder(n)
 	n.Env = append(n.Env, "TMPDIR="+folder)
 	if err := os.MkdirAll(folder, 0o700); err != nil || !f.e.Replaces() {
 		return err
--- a/internal/lab/run/trouble.go
+++ b/internal/lab/run/trouble.go
@@ -87,9 +87,10 @@
 // shimmed is the life of a fault that a node's shim makes.
 func (f *Fleet) shimmed(ctx context.Context, x experiment.Fault, number int) {
 	s, n := f.shims[number], f.nodes[number]
-	begin := func(p *shim.Plan) { p.Injections = append(p.Injections, x.Injection()) }
+	injection := x.Injection(f.folder(x.Folder, n))
+	begin := func(p *shim.Plan) { p.Injections = append(p.Injections, injection) }
 	end := func(p *shim.Plan) {
-		if i := slices.IndexFunc(p.Injections, func(i shim.Injection) bool { return same(i, x.Injection()) }); i >= 0 {
+		if i := slices.IndexFunc(p.Injections, func(i shim.Injection) bool { return same(i, injection) }); i >= 0 {
 			p.Injections = slices.Delete(p.Injections, i, i+1)
 		}
 	}
@@ -106,8 +107,20 @@
 	}
 }
 
+// folder is the path of one of a node's folders.
+func (f *Fleet) folder(which string, n *standin.Node) string {
+	path := n.Dir
+	if which == experiment.StateFolder {
+		path = f.stateFolder(n)
+	}
+	if whole, err := filepath.Abs(path); err == nil {
+		return whole
+	}
+	return path
+}
+
 func same(a, b shim.Injection) bool {
-	return a.Call == b.Call && a.Short == b.Short && a.Delay == b.Delay && a.Share == b.Share && slices.Equal(a.Errors, b.Errors)
+	return a.Call == b.Call && a.Folder == b.Folder && a.Short == b.Short && a.Delay == b.Delay && a.Share == b.Share && slices.Equal(a.Errors, b.Errors)
 }
 
 // injected counts what the shims have done.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -104,6 +104,15 @@
 		"call = \"epoll_ctl\"\nerrors = [\"ENOMEM\", \"ENOSPC\"]\nshare = 0.3")},
 }
 
+// folders are the kinds of trouble at the folder in which a node keeps what operators have said.
+var folders = []trouble{
+	{"errno", share("nodes", "0.5", "1"), time.Second, 3 * time.Second, lines(
+		"call = \"openat\"\nerrors = [\"ENOSPC\", \"EIO\", \"ENFILE\"]\nfolder = \"state\"\nshare = 0.7",
+		"call = \"write\"\nerrors = [\"ENOSPC\", \"EIO\"]\nfolder = \"state\"\nshare = 0.7",
+		"call = \"fsync\"\nerrors = [\"EIO\"]\nfolder = \"state\"\nshare = 0.7",
+		"call = \"renameat\"\nerrors = [\"EIO\", \"ENOSPC\"]\nfolder = \"state\"\nshare = 0.7")},
+}
+
 // excludes are the kinds that a seed with one of processes does not have.
 var excludes = map[string][]string{"replace": {"kill", "stop"}, "pause": {"errno", "short", "stall", "clock"}}
 
@@ -183,6 +192,9 @@
 			}
 		}
 		b.WriteString(fault(own, s, []trouble{process}, at))
+		if process.kind == "ban" {
+			b.WriteString(fault(own, s, folders, at))
+		}
 	}
 	return b.String()
 }
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -151,7 +151,7 @@
 		open := s.ln != nil
 		addr = s.addr
 		s.mu.Unlock()
-		if open { // by another fault's end
+		if open || s.stopped.Load() { // by another fault's end, or ended meanwhile: its port is its successor's
 			return nil
 		}
 	}
