--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -37,6 +37,7 @@
 	caller *standin.Caller
 	ended  []time.Duration // when it was ended by order, with its node
 	proxy  *standin.Proxy  // between nodes and it; nil: none
+	away   bool            // it has been ended and not begun again
 }
 
 // Fleet is what one arm of a run is played on.
@@ -63,12 +64,13 @@
 
 	mu      sync.Mutex
 	crashes []error
+	banning map[int]bool // nodes at which a fault takes servers out
 }
 
 // NewFleet starts servers, discovery and, if nodes are wanted, nodes.
 func NewFleet(ctx context.Context, e *experiment.Experiment, begin time.Time, log *judge.Log, dir string, nodes, shared bool,
 	notes func(string, ...any)) (f *Fleet, err error) {
-	f = &Fleet{e: e, shared: shared, begin: begin, log: log, dir: dir, notes: notes, doors: map[int32][]*standin.Door{}}
+	f = &Fleet{e: e, shared: shared, begin: begin, log: log, dir: dir, notes: notes, doors: map[int32][]*standin.Door{}, banning: map[int]bool{}}
 	defer func() {
 		if err != nil {
 			f.Stop()
@@ -363,8 +365,13 @@
 }
 
 // down ends a server's process, its node's too.
-func (f *Fleet) down(p *place) {
+func (f *Fleet) down(p *place) bool {
 	p.mu.Lock()
+	if p.away { // by another fault, which begins it again
+		p.mu.Unlock()
+		return false
+	}
+	p.away = true
 	p.ended = append(p.ended, time.Since(f.begin))
 	s, n := p.server, p.node
 	p.mu.Unlock()
@@ -373,10 +380,16 @@
 		n.Signal(syscall.SIGKILL)
 		p.caller.Close()
 	}
+	return true
 }
 
 // up starts a new process in a server's place, cold, and tells discovery.
 func (f *Fleet) up(ctx context.Context, p *place, newID bool) {
+	defer func() {
+		p.mu.Lock()
+		p.away = false
+		p.mu.Unlock()
+	}()
 	if newID {
 		f.phase(p, "gone")
 		p.mu.Lock()
