Lab: a server whose free address another process takes looks for another

TestAStopLosesNobodyWhereAcceptFailsForAMoment failed once in four plays beside a soak: a server: listen tcp 127.0.0.1:16207: bind: address already in use. Up to twenty are tried now.

--- a/internal/lab/run/fleet.go
+++ b/internal/lab/run/fleet.go
@@ -159,13 +159,7 @@
 	if p.proxy != nil {
 		addr = f.e.Fleet.Host + ":0" // the proxy keeps the address
 	}
-	if strings.HasSuffix(addr, ":0") { // none of those that connections take: a server that refuses for a while wants its own back
-		var err error
-		if addr, err = standin.FreeAddress(f.e.Fleet.Host); err != nil {
-			return fmt.Errorf("a server: %w", err)
-		}
-	}
-	if err := s.Start(addr); err != nil {
+	if err := f.begins(s, addr); err != nil {
 		return fmt.Errorf("a server: %w", err)
 	}
 	p.mu.Lock()
@@ -175,6 +169,27 @@
 	return f.proxied(p)
 }
 
+// addressTries is how many addresses are tried that another process of this machine may take first.
+const addressTries = 20
+
+// begins starts a server at an address or, where none is named, at one that no connection takes: a server that refuses for a while wants its own
+// back.
+func (f *Fleet) begins(s *standin.Server, addr string) (err error) {
+	if !strings.HasSuffix(addr, ":0") {
+		return s.Start(addr)
+	}
+	for range addressTries {
+		free, found := standin.FreeAddress(f.e.Fleet.Host)
+		if found != nil {
+			return found
+		}
+		if err = s.Start(free); !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+	}
+	return err
+}
+
 // attach gives a server a node of its own, its way to the tier behind.
 func (f *Fleet) attach(p *place) (err error) {
 	if p.node, err = f.newNode(p.tier+1, p.zone); err != nil {
