--- a/internal/frontend/conn_read.go
+++ b/internal/frontend/conn_read.go
@@ -32,6 +32,10 @@
 			c.reads++
 		}
 	}()
+	n, err = c.readOnce(to)
+	if err == nil || err == errNothing || socket.KindOf(err) != socket.Memory {
+		return n, err
+	}
 	err = socket.ThroughShortage(func() error {
 		n, err = c.readOnce(to)
 		return err
--- a/internal/socket/errors.go
+++ b/internal/socket/errors.go
@@ -47,11 +47,22 @@
 	if err == nil {
 		return NoError
 	}
-	errno, plain := err.(syscall.Errno)
-	if plain || errors.As(err, &errno) {
-		if k, known := kinds[errno]; known {
-			return k
-		}
+	if errno, plain := err.(syscall.Errno); plain {
+		return kindOfErrno(errno)
+	}
+	var errno syscall.Errno
+	if errors.As(err, &errno) {
+		return kindOfErrno(errno)
+	}
+	return Peer
+}
+
+func kindOfErrno(errno syscall.Errno) Kind {
+	if errno == syscall.EAGAIN { // by far the most frequent
+		return NotReady
+	}
+	if k, known := kinds[errno]; known {
+		return k
 	}
 	return Peer
 }
--- a/internal/socket/shortage.go
+++ b/internal/socket/shortage.go
@@ -14,7 +14,7 @@
 // ThroughShortage does a read or write again while it fails for want of memory that may pass. Nearly all succeed at once, and no clock is read.
 func ThroughShortage(do func() error) error {
 	err := do()
-	if KindOf(err) != Memory {
+	if err == nil || KindOf(err) != Memory {
 		return err
 	}
 	for end := time.Now().Add(shortageFor); KindOf(err) == Memory && time.Now().Before(end); {
