A successor does not write over the operators' file that nobody could read

Cause: takeOver adopted the file whatever the process before knew of it. The state that is handed over says whether the file is unread; the successor then waits for it as that one did.

--- a/cmd/robincart/operate.go
+++ b/cmd/robincart/operate.go
@@ -213,12 +213,36 @@
 	o.log.Error("what operators told the process before can't be read yet; servers that they took out are sent to until it can", zap.Error(err),
 		zap.String("advice", "mend the folder of this file, or take the servers out again"))
 	o.succeed(said{}, nil)
+	o.awaitFile()
+}
+
+// awaitFile takes the file over as soon as it can be read.
+func (o *operations) awaitFile() {
 	o.state.Lock()
-	o.spoken = map[string]bool{}
+	o.spoken = map[string]bool{"": o.said.Lame}
 	o.state.Unlock()
 	go o.restoreLater()
 }
 
+// unread tells whether what stands in the file is not known yet.
+func (o *operations) unread() bool {
+	o.state.Lock()
+	defer o.state.Unlock()
+	return o.spoken != nil
+}
+
+// follow goes on with what the process before this one has told. Where that one had not been able to read the file, neither has this one, and
+// nothing is written over it before.
+func (o *operations) follow(told said, listed []string, unread bool) {
+	o.succeed(told, listed)
+	if unread {
+		o.awaitFile()
+		return
+	}
+	o.file.adopt()
+	o.file.put(o.sayings()) // the process before may not have been able to
+}
+
 func (o *operations) restoreLater() {
 	for {
 		time.Sleep(loadPauseLater)
--- a/cmd/robincart/operatorstate_test.go
+++ b/cmd/robincart/operatorstate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"os"
 	"path/filepath"
 	"testing"
@@ -71,6 +72,26 @@
 	assert.Equal(t, o.sayings().Out, kept.Out)
 }
 
+// A process that follows one which could not read the file does not write over it either, and takes it over once it can.
+func TestAFileThatTheProcessBeforeCouldNotReadIsNotWrittenOver(t *testing.T) {
+	for _, unread := range []bool{false, true} {
+		path := filepath.Join(t.TempDir(), "said")
+		require.NoError(t, handover.Save(path, said{Out: map[string]int64{"old": 1}}))
+		o := &operations{cores: func() []*node.Core { return nil }, front: &recordedFront{}, log: zap.NewNop(), file: newOperatorFile(path, zap.NewNop())}
+		o.follow(said{Out: map[string]int64{"new": 2}}, nil, unread)
+		want := map[string]int64{"new": 2}
+		if unread {
+			assert.True(t, o.unread())
+			want["old"] = 1
+		}
+		assert.Eventually(t, func() bool {
+			var kept said
+			return handover.Load(path, &kept) == nil && !o.unread() && maps.Equal(want, kept.Out)
+		}, 10*time.Second, 10*time.Millisecond)
+		assert.Equal(t, want, o.sayings().Out)
+	}
+}
+
 // recordedFront is emptied or not.
 type recordedFront struct{ lame bool }
 
--- a/cmd/robincart/succeed.go
+++ b/cmd/robincart/succeed.go
@@ -71,6 +71,7 @@
 type known struct {
 	Form    int // of this; what another version wrote is not believed
 	Said    said
+	Unread  bool // what was said before that process could not be read by it yet
 	Servers []node.Entry
 	Listed  []string
 	Held    int    // descriptors
@@ -184,9 +185,7 @@
 		s.core.Listed(told.Servers, true)
 	}
 	s.ops.link(s.before, true)
-	s.ops.succeed(told.Said, told.Listed)
-	s.ops.file.adopt()
-	s.ops.file.put(s.ops.sayings()) // the process before may not have been able to
+	s.ops.follow(told.Said, told.Listed, told.Unread)
 }
 
 // reach asks the process before this one what it knows; without one there is no error either. Where it hangs up it is asked again
@@ -247,7 +246,7 @@
 			continue
 		}
 		s.ops.mu.Lock() // what is said from now on goes to it as a word
-		err = l.State(known{Form: form, Said: s.ops.sayings(), Servers: s.core.Known(), Listed: s.core.Listings(), Held: s.limits.Descriptors - s.budget.Left(),
+		err = l.State(known{Form: form, Said: s.ops.sayings(), Unread: s.ops.unread(), Servers: s.core.Known(), Listed: s.core.Listings(), Held: s.limits.Descriptors - s.budget.Left(),
 			Seed: s.front.Seed(), ListTime: s.core.ListTime()})
 		s.ops.links[l] = struct{}{}
 		s.ops.mu.Unlock()
