Review: plays of entries: a crowded discovery and a late first list

Cause: after a refused poll the next one of a new discovery waits up to 3.25 s, outside the 4 s that follow SIGHUP; and where lists are pushed, a new process sends by its own older list until the agent answers.

--- a/review/testdata/cases/standins.go
+++ b/review/testdata/cases/standins.go
@@ -67,6 +67,8 @@
 	last     member        // the latest change
 	changed  chan struct{} // closed at each change
 	told     []time.Duration
+	refusing bool          // calls are answered 503
+	late     time.Duration // before each answer begins
 }
 
 func startDiscovery(p *play, name string, revision int, members ...member) *discovery {
@@ -82,6 +84,13 @@
 
 func (d *discovery) addr() string { return d.listener.Addr().String() }
 
+// refuse answers all calls 503 from now on, or answers them again.
+func (d *discovery) refuse(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refusing = on
+}
+
 // move takes no new connection from now on, and closes the open ones after 1.5 s.
 func (d *discovery) move() {
 	d.listener.Close()
@@ -140,7 +149,14 @@
 		http.NotFound(w, r)
 		return
 	}
+	time.Sleep(d.late)
 	d.mu.Lock()
+	if d.refusing {
+		d.mu.Unlock()
+		d.play.note("%s refuses a call", d.name)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	revision, changed := d.revision, d.changed
 	whole, _ := json.Marshal(message{Revision: revision, Complete: true, Members: d.members})
 	d.mu.Unlock()
