--- a/review/testdata/cases/entries.go
+++ b/review/testdata/cases/entries.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -15,6 +17,7 @@
 func init() {
 	cases["crowded-discovery"] = crowdedDiscovery
 	cases["late-list"] = lateList
+	cases["drained-process"] = drainedProcess
 }
 
 const siteFile = `{"name": %q, "listen": %q, "discovery": %q, "seed": %q,
@@ -184,3 +187,78 @@
 	}
 	return ""
 }
+
+const followingController = `
+identity = "c1"
+
+[api]
+server = "http://%s"
+namespace = "default"
+
+[leader]
+hold = "6s"
+
+[[service]]
+name = "booking"
+service = "booking-api"
+listen = %q
+`
+
+// drainedProcess has an operator drain one server's process, and kills the controller and starts it again.
+func drainedProcess(p *play) string {
+	apiAddr, listAddr, addr := freeAddress(), freeAddress(), freeAddress()
+	p.start("api", "exec review/bin/robinlab apiserver --pods 4 --listen "+apiAddr)
+	time.Sleep(time.Second)
+	controllerCommand := "exec bin/robincart-controller --config " +
+		p.write("controller.toml", fmt.Sprintf(followingController, apiAddr, listAddr))
+	controller := p.start("controller", controllerCommand)
+	drained := p.awaitList(listAddr, 4)[0]
+	store := "sqlite:" + filepath.Join(p.temporary, "record.db")
+	p.runOnce("bin/robincart record init --store " + store)
+	p.start("node", nodeCommand()+" --config "+p.write("n1.toml", fmt.Sprintf(recordedFile, addr, store,
+		filepath.Join(p.temporary, "n1.snapshot"), freeAddress(), listAddr)))
+	p.awaitReady(addr)
+	time.Sleep(2 * time.Second)
+	p.runOnce("bin/robincart record show --kind server --store " + store)
+	p.runOnce(fmt.Sprintf("bin/robincart record drain --by noi --store %s --start %d booking/%s", store, drained.UpSince,
+		drained.ID))
+	time.Sleep(time.Second)
+	host, _, _ := strings.Cut(drained.HostPort, ":")
+	newID := newIDs("d")
+	// load is how many of the calls of some seconds the drained process answers.
+	load := func(lasts time.Duration) int {
+		var clients sync.WaitGroup
+		var mu sync.Mutex
+		reached := 0
+		for end := p.now() + lasts; p.now() < end; time.Sleep(50 * time.Millisecond) {
+			for range 8 {
+				clients.Go(func() {
+					r := request{id: newID(), method: "find-table", verb: http.MethodGet, expires: 4 * time.Second}
+					o := p.send(addr, r, answerSlack)
+					p.note("client: %s sent %.3f status %d %q %v", r.id, o.sentAt.Seconds(), o.status, o.body, o.err)
+					mu.Lock()
+					defer mu.Unlock()
+					if o.body == "from "+host {
+						reached++
+					}
+				})
+			}
+		}
+		clients.Wait()
+		return reached
+	}
+	if reached := load(3 * time.Second); reached > 0 {
+		panic(notRun(fmt.Sprintf("the drain was not in force: %d calls reached the process", reached)))
+	}
+	if p.trouble {
+		p.kill("controller", controller)
+		p.start("controller", controllerCommand)
+	}
+	reached := load(8 * time.Second)
+	p.runOnce("bin/robincart record show --store " + store)
+	p.note("listed at the end: %+v", p.awaitList(listAddr, 4)[0])
+	if reached > 0 {
+		return fmt.Sprintf("after the controller's restart %d calls went to the process that an operator had drained", reached)
+	}
+	return ""
+}
