Review: the plays are made of test files, which the layers check passes over

Cause: TestLayers_NoImportRunsUp takes every Go file for a part of a layer, folders named testdata too, and failed on the program of the cases.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-go build -o review/bin/cases ./review/testdata/cases
+go test -c -o review/bin/cases ./review/testdata/cases
 go build -o review/bin/robinlab ./cmd/robinlab
--- a/review/testdata/cases/proxy.go
+++ b/review/testdata/cases/proxy_test.go
@@ -1,4 +1,4 @@
-package main
+package cases_test
 
 import (
 	"bytes"
