nodeconfig: an entry of the record that does not fit leaves all others in force

Cause: WithRecord returned one error for all entries together. The program then kept the configuration in force, which is the file alone at a start. The store has only the newest version of an entry, so a route changed to an invalid one was lost as well. On related paths the same held up every later change of the record, and a SIGHUP's whole file.

Change: the merge traces each compiler error to the entry that it is about, and only that entry gives way, to its version in force or to none. A file that would put an entry out of force is rejected at SIGHUP. Why it works: what does not fit is decided per entry, and what is in force no longer depends on the process that compiled it.

--- a/cmd/robincart/fileservices.go
+++ b/cmd/robincart/fileservices.go
@@ -12,6 +12,7 @@
 	"robincart/internal/config/nodeconfig"
 	"robincart/internal/controlplane/recordcache"
 	"robincart/internal/dataplane/services"
+	"robincart/internal/record/record"
 	"robincart/internal/system/keys"
 	"robincart/internal/system/socket"
 )
@@ -165,15 +166,30 @@
 		logRejectedConfiguration(f.process.log, err)
 		return nil
 	}
-	if restartKeys := next.KeepProcessSettings(f.config); len(restartKeys) > 0 {
+	restartKeys := next.KeepProcessSettings(f.config)
+	merge := f.mergeRecord(next)
+	if len(merge.Lost) > 0 {
+		logRejectedConfiguration(f.process.log, unfitFileError(merge.Lost))
+		return nil
+	}
+	if len(restartKeys) > 0 {
 		f.process.log.Warn("restart required", zap.Strings("keys", restartKeys))
 	}
 	f.fileConfig = next
-	f.config = f.withRecord()
+	f.useMerge(merge)
 	f.apply()
 	return nil
 }
 
+// unfitFileError returns the error of a configuration file that would put entries of the record out of force.
+func unfitFileError(lost []*record.InvalidEntry) error {
+	var errs []error
+	for _, entry := range lost {
+		errs = append(errs, fmt.Errorf("the record's %w", entry))
+	}
+	return errors.Join(errs...)
+}
+
 func (f *fileBackend) inFlight() int { return f.services.InFlight() }
 
 // prepareShutdown returns false: a process with a configuration file has no successor.
--- a/cmd/robincart/record.go
+++ b/cmd/robincart/record.go
@@ -4,22 +4,17 @@
 	"context"
 	"crypto/tls"
 	"fmt"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"robincart/internal/config/nodeconfig"
 	"robincart/internal/controlplane/recordcache"
-	"robincart/internal/record/record"
 	"robincart/internal/record/store"
 	"robincart/internal/system/keys"
 	"robincart/internal/system/socket"
 )
 
-// configurationKinds are the kinds of record entries that override the configuration file.
-var configurationKinds = []record.Kind{record.KindService, record.KindRoute, record.KindTenant}
-
 // openRecord opens the cache of the record and serves the record's status page, if they are configured.
 func (f *fileBackend) openRecord() error {
 	config := f.config.Record
@@ -42,7 +37,7 @@
 		go f.record.ServeStatus(f.recordStatus)
 	}
 	f.services.RecordCache = f.record
-	f.config = f.withRecord()
+	f.useMerge(f.mergeRecord(f.fileConfig))
 	return nil
 }
 
@@ -95,32 +90,29 @@
 }
 
 func (f *fileBackend) applyRecord() {
-	next := f.withRecord()
-	if next == f.config {
-		return
+	merge := f.mergeRecord(f.fileConfig)
+	f.useMerge(merge)
+	if merge.Changed {
+		f.apply()
 	}
-	f.config = next
-	f.apply()
 }
 
-// withRecord returns the configuration file overridden by the record's entries. If the result is invalid, it logs the
-// errors and returns the configuration in force.
-func (f *fileBackend) withRecord() *nodeconfig.Config {
+// mergeRecord returns a configuration file overridden by the entries of the record that fit.
+func (f *fileBackend) mergeRecord(file *nodeconfig.Config) *nodeconfig.RecordMerge {
 	if f.record == nil {
-		return f.fileConfig
-	}
-	var entries []record.Entry
-	for _, kind := range configurationKinds {
-		entries = append(entries, f.record.Entries(kind)...)
+		return &nodeconfig.RecordMerge{Config: file}
 	}
-	if len(entries) == 0 {
-		return f.fileConfig
+	merge := file.WithRecord(f.record.Configuration())
+	if merge.Config != file {
+		merge.Config.KeepProcessSettings(f.config)
 	}
-	next, err := f.fileConfig.WithRecord(entries)
-	if err != nil {
-		f.process.log.Error("record configuration rejected", zap.Strings("errors", strings.Split(err.Error(), "\n")))
-		return f.config
+	return merge
+}
+
+// useMerge makes a merge the configuration in force.
+func (f *fileBackend) useMerge(merge *nodeconfig.RecordMerge) {
+	f.config = merge.Config
+	if f.record != nil {
+		f.record.SetConfiguration(merge.InForce, merge.Invalid)
 	}
-	next.KeepProcessSettings(f.config)
-	return next
 }
--- a/internal/config/nodeconfig/compile.go
+++ b/internal/config/nodeconfig/compile.go
@@ -1,6 +1,7 @@
 package nodeconfig
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -118,7 +119,7 @@
 	}
 	table, err := routes.Compile(rules, len(c.Services))
 	for _, err := range splitErrors(err) {
-		p.reportIf(true, "%s: %w", c.routeKey(err), err)
+		p.reportIf(true, "%s: %w", routeKey(err), err)
 	}
 	c.Table = table
 }
@@ -141,12 +142,11 @@
 	return rule
 }
 
-// routeKey returns the key, such as route[1], of the route that an error of the routing table names at its start.
-func (c *Config) routeKey(err error) string {
-	for i, route := range c.Routes {
-		if strings.HasPrefix(err.Error(), "route "+route.Name+":") {
-			return fmt.Sprintf("route[%d]", i+1)
-		}
+// routeKey returns the key, such as route[1], of the route that an error of the routing table is about.
+func routeKey(err error) string {
+	var rule *routes.RuleError
+	if errors.As(err, &rule) {
+		return fmt.Sprintf("route[%d]", rule.Index+1)
 	}
 	return "route"
 }
--- a/internal/config/nodeconfig/nodeconfig.go
+++ b/internal/config/nodeconfig/nodeconfig.go
@@ -4,7 +4,8 @@
 // The steps are: the file is decoded strictly (schema.go), missing keys get their defaults (defaults.go), all mistakes
 // are collected (validate.go, validateservice.go) and reported with their lines (lines.go), and the file is compiled
 // to the types of the other packages (compile.go, servicesettings.go). WithRecord merges the entries of the record
-// into a decoded file and repeats the steps that follow the decoding (recordentries.go).
+// into a decoded file and repeats the steps that follow the decoding (recordentries.go, recordmerge.go). It leaves out
+// entries that do not fit (recordfaults.go).
 //
 // The package does no I/O except reading the file. Its callers decide when a configuration is applied.
 // KeepProcessSettings returns the keys that a running process can't change.
--- a/internal/controlplane/recordcache/cache.go
+++ b/internal/controlplane/recordcache/cache.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"math/rand"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -60,6 +61,7 @@
 	view          *record.View
 	subscriptions map[string]*Subscription // by service
 	storeError    string                   // error of the last call to the store; empty: the store is available
+	invalid       []string                 // errors of the entries that are not in force as recorded
 	failures      int                      // number of consecutive failures of the store
 	savedAt       time.Time                // when the last snapshot was written
 	written       int                      // number of changes that the store wrote or rejected
@@ -171,6 +173,36 @@
 	return c.view.Entries(kind)
 }
 
+// Configuration returns the entries from which the node compiles its configuration.
+func (c *Cache) Configuration() record.Configuration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Configuration()
+}
+
+// SetConfiguration records the result of compiling the configuration: the entries in force, and the invalid entries.
+// The next snapshot contains the entries in force, so that a restarted node has them again. An entry that has become
+// invalid, or invalid for another reason, is logged.
+func (c *Cache) SetConfiguration(inForce []record.Entry, invalid []*record.InvalidEntry) {
+	var messages []string
+	for _, entry := range invalid {
+		messages = append(messages, entry.Error())
+	}
+	c.mu.Lock()
+	c.view.SetInForce(inForce)
+	changed := !slices.Equal(messages, c.invalid)
+	c.invalid = messages
+	c.mu.Unlock()
+	c.snapshotRequested.Set()
+	switch {
+	case !changed:
+	case len(messages) == 0:
+		c.log.Info("record configuration complete", zap.Int("entries", len(inForce)))
+	default:
+		c.log.Error("record configuration rejected", zap.Strings("errors", messages))
+	}
+}
+
 // AddDrain applies a drain that an operator has requested at this node. The drain takes effect before AddDrain returns.
 // It is written to the store later.
 func (c *Cache) AddDrain(name string, drain record.Drain) {
--- a/internal/controlplane/recordcache/read.go
+++ b/internal/controlplane/recordcache/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -81,13 +82,7 @@
 
 // hasConfiguration reports whether a page has entries that nodes compile into their configuration.
 func hasConfiguration(page record.Page) bool {
-	for _, entry := range page.Entries {
-		switch entry.Kind {
-		case record.KindService, record.KindRoute, record.KindTenant:
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(page.Entries, func(entry record.Entry) bool { return entry.Kind.IsConfiguration() })
 }
 
 // reportPosition passes the view's position to the replica client, so that the client reads no replica whose copy is
--- a/internal/controlplane/recordcache/status.go
+++ b/internal/controlplane/recordcache/status.go
@@ -26,6 +26,7 @@
 	SecondsSinceSnapshot float64          `json:"snapshot_seconds_ago"` // -1: never
 	Entries              int              `json:"facts"`
 	Draining             []DrainingServer `json:"drained"`
+	Invalid              []string         `json:"not_in_force,omitempty"` // errors of invalid entries
 	Required             bool             `json:"required"`
 	MaxStaleness         string           `json:"most_age"`
 	MaxPending           int              `json:"queue"` // maximum number of pending changes, not counting drains
@@ -54,6 +55,7 @@
 		SecondsSinceSnapshot: c.secondsSinceSnapshot(),
 		Entries:              c.entryCount(),
 		Draining:             c.drainingServers(),
+		Invalid:              c.invalid,
 		Required:             c.config.Required,
 		MaxStaleness:         c.config.MaxStaleness.String(),
 		MaxPending:           c.config.MaxPending,
--- a/internal/core/routes/rule.go
+++ b/internal/core/routes/rule.go
@@ -49,6 +49,7 @@
 
 // RuleError reports an invalid rule.
 type RuleError struct {
+	Index int    // index of the rule in the list of rules that was compiled
 	Rule  string // name of the rule
 	Cause error
 }
@@ -57,6 +58,15 @@
 
 func (e *RuleError) Unwrap() error { return e.Cause }
 
+// SameRequestsError is the cause of a RuleError if an earlier rule matches the same requests.
+type SameRequestsError struct {
+	Other string // name of the earlier rule
+}
+
+func (e *SameRequestsError) Error() string {
+	return "it matches the same requests as route " + e.Other
+}
+
 // compiledRule is a rule that is part of a Table.
 type compiledRule struct {
 	Rule
--- a/internal/record/record/view.go
+++ b/internal/record/record/view.go
@@ -52,6 +52,7 @@
 	listedServices map[string]bool                   // services whose complete list has arrived since the node started
 	localDrains    map[string]Drain                  // drains that the node keeps even if the store lacks them
 	pending        map[Key]Change                    // changes to be written to the store
+	inForce        map[Key]Entry                     // services, routes and tenants in force; nil: none compiled yet
 }
 
 // NewView returns an empty view. The argument writer is the node's name, which each of its changes contains. The
@@ -82,6 +83,8 @@
 	LatestTime  int64            `json:"clock_ms"`
 	Entries     []Entry          `json:"facts"`
 	Drains      map[string]Drain `json:"drains"` // drains known to this node that the store may lack, by SERVICE/SERVER
+	// Differences are the services, routes and tenants whose entry in Entries is not in force.
+	Differences []ConfigurationDifference `json:"not_in_force,omitempty"`
 }
 
 // Snapshot returns a copy of the part of the view that the node saves.
@@ -92,6 +95,7 @@
 		LatestTime:  v.LatestTime,
 		Entries:     slices.Collect(maps.Values(v.entries)),
 		Drains:      maps.Clone(v.localDrains),
+		Differences: v.configurationDifferences(),
 	}
 }
 
@@ -108,6 +112,7 @@
 	for name, drain := range snapshot.Drains {
 		v.addLocalDrain(name, drain)
 	}
+	v.restoreInForce(snapshot.Differences)
 }
 
 // Entries returns the entries of a kind that are not deleted, sorted by name.
--- a/internal/record/record/view_test.go
+++ b/internal/record/record/view_test.go
@@ -406,3 +406,37 @@
 		})
 	}
 }
+
+// A restarted node has the entries again that were in force, also those whose recorded version was not.
+func TestView_EntriesInForceSurviveRestart(t *testing.T) {
+	newView := func() *View { return NewView("n1", 10, func() string { return "key" }) }
+	entry := func(kind Kind, name string, revision int64, deleted bool) Entry {
+		value := json.RawMessage(fmt.Sprintf(`{"toml":"%s %d"}`, name, revision))
+		return Entry{Key: Key{Kind: kind, Name: name}, Revision: revision, Deleted: deleted, Value: value}
+	}
+	view := newView()
+	same, changed := entry(KindService, "same", 1, false), entry(KindRoute, "changed", 2, false)
+	deleted, added := entry(KindService, "deleted", 3, false), entry(KindRoute, "added", 6, false)
+	page := func(revision int64, entries ...Entry) Page {
+		return Page{Meta: Meta{Epoch: "e", Revision: revision}, Entries: entries}
+	}
+	view.ApplyPage(page(3, same, changed, deleted), 1)
+	assert.Empty(t, view.Snapshot().Differences, "nothing was compiled yet")
+	inForce := []Entry{same, deleted, changed} // sorted by kind and name below
+	view.SetInForce(inForce)
+	assert.Empty(t, view.Snapshot().Differences)
+	view.ApplyPage(page(6, entry(KindRoute, "changed", 4, false), entry(KindService, "deleted", 5, true), added), 2)
+
+	restarted := newView()
+	restarted.Restore(view.Snapshot(), 3)
+	assert.Len(t, view.Snapshot().Differences, 3)
+	assert.Equal(t, SortEntries(inForce), restarted.Configuration().InForce)
+	assert.Equal(t, view.Configuration(), restarted.Configuration())
+	assert.Equal(t, view.Snapshot().Differences, restarted.Snapshot().Differences)
+
+	old := view.Snapshot()
+	old.Differences = nil // of a version that did not write them
+	upgraded := newView()
+	upgraded.Restore(old, 3)
+	assert.Equal(t, upgraded.Configuration().Recorded, upgraded.Configuration().InForce)
+}
