chaos: the status page's golden file with and without not_in_force

Change: status.json stays as it was written and is still read; status_not_in_force.json has the key. The test compares both, every field as before.

--- a/internal/lab/chaos/golden_test.go
+++ b/internal/lab/chaos/golden_test.go
@@ -28,16 +28,7 @@
 
 // A node's status page, as Record reads it.
 func TestReadStatus_Golden(t *testing.T) {
-	page := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/record" {
-			w.Write(golden.Read(t, "status.json"))
-		}
-	}))
-	t.Cleanup(page.Close)
-	node := &recordNode{status: strings.TrimPrefix(page.URL, "http://")}
-	status, err := node.readStatus()
-	require.NoError(t, err)
-	assert.Equal(t, recordcache.Status{
+	want := recordcache.Status{
 		Store:                "sqlite:/golden/record.db",
 		SyncState:            "follows",
 		Error:                "fault-101",
@@ -56,10 +47,29 @@
 		Required:     true,
 		MaxStaleness: "1h0m0s",
 		MaxPending:   112,
-	}, status)
+	}
+	assert.Equal(t, want, readGoldenStatus(t, "status.json"))
+	want.Invalid = []string{"route r1, revision 113: invalid-114"} // since a later version
+	status := readGoldenStatus(t, "status_not_in_force.json")
+	assert.Equal(t, want, status)
 	labtest.RequireEveryFieldSet(t, "json", status)
 }
 
+// readGoldenStatus returns the status that Record reads from a node whose status page is a golden file.
+func readGoldenStatus(t *testing.T, name string) recordcache.Status {
+	t.Helper()
+	page := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/record" {
+			w.Write(golden.Read(t, name))
+		}
+	}))
+	defer page.Close()
+	node := &recordNode{status: strings.TrimPrefix(page.URL, "http://")}
+	status, err := node.readStatus()
+	require.NoError(t, err)
+	return status
+}
+
 // The configuration of a node with a record. The program ends at once: only its file matters.
 func TestAddNode_GoldenFile(t *testing.T) {
 	r := &Record{
