start: a node opens its listeners after all that it waits for

The kernel takes connections meanwhile.

Change: the listeners are opened last; CheckBindable finds another process at the address without listening, before the node's files are touched. The store program's start is part of the calls. An inherited listener's queue fills whatever the process does: after 0.1 s its requests are accepted, wait for at most 1.2 s and half of their time, and are pushed back then. Why it works: no connection is accepted by the machine that the process does not serve or answer at once.

Replaced: TestShutdown_SignalBeforeServing wanted 200 for a request with 1 s left after a wait of 1 s, which was possible only as the wait counted as no time. It now wants 200 for a request with 3 s, and an answer within 1.5 s for the short one.

--- a/cmd/robincart/clientlistener.go
+++ b/cmd/robincart/clientlistener.go
@@ -17,22 +17,20 @@
 // clientListener is the listener for clients. If the platform holds the listening socket, the listener can be closed
 // and opened again.
 type clientListener struct {
-	file *os.File // the platform's socket; nil: this process opened the listener
+	address string
+	file    *os.File // the platform's socket; nil: this process opens the listener at the address
 
 	mu       sync.Mutex
-	listener net.Listener
+	listener net.Listener // nil: not opened yet
 }
 
-// openClientListener opens the listener for clients. The parameter descriptor is the descriptor number of the listening
-// socket that the platform passes to all processes of this node. If descriptor is empty, openClientListener listens on
-// the address.
-func openClientListener(address, descriptor string) (*clientListener, error) {
+// newClientListener returns the listener for clients. The parameter descriptor is the descriptor number of the
+// listening socket that the platform passes to all processes of this node. If descriptor is not empty, the listener is
+// open. If it is empty, open opens a listener at the address; it is an error if another process listens there.
+func newClientListener(address, descriptor string) (*clientListener, error) {
+	c := &clientListener{address: address}
 	if descriptor == "" {
-		listener, err := socket.Listen("tcp", address)
-		if err != nil {
-			return nil, fmt.Errorf("listen: %w", err)
-		}
-		return &clientListener{listener: listener}, nil
+		return c, checkAddresses([]string{address})
 	}
 	number, err := strconv.Atoi(descriptor)
 	if err != nil || number < firstInheritedDescriptor {
@@ -40,7 +38,7 @@
 			firstInheritedDescriptor)
 	}
 	syscall.CloseOnExec(number)
-	c := &clientListener{file: os.NewFile(uintptr(number), "listener")}
+	c.file = os.NewFile(uintptr(number), "listener")
 	if err := socket.RetryTransient(c.open); err != nil {
 		return nil, fmt.Errorf("EDGE_ACCEPT_FD is %s: %w", descriptor, err)
 	}
@@ -50,9 +48,15 @@
 // inherited reports whether the platform holds the listening socket. The socket then outlives this process.
 func (c *clientListener) inherited() bool { return c.file != nil }
 
-// open opens a listener on the platform's descriptor.
+// open opens a listener on the platform's descriptor, or at the address if there is none.
 func (c *clientListener) open() error {
-	listener, err := socket.FileListener(c.file)
+	var listener net.Listener
+	var err error
+	if c.inherited() {
+		listener, err = socket.FileListener(c.file)
+	} else {
+		listener, err = socket.Listen("tcp", c.address)
+	}
 	if err != nil {
 		return err
 	}
--- a/cmd/robincart/fileservices.go
+++ b/cmd/robincart/fileservices.go
@@ -29,13 +29,7 @@
 	}
 	log := newLog(config.Log.Format, level, config.Name)
 	defer log.Sync()
-	listeners, err := listenAll(config.Listen)
-	if err != nil {
-		return err
-	}
-	gateways, err := listenForGateways(config)
-	if err != nil {
-		closeAll(listeners)
+	if err := checkAddresses(config.Listen); err != nil {
 		return err
 	}
 	p, err := newProcess(config.Name, config.Limits, log)
@@ -45,12 +39,19 @@
 	defer p.close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	b := newFileBackend(ctx, p, path, config, gateways)
+	b := newFileBackend(ctx, p, path, config)
 	defer b.closeRecord()
 	if err := b.start(); err != nil {
 		b.services.Close()
 		return err
 	}
+	// The listeners are opened last. The kernel accepts connections for them from then on, and the requests that arrive
+	// over these connections must not wait for files, for the store of record or for another process.
+	listeners, err := b.listen()
+	if err != nil {
+		b.close()
+		return err
+	}
 	p.run(listeners, b, caught)
 	return nil
 }
@@ -62,6 +63,17 @@
 	return readWithSpare(func() (*nodeconfig.Config, error) { return nodeconfig.Read(path, maxDescriptors) })
 }
 
+// checkAddresses returns an error if another process listens on one of the addresses. Such a process may be one of this
+// node, whose files must not be written by two processes.
+func checkAddresses(addresses []string) error {
+	for _, address := range addresses {
+		if err := socket.CheckBindable(address); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+	}
+	return nil
+}
+
 // listenAll listens on all addresses. If it can't listen on an address, it closes the listeners that are already open
 // and returns the error.
 func listenAll(addresses []string) ([]net.Listener, error) {
@@ -98,9 +110,8 @@
 }
 
 // newFileBackend creates the services and restores the saved operator state.
-func newFileBackend(ctx context.Context, p *process, path string, config *nodeconfig.Config,
-	gateways []gatewayListener) *fileBackend {
-	b := &fileBackend{process: p, path: path, fileConfig: config, config: config, gateways: gateways}
+func newFileBackend(ctx context.Context, p *process, path string, config *nodeconfig.Config) *fileBackend {
+	b := &fileBackend{process: p, path: path, fileConfig: config, config: config}
 	b.services = services.New(config, p.clock, p.budget, p.log, p.poller)
 	b.services.Telemetry = p.telemetry
 	b.commands = newCommandHandler(p.frontend, b.services.Cores, p.log)
@@ -122,13 +133,24 @@
 	}
 	f.apply()
 	var err error
-	if f.closeAdmin, err = serveAdmin(f.config.Admin.Listen, f.commands, f.process.log); err != nil {
-		return err
+	f.closeAdmin, err = serveAdmin(f.config.Admin.Listen, f.commands, f.process.log)
+	return err
+}
+
+// listen opens the listeners for clients and gateways. It returns the listeners for clients.
+func (f *fileBackend) listen() ([]net.Listener, error) {
+	listeners, err := listenAll(f.config.Listen)
+	if err != nil {
+		return nil, err
+	}
+	if f.gateways, err = listenForGateways(f.config); err != nil {
+		closeAll(listeners)
+		return nil, err
 	}
 	l := f.process.limits
 	f.process.log.Info("serving", zap.Strings("listen", f.config.Listen), zap.Int("services", len(f.config.Pools)),
 		zap.Int("descriptors", l.Descriptors), zap.Int64("memory", l.MemoryLimit))
-	return nil
+	return listeners, nil
 }
 
 func (f *fileBackend) openKeys() error {
--- a/cmd/robincart/fileservices_test.go
+++ b/cmd/robincart/fileservices_test.go
@@ -47,6 +47,13 @@
 
 // startServices starts a node with a configuration file.
 func startServices(t *testing.T, text string) *testNode {
+	p := newServicesNode(t, text)
+	require.NoError(t, p.Start(t.Context()))
+	return p
+}
+
+// newServicesNode returns a node with a configuration file that has not started yet.
+func newServicesNode(t *testing.T, text string) *testNode {
 	addr := freeAddress(t)
 	p := &testNode{t: t, addr: addr, Node: &standin.Node{
 		Name:         "n1",
@@ -61,7 +68,6 @@
 		assert.NotContains(t, p.Log(), "DATA RACE")
 		assert.NotContains(t, p.Log(), "panic:")
 	})
-	require.NoError(t, p.Start(t.Context()))
 	return p
 }
 
--- a/cmd/robincart/platform.go
+++ b/cmd/robincart/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -23,7 +24,7 @@
 	}
 	log := newLog("", zap.InfoLevel, config.Name)
 	defer log.Sync()
-	listener, err := openClientListener(config.Listen, os.Getenv("EDGE_ACCEPT_FD"))
+	listener, err := newClientListener(config.Listen, os.Getenv("EDGE_ACCEPT_FD"))
 	if err != nil {
 		return err
 	}
@@ -36,6 +37,17 @@
 	if err != nil {
 		return err
 	}
+	// The listener is opened last. The kernel accepts connections for it from then on, and the requests that arrive
+	// over these connections must not wait for files or for another process.
+	if !listener.inherited() {
+		if err := listener.open(); err != nil {
+			b.close()
+			return fmt.Errorf("listen: %w", err)
+		}
+	}
+	p.log.Info("serving", zap.String("listen", config.Listen), zap.Int("tier", config.node.Stage),
+		zap.Int("servers", len(config.list.Members)), zap.Int("descriptors", config.limits.Descriptors),
+		zap.Int64("memory", config.limits.MemoryLimit))
 	p.run([]net.Listener{listener.current()}, b, caught)
 	return nil
 }
@@ -69,7 +81,6 @@
 	b.pool.SetRecorder(p.telemetry)
 	b.settings = &settingsTransition{core: b.core, now: time.Now, current: config.node}
 	b.service = frontend.NewService("", config.node, b.core, b.pool, nil)
-	p.frontend.SetTable(&frontend.Table{Only: b.service})
 
 	var ctx context.Context
 	ctx, b.cancel = context.WithCancel(context.Background())
@@ -80,7 +91,9 @@
 		log: p.log, commands: b.commands, frontend: p.frontend, core: b.core, pool: b.pool, budget: p.budget, limits: l,
 		clients: listener,
 	}
+	ready := p.beginStart(listener)
 	b.succession.start(ctx, os.Getenv("TMPDIR"), config.Name+" "+config.Listen)
+	ready(&frontend.Table{Only: b.service})
 	if b.succession.predecessor != nil {
 		// The core delays its first poll at random, since the nodes of a fleet may start at the same time. A successor
 		// starts alone and needs no delay.
@@ -91,9 +104,6 @@
 		b.cancel()
 		return nil, err
 	}
-	p.log.Info("serving", zap.String("listen", config.Listen), zap.Int("tier", config.node.Stage),
-		zap.Int("servers", len(config.list.Members)), zap.Int("descriptors", l.Descriptors),
-		zap.Int64("memory", l.MemoryLimit))
 	return b, nil
 }
 
--- a/cmd/robincart/process.go
+++ b/cmd/robincart/process.go
@@ -63,6 +63,42 @@
 
 func (p *process) close() { p.poller.Close() }
 
+const (
+	// startGrace is how long connections may wait in the queue of an inherited listener while the process starts.
+	startGrace = 100 * time.Millisecond
+	// maxStartWait is how long a request waits for the end of a slow start before it is rejected. A predecessor that
+	// hangs delays the start for less.
+	maxStartWait = 1200 * time.Millisecond
+)
+
+// beginStart prepares for requests that arrive before the process is ready to serve. There are such requests only where
+// the listener is inherited, since its queue has connections already. If the start takes longer than startGrace, the
+// front end accepts them: requests in the queue must not wait for files or for another process. The caller calls the
+// returned function with the services once the process is ready to serve.
+func (p *process) beginStart(clients *clientListener) (ready func(*frontend.Table)) {
+	readyChannel := make(chan struct{})
+	p.frontend.SetTable(frontend.StartingTable(readyChannel, maxStartWait, p.limits.OverloadRetryAfter))
+	timer := time.NewTimer(startGrace)
+	if clients.inherited() {
+		go p.acceptSlowStart(clients, timer, readyChannel)
+	}
+	return func(table *frontend.Table) {
+		p.frontend.SetTable(table)
+		timer.Stop()
+		close(readyChannel)
+	}
+}
+
+// acceptSlowStart accepts clients if the process is not ready when the timer ends.
+func (p *process) acceptSlowStart(clients *clientListener, timer *time.Timer, ready <-chan struct{}) {
+	select {
+	case <-ready:
+	case <-timer.C:
+		p.log.Warn("start slow: accepting clients before it ends", zap.Duration("waited", startGrace))
+		p.frontend.Serve(clients.current())
+	}
+}
+
 // backend is the set of services that the front end serves requests with: the platform's one service, or the services
 // of a configuration file.
 type backend interface {
--- a/cmd/robincart/record.go
+++ b/cmd/robincart/record.go
@@ -21,19 +21,16 @@
 	if config.Store == "" {
 		return nil
 	}
-	if config.StatusAddress != "" {
-		var err error
-		if f.recordStatus, err = socket.Listen("tcp", config.StatusAddress); err != nil {
-			return fmt.Errorf("record.status: %w", err)
-		}
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Duration(config.CallTimeout))
 	defer cancel()
 	var err error
 	if f.record, err = recordcache.Open(ctx, f.recordCacheConfig(), f.process.log); err != nil {
 		return err
 	}
-	if f.recordStatus != nil {
+	if config.StatusAddress != "" {
+		if f.recordStatus, err = socket.Listen("tcp", config.StatusAddress); err != nil {
+			return fmt.Errorf("record.status: %w", err)
+		}
 		go f.record.ServeStatus(f.recordStatus)
 	}
 	f.services.RecordCache = f.record
--- a/cmd/robincart/shutdown_test.go
+++ b/cmd/robincart/shutdown_test.go
@@ -76,16 +76,25 @@
 	link, err := predecessor.AcceptUnix()
 	require.NoError(t, err)
 	defer link.Close()
-	c, err := net.Dial("tcp", fixture.addr)
-	require.NoError(t, err)
-	defer c.Close()
-	io.WriteString(c, requestHead("GET /find", "find"))
+	send := func(timeLeft string) net.Conn {
+		c, err := net.Dial("tcp", fixture.addr)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		io.WriteString(c, requestHead("GET /find", "find", "X-Expires-In-Ms: "+timeLeft, "X-Trace-Id: "+nextTraceID()))
+		return c
+	}
+	sentAt := time.Now()
+	long, short := send("3000"), send("1000")
 	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
-	c.SetReadDeadline(time.Now().Add(20 * time.Second))
-	r, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if assert.NoError(t, err, p.log) {
-		assert.Equal(t, 200, r.StatusCode)
+	receive := func(c net.Conn, within time.Duration, want ...int) {
+		c.SetReadDeadline(sentAt.Add(within + answerGrace))
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if assert.NoError(t, err, p.log) {
+			assert.Contains(t, want, r.StatusCode)
+		}
 	}
+	receive(short, time.Second, 200, 503) // the start alone takes its time
+	receive(long, 3*time.Second, 200)
 	p.waitExit(t)
 }
 
--- a/cmd/robincart/storeprogram.go
+++ b/cmd/robincart/storeprogram.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"robincart/internal/record/record"
 	"robincart/internal/record/store"
 )
 
@@ -22,8 +23,6 @@
 	// storeProgramName is the name of the program that has the database drivers, in this program's directory. If the
 	// drivers were linked into this program, they would cost every node 4 MB.
 	storeProgramName = "robincart-record"
-	// storeStartTimeout is the longest time for which startStoreProgram waits until the store program listens.
-	storeStartTimeout = 5 * time.Second
 	// storeDialAttempts and storeDialPause limit the wait for the program's socket, to 4 s.
 	storeDialAttempts = 400
 	storeDialPause    = 10 * time.Millisecond
@@ -67,6 +66,7 @@
 }
 
 // startStoreProgram starts the store program. Whenever the program ends, it is restarted, until the store is closed.
+// startStoreProgram does not wait for the program: the first calls to the store do, within their own time limits.
 func startStoreProgram(address string, log *zap.Logger) (store.Store, error) {
 	path, err := findStoreProgram()
 	if err != nil {
@@ -82,11 +82,51 @@
 	}
 	s.Store = store.Remote(s.socket())
 	s.supervisor.Go(func() { s.supervise(ctx) })
+	return s, nil
+}
+
+// awaitStart waits until the program listens, or has failed to start.
+func (s *storeProgram) awaitStart(ctx context.Context) error {
 	select {
 	case <-s.started:
-	case <-time.After(storeStartTimeout):
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("store program %s does not listen yet: %w", s.path, ctx.Err())
 	}
-	return s, nil
+}
+
+// Meta implements store.Store.
+func (s *storeProgram) Meta(ctx context.Context) (record.Meta, error) {
+	if err := s.awaitStart(ctx); err != nil {
+		return record.Meta{}, err
+	}
+	return s.Store.Meta(ctx)
+}
+
+// Since implements store.Store.
+func (s *storeProgram) Since(ctx context.Context, after int64, limit int) (record.Page, error) {
+	if err := s.awaitStart(ctx); err != nil {
+		return record.Page{}, err
+	}
+	return s.Store.Since(ctx, after, limit)
+}
+
+// Write implements store.Store.
+func (s *storeProgram) Write(
+	ctx context.Context, epoch string, changes []record.Change,
+) ([]record.Entry, record.Meta, error) {
+	if err := s.awaitStart(ctx); err != nil {
+		return nil, record.Meta{}, err
+	}
+	return s.Store.Write(ctx, epoch, changes)
+}
+
+// Wait implements store.Store.
+func (s *storeProgram) Wait(ctx context.Context, timeout time.Duration) error {
+	if err := s.awaitStart(ctx); err != nil {
+		return err
+	}
+	return s.Store.Wait(ctx, timeout)
 }
 
 // Close ends the program.
--- a/internal/controlplane/recordcache/cache.go
+++ b/internal/controlplane/recordcache/cache.go
@@ -50,10 +50,13 @@
 	snapshotRequested wait.Signal // set when the view has changed since the last snapshot
 	configChanged     wait.Signal // set when services, routes or tenants have changed
 
+	firstRead     chan struct{} // closed when the store has been read once, or the read has failed
+	firstReadOnce sync.Once     // closes firstRead
+
 	goroutines sync.WaitGroup
 	cancel     context.CancelFunc
 
-	// After Open has read the store once, only the goroutine of the method run uses these two fields.
+	// After openStore, only the goroutine of the method run uses these two fields.
 	rolledBack bool // a replica reported a rollback, and the complete record has not been read since
 	batchSize  int  // maximum number of changes in one transaction
 
@@ -68,12 +71,20 @@
 	keysIssued    uint64                   // number of idempotency keys issued
 }
 
-// Open restores the snapshot, reads the store once and starts the cache. If the store is unreachable, Open returns an
-// error only with Config.Required. Each error that Open returns needs an operator's action. The context limits only
-// Open itself; Close stops the cache.
+// snapshotStartWait is how long Open waits for the first read of the store if there is a snapshot. The node can start
+// from the snapshot; a store that answers in time adds what was recorded while the node was down.
+const snapshotStartWait = 500 * time.Millisecond
+
+// Open restores the snapshot, opens the store and starts the cache. It returns when the store has been read once or the
+// read has failed, but waits for that no longer than for one call, or for snapshotStartWait if there is a snapshot. A
+// node must not listen for clients before Open returns: their requests would wait, too.
+//
+// If the store is unreachable, Open returns an error only with Config.Required. Each error that Open returns needs an
+// operator's action. The context limits only Open itself; Close stops the cache.
 func Open(ctx context.Context, config Config, log *zap.Logger) (*Cache, error) {
 	c := newCache(config, log)
-	if err := c.restoreSnapshot(); err != nil {
+	restored, err := c.restoreSnapshot()
+	if err != nil {
 		return nil, err
 	}
 	if err := c.openStore(ctx); err != nil {
@@ -85,9 +96,27 @@
 	if config.Snapshot != "" {
 		c.goroutines.Go(func() { c.saveSnapshots(runContext) })
 	}
+	startWait := config.CallTimeout
+	if restored {
+		startWait = min(startWait, snapshotStartWait)
+	}
+	c.awaitFirstRead(ctx, startWait)
 	return c, nil
 }
 
+// awaitFirstRead waits until the store has been read once or the read has failed.
+func (c *Cache) awaitFirstRead(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	begin := time.Now()
+	select {
+	case <-c.firstRead:
+	case <-ctx.Done():
+		c.log.Warn("record store slow: starting without it", zap.String("store", c.config.Store),
+			zap.Duration("waited", time.Since(begin)))
+	}
+}
+
 func newCache(config Config, log *zap.Logger) *Cache {
 	c := &Cache{
 		config:            config,
@@ -96,6 +125,7 @@
 		writeRequested:    wait.NewSignal(),
 		snapshotRequested: wait.NewSignal(),
 		configChanged:     wait.NewSignal(),
+		firstRead:         make(chan struct{}),
 		subscriptions:     map[string]*Subscription{},
 		batchSize:         initialBatchSize,
 	}
@@ -108,31 +138,33 @@
 	return c
 }
 
-// restoreSnapshot loads the snapshot file. A corrupt file is moved aside, and the cache starts without it. An
-// unreadable file is an error: the next snapshot would overwrite drains that may be recorded nowhere else.
-func (c *Cache) restoreSnapshot() error {
+// restoreSnapshot loads the snapshot file, and reports whether there was one. A corrupt file is moved aside, and the
+// cache starts without it. An unreadable file is an error: the next snapshot would overwrite drains that may be
+// recorded nowhere else.
+func (c *Cache) restoreSnapshot() (restored bool, err error) {
 	if c.config.Snapshot == "" {
-		return nil
+		return false, nil
 	}
 	snapshot, found, err := awaitSnapshot(c.config.Snapshot)
 	if errors.Is(err, ErrCorruptSnapshot) {
 		c.log.Error("record snapshot corrupt", zap.Error(err))
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return fmt.Errorf("record snapshot unreadable: repair its folder, or move it away to start without it: %w", err)
+		err = fmt.Errorf("record snapshot unreadable: repair its folder, or move it away to start without it: %w", err)
+		return false, err
 	}
 	if !found {
-		return nil
+		return false, nil
 	}
 	c.view.Restore(snapshot, c.millis())
 	age := time.Duration(c.millis()-snapshot.LastContact) * time.Millisecond
 	c.log.Info("record snapshot restored", zap.Int("entries", len(snapshot.Entries)),
 		zap.Int64("revision", snapshot.Meta.Revision), zap.Duration("age", age))
-	return nil
+	return true, nil
 }
 
-// openStore opens the store and reads it once. A failed read is an error only if the store is required.
+// openStore opens the store. If the store is required, openStore reads it, too.
 func (c *Cache) openStore(ctx context.Context) error {
 	opened, err := c.config.Open()
 	if err != nil {
@@ -141,15 +173,13 @@
 	c.store = opened
 	c.replica, _ = opened.(store.ReplicaClient)
 	c.reportPosition()
-	err = c.read(ctx)
-	if err == nil {
+	if !c.config.Required {
 		return nil
 	}
-	if c.config.Required {
+	if err := c.read(ctx); err != nil {
 		c.store.Close()
 		return fmt.Errorf("the record store %s is required, but the first read failed: %w", c.config.Store, err)
 	}
-	c.markUnavailable(err)
 	return nil
 }
 
--- a/internal/controlplane/recordcache/run.go
+++ b/internal/controlplane/recordcache/run.go
@@ -26,6 +26,7 @@
 	defer watcher.Wait()
 	watcher.Go(func() { c.watchStore(ctx, storeChanged) })
 
+	storeChanged.Set() // for the first read
 	retryInterval := time.Duration(0)
 	lastPrune := time.Now()
 	for {
@@ -65,6 +66,7 @@
 // failure.
 func (c *Cache) sync(ctx context.Context, retryInterval time.Duration) time.Duration {
 	err := c.read(ctx)
+	c.firstReadOnce.Do(func() { close(c.firstRead) })
 	if err == nil {
 		err = c.write(ctx)
 	}
--- a/internal/dataplane/frontend/accept.go
+++ b/internal/dataplane/frontend/accept.go
@@ -19,16 +19,20 @@
 const maxWatchRetries = 100
 
 // Serve starts a goroutine that accepts connections of HTTP clients until the listener is closed. Several listeners may
-// be served at once; Drain waits until the goroutines of all listeners have ended.
+// be served at once; Drain waits until the goroutines of all listeners have ended. A listener that is served already
+// stays as it is.
 func (s *Server) Serve(listener net.Listener) { s.ServeGateways(listener, nil) }
 
 // ServeGateways is like Serve, but the clients of the listener are gateways that speak FastCGI. A nil config means that
 // the clients speak HTTP.
 func (s *Server) ServeGateways(listener net.Listener, config *Gateway) {
-	s.running.Add(1)
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, served := s.listeners[listener]; served {
+		return
+	}
+	s.running.Add(1)
 	s.listeners[listener] = struct{}{}
-	s.mu.Unlock()
 	go s.acceptLoop(listener, config)
 }
 
