frontend: a request's time in the listener's queue counts against its deadline

Cause: adopt took the time of accept for the time of arrival, and a request of several reads counted as just arrived.

Evidence: TestStart_TimeInListenerQueueCounts fails on the text before: after 1.2 s in the queue a server is told 2998 ms of 3000, and a request with 1 s is forwarded and answered 200.

Change: queueingTime asks the kernel when the connection's last bytes arrived (TCP_INFO), for the first request of a connection and for requests of several reads. Why it works: the kernel stamps bytes when they arrive, whether or not anybody has accepted the connection; it never says more than the request waited, but for a tick of its clock.

--- a/cmd/robincart/startwait_test.go
+++ b/cmd/robincart/startwait_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"robincart/internal/handover"
+	"robincart/internal/lab/wire"
 )
 
 // answerGrace is how long after its time a request may still be answered.
@@ -163,3 +166,46 @@
 		})
 	}
 }
+
+// A request's wait in the listener's queue counted as no time: servers were told more than the client had left.
+func TestStart_TimeInListenerQueueCounts(t *testing.T) {
+	const queued = 1200 * time.Millisecond
+	const slack = 150 * time.Millisecond // of the time that a server is told
+	s := newServer(t, respond(200, "ok"))
+	n, _ := newNodeFixture(t, s)
+	requests := map[string]startRequest{
+		"short":   {timeLeft: 3 * time.Second},
+		"long":    {timeLeft: 2500 * time.Millisecond, body: strings.Repeat("x", 40<<10)},
+		"expired": {timeLeft: time.Second},
+	}
+	conns := map[string]net.Conn{}
+	sentAt := time.Now()
+	for name, request := range requests {
+		conn, err := net.Dial("tcp", n.addr)
+		require.NoError(t, err)
+		defer conn.Close()
+		request.send(t, conn)
+		conns[name] = conn
+	}
+	time.Sleep(queued)
+	n.start()
+	assert.Equal(t, 200, requests["short"].receive(t, conns["short"], sentAt))
+	assert.Equal(t, 200, requests["long"].receive(t, conns["long"], sentAt))
+	conns["expired"].SetReadDeadline(time.Now().Add(answerGrace))
+	response, err := http.ReadResponse(bufio.NewReader(conns["expired"]), nil)
+	require.NoError(t, err)
+	assert.Contains(t, []int{503, 504}, response.StatusCode)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Len(t, s.requests, 2, "the expired request is not forwarded")
+	for _, forwarded := range s.requests {
+		told, err := strconv.Atoi(forwarded.Header.Get(wire.HeaderTimeLeft))
+		require.NoError(t, err)
+		sent := 3000
+		if len(forwarded.Body) > 0 {
+			sent = 2500
+		}
+		assert.LessOrEqual(t, time.Duration(told)*time.Millisecond,
+			time.Duration(sent)*time.Millisecond-queued+slack, "%d bytes", len(forwarded.Body))
+	}
+}
--- a/internal/dataplane/frontend/read.go
+++ b/internal/dataplane/frontend/read.go
@@ -86,22 +86,28 @@
 	return n, nil
 }
 
-// queueingTime returns how long a request waited until it was read. A request waits in the socket while its connection
-// waits for capacity or serves an earlier request, or in the buffer if it was received together with an earlier
-// request. queueingTime returns 0 if the wait is unknown. readCount is the connection's number of reads before the
-// first read of this request.
+// queueingTime returns how long a request waited until it was read. A request waits in the listener's queue, or in the
+// socket while its connection waits for capacity or serves an earlier request, or in the buffer if it was received
+// together with an earlier request. readCount is the connection's number of reads before the first read of this
+// request.
 func (c *conn) queueingTime(readCount uint32) time.Duration {
 	reads := c.serving.readCount - readCount
 	arrivedAt := c.serving.arrivedAt
 	c.serving.arrivedAt = 0
-	switch {
-	case reads == 0: // the request was received together with the previous one
-		arrivedAt = c.serving.lastReadAt
-	case c.serving.deadlineSet || reads > 1 || arrivedAt == 0:
-		// The end of the request has just arrived, or the arrival time is unknown.
-		return 0
+	if reads == 0 { // the request was received together with the previous one
+		return max(0, c.server.clock()-c.serving.lastReadAt)
+	}
+	waited := time.Duration(0)
+	oneRead := reads == 1 && !c.serving.deadlineSet
+	if oneRead && arrivedAt != 0 {
+		waited = max(0, c.server.clock()-arrivedAt)
+	}
+	// Only the kernel knows the time in the listener's queue, and when the end of a request arrived that took several
+	// reads.
+	if c.serving.firstRequest || !oneRead {
+		waited = max(waited, socket.SinceLastData(c.raw))
 	}
-	return max(0, c.server.clock()-arrivedAt)
+	return waited
 }
 
 // Progress is called before each further read of a request that does not arrive in one piece. It sets the read deadline
