settings: a by_key class without DedupScope is an error, not the widest scope

Cause: a missing, empty or null DedupScope was read as "all", which allows a retry at any server and a pushback after a request may have run.

Settings of the transition were ruled out: they hold for 3 s, calls began after 5 s.

Change: such a class is a mistake, named, at SIGHUP as at a start. Other classes may lack the key, as before.

TestParse_NamesTheFirstInvalidSetting (three new cases) and TestPlatformConfig_TruncatedFileIsRejected failed before.

--- a/cmd/robincart/platformconfig_test.go
+++ b/cmd/robincart/platformconfig_test.go
@@ -45,50 +45,76 @@
 	assert.InDelta(t, c.limits.MaxPollInterval.Seconds(), c.node.MaxFirstPollDelay, 1e-9)
 }
 
+// reloadFixture is a configuration in force, with the file that it was read from.
+type reloadFixture struct {
+	t       *testing.T
+	path    string
+	inForce *platformConfig
+	applied int // how often settings were applied
+	watcher recordedAddresses
+}
+
+// newReloadFixture reads a configuration from a file of its own.
+func newReloadFixture(t *testing.T, text []byte) *reloadFixture {
+	f := &reloadFixture{t: t, path: filepath.Join(t.TempDir(), "c.json")}
+	f.write(text)
+	var err error
+	f.inForce, err = readPlatformConfig(f.getenv)
+	require.NoError(t, err)
+	return f
+}
+
+func (f *reloadFixture) getenv(name string) string {
+	if name == "EDGE_CONFIG" {
+		return f.path
+	}
+	return ""
+}
+
+func (f *reloadFixture) write(text []byte) { require.NoError(f.t, os.WriteFile(f.path, text, 0o600)) }
+
+// isRejected replaces the file's content, and reports whether the same configuration is in force after a reload.
+func (f *reloadFixture) isRejected(text []byte) bool {
+	f.t.Helper()
+	f.write(text)
+	next, err := f.inForce.reload(f.getenv, &f.watcher, func(*platformConfig) { f.applied++ }, zap.NewNop())
+	require.NoError(f.t, err, "an invalid file is not a temporary error")
+	return next == f.inForce
+}
+
 // A configuration file that is truncated at any byte, or lacks any key, changes nothing.
 func TestPlatformConfig_TruncatedFileIsRejected(t *testing.T) {
 	d := newDiscovery(t)
 	text, err := json.Marshal(newConfig(t, d))
 	require.NoError(t, err)
-	path := filepath.Join(t.TempDir(), "c.json")
-	env := func(name string) string {
-		if name == "EDGE_CONFIG" {
-			return path
-		}
-		return ""
-	}
-	write := func(b []byte) { require.NoError(t, os.WriteFile(path, b, 0o600)) }
-	write(text)
-	c, err := readPlatformConfig(env)
-	require.NoError(t, err)
-	watcher := &recordedAddresses{}
-	applied := 0
-	reload := func() *platformConfig {
-		now, err := c.reload(env, watcher, func(*platformConfig) { applied++ }, zap.NewNop())
-		require.NoError(t, err, "an invalid file is not a temporary error")
-		return now
-	}
+	f := newReloadFixture(t, text)
 	for n := range len(text) {
-		write(text[:n])
-		require.Same(t, c, reload(), "%s", text[:n])
+		require.True(t, f.isRejected(text[:n]), "%s", text[:n])
 	}
 	var config map[string]any
 	require.NoError(t, json.Unmarshal(text, &config))
 	settings := config["settings"].(map[string]any)
-	for _, object := range []map[string]any{config, settings, settings["Limits"].(map[string]any)} {
+	objects := []map[string]any{config, settings}
+	for _, name := range []string{"Limits", "Rules"} {
+		objects = append(objects, settings[name].(map[string]any))
+	}
+	for _, list := range []string{"Classes", "Tenants"} {
+		for _, object := range settings[list].([]any) {
+			objects = append(objects, object.(map[string]any))
+		}
+	}
+	for _, object := range objects {
 		for key, v := range object {
 			delete(object, key)
 			short, err := json.Marshal(config)
 			require.NoError(t, err)
-			write(short)
-			require.Same(t, c, reload(), "without %s", key)
+			require.True(t, f.isRejected(short), "without %s", key)
 			object[key] = v
 		}
 	}
-	assert.Zero(t, applied)
-	write(text)
-	assert.NotSame(t, c, reload())
-	assert.Empty(t, watcher.addresses)
+	assert.Zero(t, f.applied)
+	assert.False(t, f.isRejected(text))
+	assert.Empty(t, f.watcher.addresses)
 }
 
 type recordedAddresses struct{ addresses []string }
--- a/internal/protocol/settings/document.go
+++ b/internal/protocol/settings/document.go
@@ -83,6 +83,7 @@
 	repeatNonIdempotent: decide.NonIdempotent,
 }
 
+// dedupScopes has a value for a missing scope, too: only classes that are deduplicated by key need one.
 var dedupScopes = map[string]decide.DedupScope{
 	"":     decide.ScopeAll,
 	"all":  decide.ScopeAll,
@@ -136,6 +137,8 @@
 		return "Repeat", fmt.Sprintf("is %q", c.Repeat)
 	case !knownScope:
 		return "DedupScope", fmt.Sprintf("is %q", c.DedupScope)
+	case c.Repeat == repeatDeduplicated && c.DedupScope == "":
+		return "DedupScope", "is missing, expected all, zone or cell for a class that is " + repeatDeduplicated
 	case c.Repeat == repeatDeduplicated && !(c.WindowMs > 0):
 		return "WindowMs", "must be above 0"
 	}
--- a/internal/protocol/settings/settings_test.go
+++ b/internal/protocol/settings/settings_test.go
@@ -43,6 +43,9 @@
 		{`"by_key"`, `"sometimes"`, "Classes[1].Repeat"},
 		{`"zone"`, `"street"`, "Classes[1].DedupScope"},
 		{`"WindowMs":10000`, `"WindowMs":0`, "Classes[1].WindowMs"},
+		{`,"DedupScope":"zone"`, ``, "Classes[1].DedupScope is missing"},
+		{`"zone"`, `""`, "Classes[1].DedupScope is missing"},
+		{`"zone"`, `null`, "Classes[1].DedupScope is missing"},
 		{`"subscribe"`, `"guess"`, "RegistryMode"},
 		{`"MaxAttempts":5`, `"MaxAttempts":-5`, "MaxAttempts"},
 		{`"ConnIdleMs":30000`, `"ConnIdleMs":-1`, "ConnIdleMs"},
@@ -54,7 +57,7 @@
 		{`"Fields":["depth"]`, `"How":"piggyback"`, "Report.Fields"},
 		{`"Fields":["depth"]`, `"Fields":["a","b","c","d","e"]`, "Report.Fields"},
 	} {
-		t.Run(x.replacement, func(t *testing.T) {
+		t.Run(x.text+" to "+x.replacement, func(t *testing.T) {
 			require.Contains(t, completeSettings, x.text)
 			_, err := Parse([]byte(strings.Replace(completeSettings, x.text, x.replacement, 1)))
 			assert.ErrorContains(t, err, x.want)
