settings: a key that is null in a changed file counts as lost

Cause: decoding a null leaves the default, just as a missing key does, but CheckComplete saw the key and looked no further.

Change: null is reported as "KEY is null", whatever the key's type. A null in the file in force counts as no key, so that it may leave. The contents of skipped keys ("known") are still not looked at.

--- a/internal/protocol/settings/complete.go
+++ b/internal/protocol/settings/complete.go
@@ -48,16 +48,24 @@
 	return nil
 }
 
+// compareObjects expects of an object the keys that it had before. The value null counts as no value: decoding it
+// leaves the default, as a missing key does.
 func compareObjects(path string, old, fresh map[string]any, skip []string) error {
 	var errs []error
 	for _, key := range slices.Sorted(maps.Keys(old)) {
+		if old[key] == nil {
+			continue
+		}
 		keyPath := strings.TrimPrefix(path+"."+key, ".")
 		value, found := fresh[key]
 		switch {
-		case !found && slices.Contains(dedupKeys, key) && fresh["Repeat"] != repeatDeduplicated:
+		case value == nil && slices.Contains(dedupKeys, key) && fresh["Repeat"] != repeatDeduplicated:
 		case !found:
 			errs = append(errs, &IncompleteError{keyPath, "is missing"})
-		case !slices.Contains(skip, key):
+		case slices.Contains(skip, key):
+		case value == nil:
+			errs = append(errs, &IncompleteError{keyPath, "is null"})
+		default:
 			errs = append(errs, compare(keyPath, old[key], value, skip))
 		}
 	}
@@ -106,6 +114,9 @@
 	return name, hasName
 }
 
+// anyValue is the value of a common key: it is compared with no other value.
+const anyValue = true
+
 // commonKeys is an object with the keys that all objects of an array have; nil if there are none, or other values.
 func commonKeys(array []any) map[string]any {
 	var common map[string]any
@@ -117,13 +128,10 @@
 		if i == 0 {
 			common = make(map[string]any, len(object))
 			for key := range object {
-				common[key] = nil
+				common[key] = anyValue
 			}
 		}
-		maps.DeleteFunc(common, func(key string, _ any) bool {
-			_, found := object[key]
-			return !found
-		})
+		maps.DeleteFunc(common, func(key string, _ any) bool { return object[key] == nil })
 	}
 	return common
 }
--- a/internal/protocol/settings/complete_test.go
+++ b/internal/protocol/settings/complete_test.go
@@ -19,6 +19,7 @@
 		`{"a":2,"s":{"Classes":[],"Zones":["z"]}}`:                                                 "known is missing",
 		`{"a":2,"known":1,"s":{"Classes":[{"Name":"g","Repeat":"by_key"}],"Zones":["z"]}}`:         "s.Classes[0].WindowMs is missing",
 		`{"a":2,"known":1,"s":{"Classes":[{"Repeat":"once"}]}}`:                                    "s.Classes[0].Name is missing\ns.Zones is missing",
+		`{"a":null,"known":null,"s":{"Classes":null,"Zones":[]}}`:                                  "a is null\ns.Classes is null",
 		`{"a":2,"known":1,"s":7}`:                            "s is no object any more",
 		`{"a":2,"known":1,"s":{"Classes":{},"Zones":["z"]}}`: "s.Classes is no array any more",
 	} {
@@ -33,6 +34,11 @@
 			assert.ErrorAs(t, err, &incomplete)
 		})
 	}
+	t.Run("null in force", func(t *testing.T) {
+		const unset = `{"a":null,"Classes":[{"Name":"f","Extra":null},{"Name":"g"}]}`
+		require.NoError(t, CheckComplete(json.RawMessage(unset), json.RawMessage(`{"Classes":[{"Name":"f"}]}`)))
+		require.NoError(t, CheckComplete(json.RawMessage(unset), json.RawMessage(`{"Classes":[{"Name":"new"}]}`)))
+	})
 	t.Run("a name that is no text", func(t *testing.T) {
 		const named = `{"Classes":[{"Name":["f"],"Repeat":"once"}]}`
 		require.NoError(t, CheckComplete(json.RawMessage(named), json.RawMessage(named)))
--- a/internal/protocol/settings/golden_test.go
+++ b/internal/protocol/settings/golden_test.go
@@ -129,6 +129,18 @@
 
 // without returns settings that lack one key.
 func without(t *testing.T, text, path string) []byte {
+	t.Helper()
+	return edited(t, text, path, func(object map[string]any, key string) { delete(object, key) })
+}
+
+// withNull returns settings in which the value of one key is null.
+func withNull(t *testing.T, text, path string) []byte {
+	t.Helper()
+	return edited(t, text, path, func(object map[string]any, key string) { object[key] = nil })
+}
+
+// edited returns settings with an edit of the object that has a key.
+func edited(t *testing.T, text, path string, edit func(object map[string]any, key string)) []byte {
 	t.Helper()
 	var whole map[string]any
 	require.NoError(t, json.Unmarshal([]byte(text), &whole))
@@ -143,7 +155,7 @@
 	}
 	key := steps[len(steps)-1]
 	require.Contains(t, at, key)
-	delete(at, key)
+	edit(at, key)
 	out, err := json.Marshal(whole)
 	require.NoError(t, err)
 	return out
@@ -159,6 +171,16 @@
 	}
 }
 
+// Guards against a key that is null in a changed file and takes its default, as if it were missing.
+func TestGolden_WholeNamesTheKeyThatIsNull(t *testing.T) {
+	whole := golden(t, "settings.json")
+	for _, path := range keyPaths {
+		t.Run(path, func(t *testing.T) {
+			assert.EqualError(t, CheckComplete([]byte(whole), withNull(t, whole, path)), path+" is null")
+		})
+	}
+}
+
 // The keys of deduplication may leave with it.
 func TestGolden_WholeLetsDeduplicationGo(t *testing.T) {
 	whole := golden(t, "settings.json")
