nodeconfig: a changed file or recorded service that loses a method's scope is rejected

A file that lost the line was taken at SIGHUP, and requests could then be repeated in another zone or cell.

Change: a deduplicated method whose scope in force is narrower than "all" needs a scope in the next file or entry. The file is rejected with the method's name; of a recorded service the version in force stays (GET /record says why).

--- a/cmd/robincart/fileservices.go
+++ b/cmd/robincart/fileservices.go
@@ -188,6 +188,10 @@
 		logRejectedConfiguration(f.process.log, err)
 		return nil
 	}
+	if err := next.CheckScopes(f.fileConfig); err != nil {
+		logRejectedConfiguration(f.process.log, err)
+		return nil
+	}
 	restartKeys := next.KeepProcessSettings(f.config)
 	merge := f.mergeRecord(next)
 	if len(merge.Lost) > 0 {
--- a/cmd/robincart/fileservices_test.go
+++ b/cmd/robincart/fileservices_test.go
@@ -274,6 +274,31 @@
 	p.stop(10 * time.Second)
 }
 
+// Guards against keyed requests that run in two zones after SIGHUP with a file that has lost a method's scope.
+func TestServices_ReloadThatLosesScopeIsRejected(t *testing.T) {
+	s := newServer(t, respond(200, "well"))
+	const method = "  [[service.method]]\n  name = \"book\"\n  repeat = \"deduplicated\"\n  window = \"10s\"\n" +
+		"  deadline = \"3s\"\n"
+	const scope = "  scope = \"zone\"\n"
+	service := serviceTOML("booking", s, 0.4, "") + method
+	p := startServices(t, service+scope)
+	reload := func(text string) {
+		path := filepath.Join(p.Dir, "n1.toml")
+		require.NoError(t, os.WriteFile(path+".new", []byte("listen = [\""+p.addr+"\"]\n"+text), 0o600))
+		require.NoError(t, os.Rename(path+".new", path))
+		require.NoError(t, p.Signal(syscall.SIGHUP))
+	}
+	inForce := strings.Count(p.Log(), `"services in force"`)
+	reload(service)
+	require.Eventually(t, func() bool { return strings.Contains(p.Log(), "whose scope in force is zone; found none") },
+		10*time.Second, 5*time.Millisecond)
+	assert.Equal(t, inForce, strings.Count(p.Log(), `"services in force"`))
+	reload(service + strings.Replace(scope, "zone", "all", 1))
+	assert.Eventually(t, func() bool { return strings.Count(p.Log(), `"services in force"`) == inForce+1 },
+		10*time.Second, 5*time.Millisecond, "a wider scope that is given takes effect")
+	p.stop(10 * time.Second)
+}
+
 // A thousand services, of which ten receive requests, should cost no more than ten services would, apart from memory.
 func TestServices_ThousandOfWhichTenAreBusy(t *testing.T) {
 	s := newServer(t, respond(200, "well"))
--- a/internal/config/nodeconfig/defaults.go
+++ b/internal/config/nodeconfig/defaults.go
@@ -54,7 +54,8 @@
 
 func (m *Method) setDefaults() {
 	tomlfile.Default(&m.Idempotency, nonIdempotent) // a method is retried only if it is declared idempotent
-	tomlfile.Default(&m.DedupScope, "all")
+	m.defaultScope = m.defaultScope || m.DedupScope == ""
+	tomlfile.Default(&m.DedupScope, scopeAll)
 	tomlfile.Default(&m.LatencyObjective, m.Deadline)
 	defaultPointer(&m.PriorityWeight, 1)
 }
--- a/internal/config/nodeconfig/recordmerge.go
+++ b/internal/config/nodeconfig/recordmerge.go
@@ -50,7 +50,7 @@
 	retries := 0
 	for _, kind := range []record.Kind{record.KindService, record.KindTenant, record.KindRoute} {
 		for _, item := range m.byPrecedence(kind) {
-			if item.current == 0 || item.malformed || retries == maxRetries {
+			if item.current == 0 || item.unusable || retries == maxRetries {
 				continue
 			}
 			retries++
@@ -81,7 +81,7 @@
 	cause    error           // why the first version is not in use
 	unused   bool            // a tenant whose service does not exist
 
-	malformed bool // the first version can't be parsed
+	unusable bool // the first version can't be used, whatever the other items are
 }
 
 // recordMerger looks for the versions of the record's entries that fit the file and each other. It begins with all
@@ -122,6 +122,7 @@
 	slices.SortFunc(m.items, func(a, b *mergedItem) int { return compareKeys(a.key, b.key) })
 	for _, item := range m.items {
 		item.skipMalformed()
+		item.skipLostScope()
 	}
 	return m
 }
@@ -152,12 +153,26 @@
 		parsed, err := parseEntry(version.entry)
 		version.parsed = parsed
 		if err != nil && i.current == n {
-			i.malformed = i.malformed || n == 0
+			i.unusable = i.unusable || n == 0
 			i.stepBack(err)
 		}
 	}
 }
 
+// skipLostScope steps back from a service of which a method has lost the scope that it has in force.
+func (i *mergedItem) skipLostScope() {
+	next, inForce := i.version().parsed.service, i.versions[len(i.versions)-1].parsed.service
+	if i.current > 0 || !i.wasInForce() || next == nil || inForce == nil {
+		return
+	}
+	p := &problems{prefix: "service"}
+	next.checkScopes(inForce, p)
+	if err := p.err(); err != nil {
+		i.unusable = true
+		i.stepBack(err)
+	}
+}
+
 // stepBack replaces the version in use by the next one. cause is the reason.
 func (i *mergedItem) stepBack(cause error) {
 	if i.cause == nil {
--- a/internal/config/nodeconfig/recordmerge_test.go
+++ b/internal/config/nodeconfig/recordmerge_test.go
@@ -62,6 +62,20 @@
 	return tomlEntry(record.KindService, name, revision, text)
 }
 
+// scopedServiceEntry returns the entry of a service with a deduplicated method; without a scope if that is empty.
+func scopedServiceEntry(name string, revision int64, scope string) record.Entry {
+	return tomlEntry(record.KindService, name, revision, scopedService(name, scope))
+}
+
+func scopedService(name, scope string) string {
+	text := fmt.Sprintf("[[service]]\nname = %q\nservers = [\"127.0.0.1:3009\"]\n[[service.method]]\nname = \"book\"\n"+
+		"deadline = \"3s\"\nrepeat = \"deduplicated\"\nwindow = \"10s\"\n", name)
+	if scope == "" {
+		return text
+	}
+	return text + fmt.Sprintf("scope = %q\n", scope)
+}
+
 func tenantEntry(name string, revision int64, weight float64) record.Entry {
 	value, _ := json.Marshal(tenantValue{Quota: 10, Weight: weight})
 	return record.Entry{Key: record.Key{Kind: record.KindTenant, Name: name}, Revision: revision, Value: value}
@@ -183,6 +197,18 @@
 			want:     []string{"a@2"},
 			invalid:  []string{"service kitchen, revision 1: route: expected at least one for 2 services, found none"},
 		},
+		"a service that has lost a method's scope": {
+			recorded: entries{scopedServiceEntry("kitchen", 2, "")},
+			inForce:  entries{scopedServiceEntry("kitchen", 1, "zone")},
+			want:     []string{"kitchen@1"},
+			invalid: []string{"service kitchen, revision 2: service.method[1].scope: expected all, zone or cell for method book, " +
+				"whose scope in force is zone; found none"},
+		},
+		"a service with a wider scope": {
+			recorded: entries{scopedServiceEntry("kitchen", 2, "all")},
+			inForce:  entries{scopedServiceEntry("kitchen", 1, "zone")},
+			want:     []string{"kitchen@2"},
+		},
 		"an entry of an import has another revision": {
 			recorded: entries{routeEntry("lunch", 7, "lunch.example.org", "tables"), evening},
 			inForce:  entries{lunch},
--- a/internal/config/nodeconfig/schema.go
+++ b/internal/config/nodeconfig/schema.go
@@ -125,6 +125,8 @@
 	Deadline         Duration `toml:"deadline"`
 	PriorityWeight   *float64 `toml:"utility"`
 	LateWeight       float64  `toml:"late_utility"` // the weight of a response after the latency objective
+
+	defaultScope bool // DedupScope is the default: the file does not give it
 }
 
 // Tenant is one customer of a service.
--- a/internal/config/nodeconfig/validateservice.go
+++ b/internal/config/nodeconfig/validateservice.go
@@ -29,7 +29,7 @@
 // maxParams is the maximum number of params that a service may add to its FastCGI requests.
 const maxParams = 64
 
-var dedupScopes = []string{"all", "zone", "cell"}
+var dedupScopes = []string{scopeAll, "zone", "cell"}
 
 // validate returns the mistakes in a service. key is the key of the service's table, such as service[1].
 func (s *Service) validate(key string) []error {
