endpoints: pauses after a rejected poll fall as the 4 s after a move run out

Cause: the pause after a rejection was bounded for the 6 s of any change (1.1 to 3.25 s a pause), whatever was left of the 4 s after SIGHUP: one or two polls after the first, the last of them often too late.

While no list of the new address has come, a pause is at most half of the time left, not under 50 ms per squared number of nodes of the tier, and not so short that rejections could take a quarter of discovery's time by what this one took; for at most seven rejections. Nine nodes and more, or slow rejections: as before.

Why it works: the additional polls come late, when most nodes have their lists.

--- a/cmd/robincart/platform.go
+++ b/cmd/robincart/platform.go
@@ -76,6 +76,7 @@
 	b.core = node.New(config.node, config.seed(), p.clock, time.Now(), b.watcher.RequestWatch)
 	b.core.SetRecorder(p.telemetry)
 	b.watcher.SetRecorder(p.telemetry)
+	b.watcher.SetTierNodes(config.node.Instances)
 	b.watcher.SetInitialList(b.core, config.list)
 	b.pool = upstream.NewPool(b.core, l, p.budget, p.poller)
 	b.pool.SetRecorder(p.telemetry)
@@ -130,6 +131,7 @@
 	p.process.frontend.SetTable(&frontend.Table{Only: p.service})
 	p.process.frontend.SetRequestIDTTL(config.limits.RequestIDTTL)
 	p.pool.SetTimeouts(config.limits)
+	p.watcher.SetTierNodes(config.node.Instances)
 	p.process.limits = config.limits
 }
 
--- a/internal/controlplane/endpoints/backoff.go
+++ b/internal/controlplane/endpoints/backoff.go
@@ -51,7 +51,7 @@
 	if p.ended() && p.answered { // a response may end before it has sent a change that discovery already has
 		failure.MaxPause = min(failure.MaxPause, w.limits.MaxReconnectDelay)
 	}
-	w.boundAfterRejection(cause, &failure)
+	w.boundAfterRejection(p, cause, &failure)
 	failure.MaxPause = max(0, failure.MaxPause)
 	return failure
 }
@@ -73,7 +73,7 @@
 }
 
 // boundAfterRejection sets MinPause and limits MaxPause if discovery rejected the poll. The caller holds the mutex.
-func (w *Watcher) boundAfterRejection(cause error, failure *node.WatchFailure) {
+func (w *Watcher) boundAfterRejection(p *poll, cause error, failure *node.WatchFailure) {
 	var rejection *RejectedError
 	if !errors.As(cause, &rejection) {
 		w.rejectedSince = time.Time{}
@@ -84,6 +84,7 @@
 		w.rejectedSince = now
 	}
 	maxPause := maxPauseAfterRejection(w.limits, now.Sub(w.lastMessage), now.Sub(w.rejectedSince))
+	maxPause = w.relocation.boundPause(w.tierNodes, now, now.Sub(p.startedAt), maxPause)
 	failure.MinPause = maxPause
 	failure.MaxPause = min(failure.MaxPause, maxPause)
 }
--- a/internal/controlplane/endpoints/fleet_test.go
+++ b/internal/controlplane/endpoints/fleet_test.go
@@ -275,6 +275,44 @@
 	assert.Zero(t, late)
 }
 
+// Guards against nodes that pause past the 4 s after an address change because the new discovery rejects all polls at
+// first.
+func TestFleet_SmallFleetIsUpdatedInTimeAfterFirstRejections(t *testing.T) {
+	const (
+		nodes, runs        = 5, 20
+		maxRelocationDelay = 4 * time.Second
+	)
+	late := 0
+	for run := range runs {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSimulation(t)
+			working, next := s.startDiscovery(time.Millisecond), s.startDiscovery(200*time.Millisecond)
+			next.maxWait, next.rejectionTime = 600*time.Millisecond, 28*time.Millisecond
+			var fleet []*testNode
+			for i := range nodes {
+				fleet = append(fleet, s.startNode(nodeOptions{
+					dial: dialByAddress(next, working), seed: int64(1000*run + i), instances: nodes,
+				}))
+			}
+			time.Sleep(13 * time.Second)
+			next.setFault(rejecting)
+			movedAt := time.Now()
+			for _, n := range fleet {
+				n.watcher.SetAddress(nextAddress)
+			}
+			time.Sleep(2500 * time.Millisecond)
+			next.setFault(noFault)
+			for _, n := range fleet {
+				n.awaitUpdate(movedAt.Add(time.Millisecond), time.Minute)
+				if n.updatedAt().Sub(movedAt) > maxRelocationDelay {
+					late++
+				}
+			}
+		})
+	}
+	assert.Zero(t, late, "of %d nodes", nodes*runs)
+}
+
 // disturbance is a series of faults. When the disturbance ends, discovery publishes a change, which must reach the node
 // within maxUpdateDelay after the publication.
 type disturbance struct {
--- a/internal/controlplane/endpoints/poll.go
+++ b/internal/controlplane/endpoints/poll.go
@@ -178,6 +178,7 @@
 	if !former {
 		w.failures, w.newAddress = 0, false
 		w.rejectedSince = time.Time{}
+		w.relocation.end()
 		w.dropFormer()
 	}
 	w.mu.Unlock()
--- a/internal/controlplane/endpoints/polls.go
+++ b/internal/controlplane/endpoints/polls.go
@@ -82,6 +82,7 @@
 	w.polledAddr, w.revision = w.addr, 0
 	w.failures, w.newAddress = 0, true
 	w.rejectedSince = time.Time{}
+	w.relocation.begin(time.Now())
 	w.log.Info("discovery address changed", zap.String("discovery", w.polledAddr), zap.Int("open_polls", len(w.polls)))
 }
 
--- a/internal/controlplane/endpoints/simulation_test.go
+++ b/internal/controlplane/endpoints/simulation_test.go
@@ -100,6 +100,7 @@
 	n := &testNode{budget: o.budget}
 	n.watcher = New(firstAddress, nil, l, n.budget, zap.NewNop())
 	n.watcher.SetDialer(o.dial)
+	n.watcher.SetTierNodes(o.instances)
 	n.Core = node.New(instance, o.seed, bubbleClock{time.Now()}, time.Now(), n.watcher.RequestWatch)
 	n.watcher.SetReceiver(n)
 	s.running.Go(func() {
--- a/internal/controlplane/endpoints/watcher.go
+++ b/internal/controlplane/endpoints/watcher.go
@@ -72,7 +72,9 @@
 	failures       int     // failed polls since the last message of a watch, or since the address changed
 	pollsStarted   int64
 	newAddress     bool // the address has changed, and no poll of polledAddr has failed or become a watch yet
+	tierNodes      int  // nodes of the tier: they poll the same discovery
 
+	relocation    relocation
 	rejectedSince time.Time // when the current series of rejected polls began; zero: the latest poll was not rejected
 	lastMessage   time.Time // time of the last message; until the first message, the time of the Watcher's creation
 	// entriesSinceSnapshot counts the entries of the last snapshot and of the deltas after it, except entries in phase
@@ -90,6 +92,7 @@
 		descriptors: descriptorReserve{budget: budget},
 		log:         log,
 		lastMessage: time.Now(),
+		tierNodes:   1,
 		wake:        make(chan struct{}, 1),
 		dial:        (&net.Dialer{KeepAlive: -1}).DialContext,
 	}
@@ -105,6 +108,13 @@
 // SetRecorder makes the Watcher count the polls that end, by reason. SetRecorder is called before Run.
 func (w *Watcher) SetRecorder(r *telemetry.Recorder) { w.recorder = r }
 
+// SetTierNodes sets the number of nodes of the tier. They share discovery, so the pauses between polls depend on it.
+func (w *Watcher) SetTierNodes(nodes int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tierNodes = max(1, nodes)
+}
+
 // SetReceiver sets the receiver if there is no initial list; otherwise, SetInitialList sets it. SetReceiver is called
 // before Run.
 func (w *Watcher) SetReceiver(r Receiver) { w.receiver = r }
--- a/internal/dataplane/services/service.go
+++ b/internal/dataplane/services/service.go
@@ -82,6 +82,7 @@
 	log := m.log.With(zap.String("service", pool.Name))
 	watcher := endpoints.New(pool.Discovery, pool.Settings.ZoneNames, pool.Limits, m.budget, log)
 	watcher.SetRecorder(m.Telemetry)
+	watcher.SetTierNodes(pool.Settings.Instances)
 	if m.Keys != nil {
 		watcher.SetTLS(m.Keys.Client)
 	}
