frontend: a request's wait counts where it filled the receive buffer, too

Cause: the wait in the listener's queue is asked of the kernel as the age of the last bytes, after the reads. Where the receive buffer was full, the first read made space, the client's machine sent what it had held back, and the last bytes were new: 1.73 s of wait counted as 0 (trace: sent 18.74 s, "request taken" 20.47 s with 2.49998 s left, given up 2.50 s later).

Change: the kernel is asked before the first read. If the buffer is full then, inputclock (moved out of upstream, no change of its rules) watches while the rest is read whether the client is still writing. A first request that is read at once costs the same one call as before.

--- a/internal/dataplane/frontend/conn.go
+++ b/internal/dataplane/frontend/conn.go
@@ -50,10 +50,10 @@
 // servingStatus is the part of a conn that only the goroutine that serves the connection may use. While no goroutine
 // serves the connection, the server's mutex guards this part.
 type servingStatus struct {
-	upload        *transfer        // the request's body is forwarded as it arrives; nil: it is not
-	reader        *httpwire.Reader // nil: no goroutine serves the connection
-	arrivedAt     time.Duration    // when the next bytes to read, or the new connection, arrived; 0: unknown
-	requestStart  time.Duration    // when the request that is being read began
+	upload        *transfer      // the request's body is forwarded as it arrives; nil: it is not
+	reader        *requestReader // nil: no goroutine serves the connection
+	arrivedAt     time.Duration  // when the next bytes to read, or the new connection, arrived; 0: unknown
+	requestStart  time.Duration  // when the request that is being read began
 	lastReadAt    time.Duration
 	turnStart     time.Duration // when the connection got the core last
 	deadlineSetAt time.Duration // when the read deadline was set
@@ -86,12 +86,18 @@
 	evictedAsSlow bool // evicted because its request arrived slowly and capacity was short
 }
 
-var readers = sync.Pool{New: func() any { return &httpwire.Reader{} }}
+// requestReader reads the requests of a connection while a goroutine serves the connection.
+type requestReader struct {
+	httpwire.Reader
+	backlog *backlog // of the request that is being read; nil: it did not wait with a full receive buffer
+}
+
+var readers = sync.Pool{New: func() any { return &requestReader{} }}
 
 // Run serves the requests that have arrived, one after another. When Run returns, the connection is idle, lingering,
 // closed or handed over to another process.
 func (c *conn) Run() {
-	reader := readers.Get().(*httpwire.Reader)
+	reader := readers.Get().(*requestReader)
 	c.setReader(reader)
 	step := stepServe
 	for step == stepServe {
@@ -102,10 +108,11 @@
 	}
 	// Another goroutine may own the connection from here on.
 	reader.Reset()
+	reader.backlog = nil
 	readers.Put(reader)
 }
 
-func (c *conn) setReader(reader *httpwire.Reader) {
+func (c *conn) setReader(reader *requestReader) {
 	s := c.server
 	reader.Init(c, &s.limits.Wire)
 	reader.KeepHeaders = s.table.Load().Find != nil
@@ -116,9 +123,10 @@
 }
 
 // serveNext serves one request and returns the next step.
-func (c *conn) serveNext(reader *httpwire.Reader) nextStep {
+func (c *conn) serveNext(reader *requestReader) nextStep {
 	c.serving.turnStart = c.server.clock()
 	c.serving.nonblocking = !reader.HasBuffered()
+	reader.backlog = c.findBacklog()
 	if !c.serveRequest() {
 		return stepClose
 	}
--- a/internal/dataplane/frontend/read.go
+++ b/internal/dataplane/frontend/read.go
@@ -42,6 +42,9 @@
 // bytes of a request, because these bytes have already arrived, or an earlier read has taken them.
 func (c *conn) readRaw(to []byte) (int, error) {
 	start := c.yieldCore()
+	if b := c.backlog(); b != nil {
+		b.beforeRead(c)
+	}
 	n, err := c.readOnce(to)
 	if err != nil && err != errNoInput && socket.Classify(err) == socket.Memory {
 		n, err = c.readThroughShortage(to)
@@ -53,6 +56,9 @@
 		}
 		c.serving.lastReadAt = now
 		c.serving.readCount++
+		if b := c.backlog(); b != nil {
+			b.afterRead(c, n < len(to))
+		}
 	}
 	return n, err
 }
@@ -125,9 +131,12 @@
 	if oneRead && arrivedAt != 0 {
 		waited = max(0, c.server.clock()-arrivedAt)
 	}
-	// Only the kernel knows the time in the listener's queue, and when the end of a request arrived that took several
-	// reads.
-	if c.serving.firstRequest || !oneRead {
+	// Only the kernel knows when the end of a request arrived that took several reads.
+	if b := c.backlog(); b != nil {
+		c.serving.reader.backlog = nil
+		return max(waited, b.age(c))
+	}
+	if !oneRead {
 		waited = max(waited, socket.SinceLastData(c.raw))
 	}
 	return waited
--- a/internal/dataplane/upstream/upload.go
+++ b/internal/dataplane/upstream/upload.go
@@ -8,14 +8,13 @@
 	"os"
 	"time"
 
+	"robincart/internal/dataplane/inputclock"
 	"robincart/internal/protocol/httpwire"
 )
 
 const (
 	// uploadCheckInterval is how often the client's time is checked while a server does not read.
 	uploadCheckInterval = 100 * time.Millisecond
-	// observeInterval is the shortest time between two looks at the client's input, which cost system calls.
-	observeInterval = 10 * time.Millisecond
 	// minWriteTime is the shortest time for which a write is tried.
 	minWriteTime = time.Millisecond
 )
@@ -29,7 +28,8 @@
 	exchange *exchange
 	conn     *conn
 	framing  bodyFraming
-	clock    uploadClock
+	limit    time.Duration // the client's time for the request
+	clock    inputclock.Clock
 
 	observedAt time.Time
 }
@@ -39,13 +39,9 @@
 func (e *exchange) upload(c *conn, head *[]byte) error {
 	body := e.request.BodyStream
 	defer body.Release()
-	u := &upload{
-		exchange: e,
-		conn:     c,
-		clock:    uploadClock{limit: e.request.TimeLeft, doneSince: time.Now()},
-	}
+	u := &upload{exchange: e, conn: c, limit: e.request.TimeLeft, clock: inputclock.New(time.Now())}
 	if !e.request.ReadAt.IsZero() {
-		u.clock.doneSince = e.request.ReadAt.Add(-e.request.Unread)
+		u.clock = inputclock.New(e.request.ReadAt.Add(-e.request.Unread))
 	}
 	buffers := &e.pool.socketBuffers
 	buffers.GrowSend(c.raw, &c.buffers)
@@ -109,7 +105,7 @@
 	if client == nil {
 		return body.Read(to)
 	}
-	if now := time.Now(); now.Sub(u.observedAt) >= observeInterval {
+	if now := time.Now(); now.Sub(u.observedAt) >= inputclock.ObserveInterval {
 		u.observe(now)
 	}
 	n, err := body.Read(to)
@@ -122,7 +118,7 @@
 	u.observedAt = now
 	if client := u.exchange.request.Client; client != nil {
 		full, sinceArrival := client.InputState()
-		u.clock.observe(now, inputState{full: full, arrivedAt: now.Add(-sinceArrival)})
+		u.clock.Observe(now, inputclock.State{Full: full, ArrivedAt: now.Add(-sinceArrival)})
 	}
 }
 
@@ -130,9 +126,12 @@
 func (u *upload) left() time.Duration {
 	now := time.Now()
 	u.observe(now)
-	return u.clock.left(now)
+	return u.leftAt(now)
 }
 
+// leftAt returns how much of the client's time is left at a time, by what is known of the client's input.
+func (u *upload) leftAt(now time.Time) time.Duration { return u.limit - now.Sub(u.clock.DoneSince()) }
+
 // write writes to the server. It fails if that takes longer than RequestStallTimeout, or if the client's time is over.
 func (u *upload) write(parts net.Buffers) error {
 	start := time.Now()
@@ -154,7 +153,7 @@
 // writeStep writes what the server takes within uploadCheckInterval, or within the client's time.
 func (u *upload) writeStep(parts *net.Buffers) error {
 	start := time.Now()
-	limit := min(uploadCheckInterval, max(minWriteTime, u.clock.left(start)))
+	limit := min(uploadCheckInterval, max(minWriteTime, u.leftAt(start)))
 	u.conn.SetWriteDeadline(start.Add(limit))
 	if u.exchange.canceled() { // the deadline set above may have overwritten pastDeadline
 		return errCanceled
