--- a/internal/controlplane/endpoints/fleet_test.go
+++ b/internal/controlplane/endpoints/fleet_test.go
@@ -76,7 +76,7 @@
 	t.Helper()
 	s := newSimulation(t)
 	d := s.startDiscovery(time.Millisecond)
-	fleet := s.startFleet(d, nodes, 1)
+	fleet := s.startFleet(d.dial, nodes, 1)
 	time.Sleep(30 * time.Second)
 	d.mu.Lock()
 	d.polls = 0
@@ -146,7 +146,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					s := newSimulation(t)
 					d := s.startDiscovery(time.Millisecond)
-					fleet := s.startFleet(d, x.nodes, int64(1000*run))
+					fleet := s.startFleet(d.dial, x.nodes, int64(1000*run))
 					time.Sleep(30 * time.Second)
 					d.mu.Lock()
 					d.serviceTime, d.rejectionTime, d.maxWait = x.serviceTime, x.rejectionTime, 650*time.Millisecond
@@ -245,12 +245,7 @@
 					time.Sleep(2 * time.Second)
 				}
 			})
-			var fleet []*testNode
-			for i := range nodes {
-				fleet = append(fleet, s.startNode(nodeOptions{
-					dial: dialByAddress(next, working), seed: int64(1000*run + i), instances: nodes,
-				}))
-			}
+			fleet := s.startFleet(dialByAddress(next, working), nodes, int64(1000*run))
 			time.Sleep(13 * time.Second)
 			next.setFault(rejecting)
 			movedAt := make([]time.Time, nodes)
@@ -288,12 +283,7 @@
 			s := newSimulation(t)
 			working, next := s.startDiscovery(time.Millisecond), s.startDiscovery(200*time.Millisecond)
 			next.maxWait, next.rejectionTime = 600*time.Millisecond, 28*time.Millisecond
-			var fleet []*testNode
-			for i := range nodes {
-				fleet = append(fleet, s.startNode(nodeOptions{
-					dial: dialByAddress(next, working), seed: int64(1000*run + i), instances: nodes,
-				}))
-			}
+			fleet := s.startFleet(dialByAddress(next, working), nodes, int64(1000*run))
 			time.Sleep(13 * time.Second)
 			next.setFault(rejecting)
 			movedAt := time.Now()
@@ -471,7 +461,7 @@
 			s := newSimulation(t)
 			d := s.startDiscovery(serviceTime)
 			d.setFault(rejecting)
-			n := s.startFleet(d, 1, int64(run))[0]
+			n := s.startFleet(d.dial, 1, int64(run))[0]
 			time.Sleep(10 * time.Second) // until the pauses have grown
 			recovered := time.Now()
 			d.setFault(noFault)
@@ -494,7 +484,7 @@
 		s := newSimulation(t)
 		d := s.startDiscovery(time.Millisecond)
 		d.setFault(endingWatches)
-		n := s.startFleet(d, 1, 1)[0]
+		n := s.startFleet(d.dial, 1, 1)[0]
 		time.Sleep(10 * time.Second)
 		d.mu.Lock()
 		d.polls = 0
--- a/internal/controlplane/endpoints/simulation_test.go
+++ b/internal/controlplane/endpoints/simulation_test.go
@@ -110,12 +110,12 @@
 	return n
 }
 
-// startFleet starts nodes that all use one discovery.
-func (s *simulation) startFleet(d *fakeDiscovery, nodes int, firstSeed int64) []*testNode {
+// startFleet starts nodes that all connect to discovery in the same way.
+func (s *simulation) startFleet(dial DialFunc, nodes int, firstSeed int64) []*testNode {
 	s.t.Helper()
 	fleet := make([]*testNode, nodes)
 	for i := range fleet {
-		fleet[i] = s.startNode(nodeOptions{dial: d.dial, seed: firstSeed + int64(i), instances: nodes})
+		fleet[i] = s.startNode(nodeOptions{dial: dial, seed: firstSeed + int64(i), instances: nodes})
 	}
 	return fleet
 }
