frontend: a request's backlog is looked for by the time that its turn began

The look before the first read called the clock once more for each request, next to a call whose time it can use.

--- a/internal/dataplane/frontend/backlog.go
+++ b/internal/dataplane/frontend/backlog.go
@@ -20,7 +20,7 @@
 // arrived. It returns the backlog, or nil if the receive buffer has space.
 func (c *conn) findBacklog() *backlog {
 	status := &c.serving
-	now := c.server.clock()
+	now := status.turnStart
 	waited := status.arrivedAt != 0 && now-status.arrivedAt >= inputclock.ArrivalTolerance
 	if !status.firstRequest && !waited {
 		return nil
