endpoints: a drain counts in a later change that is cut before its revision

Cause: this discovery writes the revision behind the entries. A change that broke off before it was taken for outdated, unless it was the first message of its poll, since an old one could drain a server for good. But messages of one answer follow each other, and a change is told once it is written.

Change: such a part is applied.

--- a/internal/controlplane/endpoints/errors.go
+++ b/internal/controlplane/endpoints/errors.go
@@ -86,5 +86,6 @@
 		"no file descriptor left for the connection to discovery: raise the process's limit or limits.sockets")
 	errUnanswered      = errors.New("discovery has not answered the poll in time")
 	errDropped         = errors.New("the poll was dropped: another poll was answered")
+	errOutdatedPart    = errors.New("a part of an outdated change was applied: a snapshot is requested")
 	errMessageTooLarge = errors.New("endpoint list: message is larger than the limit for one list")
 )
--- a/internal/controlplane/endpoints/poll.go
+++ b/internal/controlplane/endpoints/poll.go
@@ -54,6 +54,8 @@
 	reported    bool      // the poll's failure was reported to the core, or is about to be
 	former      bool      // discovery's address has changed since the poll started
 	revision    int64     // of the current list at addr; only used if former is set
+	// unconfirmedPart: a part of the current message was applied whose revision has not arrived.
+	unconfirmedPart bool
 }
 
 // deadline returns the time until which the poll waits for its first message.
--- a/internal/controlplane/endpoints/polls.go
+++ b/internal/controlplane/endpoints/polls.go
@@ -113,10 +113,21 @@
 func (w *Watcher) endPoll(p *poll, cause error) {
 	p.err = cause
 	p.cancel()
+	w.requireSnapshot(p)
 	close(p.done)
 	w.signal()
 }
 
+// requireSnapshot makes the next poll request a snapshot if a poll has ended in a message of unknown revision of which
+// a part was applied. If the message was outdated, only a snapshot shows that its servers are ready.
+func (w *Watcher) requireSnapshot(p *poll) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p.unconfirmedPart && !p.former {
+		w.revision = 0
+	}
+}
+
 // markUnanswered marks a poll that is still pending after FirstMessageTimeout, and wakes Run, which reports the poll as
 // failed. The poll continues to run while another poll is started.
 func (w *Watcher) markUnanswered(p *poll) {
--- a/internal/controlplane/endpoints/watcher.go
+++ b/internal/controlplane/endpoints/watcher.go
@@ -198,20 +198,27 @@
 
 // deliver passes a message of a poll to the receiver. If a delta is not newer than the current list, deliver passes no
 // entries, since old entries could bring back servers that are gone. The call then only shows the receiver that
-// discovery has answered.
-func (w *Watcher) deliver(p *poll, l *List) {
+// discovery has answered. If a part of such a delta was applied before its revision arrived, deliver returns an error,
+// so that the next poll requests a snapshot.
+func (w *Watcher) deliver(p *poll, l *List) error {
 	w.mu.Lock()
 	revision := w.revisionOf(p)
 	outdated := !l.Complete && l.Revision <= *revision
 	if !outdated {
 		*revision = l.Revision
+		p.unconfirmedPart = false
 	}
+	partApplied := p.unconfirmedPart
 	w.mu.Unlock()
 	if outdated {
 		w.receiver.UpdateEndpoints(nil, false)
-		return
+		if partApplied {
+			return &WatchLostError{Cause: errOutdatedPart}
+		}
+		return nil
 	}
 	w.receiver.UpdateEndpoints(l.Endpoints(w.zones, w.log), l.Complete)
+	return nil
 }
 
 // revisionOf returns the revision of the current list at a poll's address. The mutex is held.
--- a/internal/controlplane/endpoints/watchreader.go
+++ b/internal/controlplane/endpoints/watchreader.go
@@ -109,17 +109,21 @@
 }
 
 // deliverPart passes a part of a message to the receiver. The revision stays, so that the next poll requests the whole
-// message again. deliverPart returns false if the message is outdated or its poll was dropped. The revision may not
-// have arrived yet; the first message of a poll is an answer to this node's revision, so that it can't be outdated.
+// message again. deliverPart returns false if the message is outdated or its poll was dropped.
+//
+// A part whose revision has not arrived is passed, too: the messages of a poll answer this node's revision and follow
+// each other, so discovery has notified the node. If the message turns out to be outdated all the same, a snapshot
+// corrects what the part has changed (see requireSnapshot).
 func (w *Watcher) deliverPart(p *poll, part *List) bool {
-	answersPoll := part.Revision == 0 && !p.delivered
+	revisionUnknown := part.Revision == 0
 	w.mu.Lock()
-	outdated := !part.Complete && part.Revision <= *w.revisionOf(p) && !answersPoll
-	dropped := p.state == pollDropped
-	w.mu.Unlock()
-	if outdated || dropped {
+	outdated := !part.Complete && !revisionUnknown && part.Revision <= *w.revisionOf(p)
+	if outdated || p.state == pollDropped {
+		w.mu.Unlock()
 		return false
 	}
+	p.unconfirmedPart = p.unconfirmedPart || revisionUnknown && p.delivered
+	w.mu.Unlock()
 	w.receiver.UpdateEndpoints(part.Endpoints(w.zones, w.log), false)
 	return true
 }
@@ -142,7 +146,9 @@
 		if err := w.checkTurnover(list); err != nil {
 			return err
 		}
-		w.deliver(p, list)
+		if err := w.deliver(p, list); err != nil {
+			return err
+		}
 		if !p.delivered {
 			p.delivered = true
 			w.markEstablished(p, list)
--- a/internal/controlplane/endpoints/watchreader_test.go
+++ b/internal/controlplane/endpoints/watchreader_test.go
@@ -80,13 +80,68 @@
 		receiver, _, _ := startWatcher(t, emptySnapshot, answerCutAt(part, len(part), len(part)))
 		assert.Equal(t, "a", receiver.next(t).entries[0].ID, "it answers a poll with this node's revision")
 	})
+	// Guards against requests to a server whose drain stood in a change that was cut before its revision.
 	t.Run("later message", func(t *testing.T) {
-		receiver, _, _ := startWatcher(t, emptySnapshot, sendAndClose(responseHead, messageChunk(42, true), chunk(part)))
+		receiver, w, requests := startWatcher(t, emptySnapshot,
+			sendAndClose(responseHead, messageChunk(42, true), chunk(part)),
+			send(responseHead, messageChunk(43, true, memberJSON("a", "ready"))))
+		assert.True(t, receiver.next(t).full)
+		drained := receiver.next(t)
+		require.Len(t, drained.entries, 1, "it follows the message before")
+		assert.Equal(t, decide.Draining, drained.entries[0].State)
+		assert.False(t, drained.full)
+		assert.True(t, receiver.next(t).failed)
+		assert.Contains(t, testutil.Receive(t, requests), "since=41")
+		w.RequestWatch()
+		assert.Contains(t, testutil.Receive(t, requests), "since=0", "a snapshot corrects it if it was outdated")
 		assert.True(t, receiver.next(t).full)
-		assert.True(t, receiver.next(t).failed, "it may be outdated")
 	})
 }
 
+// Guards against a server that stays drained after an old change whose revision arrived behind its entries.
+func TestWatchReader_OutdatedPartIsCorrectedBySnapshot(t *testing.T) {
+	rest := make(chan bool)
+	receiver, w, requests := startWatcher(t, emptySnapshot, func(c net.Conn) {
+		io.WriteString(c, responseHead+messageChunk(42, true, memberJSON("a", "ready"))+
+			chunk(`{"complete":false,"members":[`+memberJSON("a", "draining")))
+		go func() {
+			<-rest
+			io.WriteString(c, chunk(`],"revision":40}`+"\n"))
+		}()
+	}, send(responseHead, messageChunk(42, true, memberJSON("a", "ready"))))
+	testutil.Receive(t, requests)
+	assert.True(t, receiver.next(t).full)
+	assert.Equal(t, decide.Draining, receiver.next(t).entries[0].State)
+	close(rest)
+	assert.Empty(t, receiver.next(t).entries, "the entries of an outdated change are not applied")
+	assert.True(t, receiver.next(t).failed)
+	w.RequestWatch()
+	assert.Contains(t, testutil.Receive(t, requests), "since=0")
+	assert.True(t, receiver.next(t).full)
+}
+
+// Guards against snapshots that are requested though a change that stalled has arrived whole.
+func TestWatchReader_StalledDeltaOfUnknownRevisionNeedsNoSnapshot(t *testing.T) {
+	rest := make(chan bool)
+	receiver, w, requests := startWatcher(t, emptySnapshot, func(c net.Conn) {
+		io.WriteString(c, responseHead+messageChunk(42, true)+
+			chunk(`{"complete":false,"members":[`+memberJSON("a", "draining")))
+		go func() {
+			<-rest
+			io.WriteString(c, chunk(`],"revision":43}`+"\n"))
+			c.Close()
+		}()
+	}, send(responseHead, messageChunk(43, false)))
+	testutil.Receive(t, requests)
+	assert.True(t, receiver.next(t).full)
+	assert.Equal(t, "a", receiver.next(t).entries[0].ID)
+	close(rest)
+	assert.Equal(t, "a", receiver.next(t).entries[0].ID)
+	assert.True(t, receiver.next(t).failed)
+	w.RequestWatch()
+	assert.Contains(t, testutil.Receive(t, requests), "since=43")
+}
+
 func TestWatchReader_StalledMessageIsAppliedTwice(t *testing.T) {
 	rest := make(chan bool)
 	receiver, w, requests := startWatcher(t, emptySnapshot, func(c net.Conn) {
