endpoints: a read of discovery's answer is repeated through a shortage of memory

Cause: a read that fails with ENOMEM or ENOBUFS leaves the connection and its bytes as they are, but the watcher closed the connection with the answer in it and asked again up to 3.25 s later.

Change: polls and watches read by socket.ShortageConn, as connections to servers do: a read is repeated for up to 2 s.

Evidence: TestWatchReader_ReadIsRepeatedDuringMemoryShortage failed before.

--- a/internal/controlplane/endpoints/poll.go
+++ b/internal/controlplane/endpoints/poll.go
@@ -84,7 +84,9 @@
 		return err
 	}
 	defer raw.Close()
-	conn, err := w.startTLS(ctx, &countingConn{Conn: raw, received: &p.received}, p.addr)
+	// A read that fails for want of memory is repeated: its bytes stay in the socket and may name servers that drain.
+	reading := socket.ShortageConn{Conn: raw}
+	conn, err := w.startTLS(ctx, &countingConn{Conn: reading, received: &p.received}, p.addr)
 	if err != nil {
 		return err
 	}
--- a/internal/controlplane/endpoints/watchreader_test.go
+++ b/internal/controlplane/endpoints/watchreader_test.go
@@ -1,18 +1,23 @@
 package endpoints
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"robincart/decide"
+	"robincart/internal/resources/limits"
 	"robincart/internal/testutil"
 )
 
@@ -167,3 +172,41 @@
 	assert.Len(t, whole.entries, 2)
 	assert.Empty(t, requests, "the poll is not repeated")
 }
+
+// shortageConn is a connection whose first reads fail because the machine lacks memory.
+type shortageConn struct {
+	net.Conn
+	failures int
+}
+
+func (c *shortageConn) Read(to []byte) (int, error) {
+	if c.failures > 0 {
+		c.failures--
+		return 0, &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ENOMEM)}
+	}
+	return c.Conn.Read(to)
+}
+
+// Guards against requests to a server whose drain discovery has written, where a read failed for want of memory.
+func TestWatchReader_ReadIsRepeatedDuringMemoryShortage(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	requests := make(chan string, 9)
+	go answerPolls(listener, requests, []func(net.Conn){
+		send(responseHead, messageChunk(42, false, memberJSON("a", "draining"))),
+	})
+	w := New(listener.Addr().String(), []string{"south"}, testLimits(), limits.NewBudget(2, 0, nil), zap.NewNop())
+	w.SetDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return &shortageConn{Conn: conn, failures: 3}, err
+	})
+	receiver := make(fakeReceiver, 9)
+	w.SetReceiver(receiver)
+	runWatcher(t, w)
+	w.RequestWatch()
+	got := receiver.next(t)
+	require.False(t, got.failed)
+	require.Len(t, got.entries, 1)
+	assert.Equal(t, decide.Draining, got.entries[0].State)
+}
