node: the report of a late answer tells whether the request, an attempt or a timer was late

A wait before the read, a slow attempt and a late timer all look like that.

Change: the report has the reason of the answer, when the request arrived, and its attempts.

TestInvariants_LateAnswerTellsWhatWasLate is new.

--- a/internal/core/node/events.go
+++ b/internal/core/node/events.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"fmt"
+	"time"
+
 	"robincart/decide"
 	"robincart/internal/system/telemetry"
 )
@@ -47,7 +50,7 @@
 		c.recorder.Violation(telemetry.Violation{
 			Rule:    telemetry.AnsweredLate,
 			Request: r.requestID,
-			Detail:  late.String() + " after the deadline",
+			Detail:  r.lateDetail(late, reason),
 		})
 	}
 	c.recorder.Record(telemetry.Event{
@@ -58,6 +61,13 @@
 	})
 }
 
+// lateDetail returns what distinguishes the causes of a late answer: a request that arrived late, an attempt that ended
+// late, and a timer that fired late.
+func (r *RPC) lateDetail(late time.Duration, reason telemetry.Reason) string {
+	return fmt.Sprintf("%v after the deadline, %v: arrived %v before the deadline, %d attempts, %d in flight",
+		late, reason, r.Deadline-r.arrivedAt, len(r.attempts), r.attemptsInFlight)
+}
+
 // recordStateChange records that a server changes to another state or has restarted. e is the server's new list entry,
 // and state is its new state. The caller updates s only after this call, so s.listed and s.state are still the previous
 // entry and the previous state.
--- a/internal/core/node/invariants_test.go
+++ b/internal/core/node/invariants_test.go
@@ -111,6 +111,16 @@
 	assert.EqualValues(t, 1, recorder.Violations(telemetry.AnsweredLate))
 }
 
+// Guards against a report of a late answer that does not tell a late arrival from a late attempt.
+func TestInvariants_LateAnswerTellsWhatWasLate(t *testing.T) {
+	c := newCore(t, nil)
+	c.listReady("a")
+	c.clock.now = time.Minute
+	r := c.Arrived(Arrival{Method: find, Deadline: c.clock.now - 200*time.Millisecond})
+	assert.Equal(t, "200ms after the deadline, not admitted: arrived -200ms before the deadline, 0 attempts, 0 in flight",
+		r.lateDetail(200*time.Millisecond, telemetry.NotAdmitted))
+}
+
 // The event of an attempt or of an answer contains the reason for that attempt or answer.
 func TestEvents_Reasons(t *testing.T) {
 	c, recorder := newRecordedCore(t, nil)
--- a/internal/core/node/rpc.go
+++ b/internal/core/node/rpc.go
@@ -35,6 +35,7 @@
 	// The core's mutex guards the fields below.
 	decideRPC        decide.RPC
 	state            rpcState
+	arrivedAt        time.Duration
 	slotsReleased    bool
 	requestID        string            // given by the client
 	method           decide.Method     // the method's settings when the request arrived; a reload does not change them
@@ -75,6 +76,7 @@
 	r.decideRPC.HostData = r
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r.arrivedAt = c.clock.Now()
 	if c.settings.WorkHints {
 		r.decideRPC.WorkHint = a.WorkHint
 	}
@@ -85,7 +87,7 @@
 	c.recorder.Record(telemetry.Event{
 		Kind:     telemetry.RequestTaken,
 		Request:  a.RequestID,
-		Duration: a.Deadline - c.clock.Now(),
+		Duration: a.Deadline - r.arrivedAt,
 	})
 	c.answerReason = telemetry.NotAdmitted
 	c.balancer.Arrived(&r.decideRPC)
