frontend: a failed accept does not delay all connections in the queue

Cause: the accept loop slept for 5 ms after each such failure, and all connections in the listener's queue with it.

Change: socket.AcceptBackoff. The first retry is immediate, further ones in a row wait for 0.3 to 5 ms. Where descriptors are wanting the 5 ms stay, as connections to servers get the descriptors first.

Evidence: TestServer_FailedAcceptsDelayNoConnection failed before for each of its errors ("nothing was sent to the channel for 20s"). Why it works: the errors concern one connection or a moment, so that one retry mostly succeeds.

--- a/internal/dataplane/frontend/accept.go
+++ b/internal/dataplane/frontend/accept.go
@@ -41,6 +41,7 @@
 	defer s.running.Done()
 	defer s.removeListener(listener)
 	exhausted := false // the lack of descriptors was logged, and no accept has succeeded since
+	backoff := socket.NewAcceptBackoff(s.limits.AcceptRetryDelay)
 	for {
 		if s.closingListeners.Load() {
 			interruptAccept(listener)
@@ -49,6 +50,7 @@
 		switch {
 		case err == nil:
 			exhausted = false
+			backoff.Succeeded()
 			s.handleAccepted(netConn, config)
 		case errors.Is(err, net.ErrClosed):
 			return
@@ -63,12 +65,12 @@
 				s.log.Warn("descriptors exhausted", zap.Error(err), advice(err))
 			}
 			s.evictIdle()
-			time.Sleep(s.limits.AcceptRetryDelay)
+			time.Sleep(s.limits.AcceptRetryDelay) // connections to servers get the descriptors first
 		default:
 			// A client closed its connection while the connection was in the listener's queue, or a resource is short
 			// for now. The listener itself still works.
 			s.log.Warn("accept failed", zap.Error(err), advice(err))
-			time.Sleep(s.limits.AcceptRetryDelay)
+			time.Sleep(backoff.Failed())
 		}
 	}
 }
@@ -86,16 +88,20 @@
 // calls socket.Accept, because the listener's deadline has passed. After this deadline the listener's own Accept fails
 // even if a connection is in the queue.
 func (s *Server) drainListener(listener net.Listener, config *Gateway) {
+	backoff := socket.NewAcceptBackoff(s.limits.AcceptRetryDelay)
 	for {
 		netConn, err := socket.Accept(listener)
 		switch {
 		case netConn != nil:
+			backoff.Succeeded()
 			s.handleAccepted(netConn, config)
 		case err != nil && !s.aborting():
+			wait := backoff.Failed()
 			if socket.Exhausted(err) {
 				s.evictIdle()
+				wait = s.limits.AcceptRetryDelay
 			}
-			time.Sleep(s.limits.AcceptRetryDelay)
+			time.Sleep(wait)
 		default:
 			listener.Close()
 			return
@@ -250,11 +256,12 @@
 // watch registers a connection with the poller. It retries after transient errors, such as a lack of kernel memory.
 func (s *Server) watch(c *conn) (poller.Registration, error) {
 	r, err := s.poller.Add(c.raw, c, true)
+	backoff := socket.NewAcceptBackoff(s.limits.AcceptRetryDelay)
 	for attempt := 0; attempt < maxWatchRetries; attempt++ {
 		if !socket.Classify(err).Transient() || s.aborting() {
 			break
 		}
-		time.Sleep(s.limits.AcceptRetryDelay)
+		time.Sleep(backoff.Failed())
 		r, err = s.poller.Add(c.raw, c, true)
 	}
 	return r, err
--- a/internal/resources/limits/limits.go
+++ b/internal/resources/limits/limits.go
@@ -40,7 +40,7 @@
 
 	// Connections to clients:
 
-	AcceptRetryDelay    time.Duration // wait before the next accept after a failed accept
+	AcceptRetryDelay    time.Duration // longest wait before the next accept after a failed one
 	ClientIdleTimeout   time.Duration // a connection without a request for this long is closed
 	EvictableAfter      time.Duration // minimum idle time before a connection may be evicted for another connection
 	EvictableStall      time.Duration // time without progress after which a client's large body gives way to others
