lab: the report of a lost drain tells the process, who acknowledged it and the node's kills

KNOWN-RED names TestRecord_NodesAndStoreKilled, once broken (n0 and n1 lost the drain of s13), and nothing tells whether the record had acknowledged the drain or the nodes had only shown it, nor whether they were killed in between.

Change: the report has the process that was drained, the acknowledged revision, from when the node had to know of the drain, its kills, and the record's entry. No check and no bound is changed.

--- a/internal/lab/chaos/recordcheck.go
+++ b/internal/lab/chaos/recordcheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -113,10 +114,10 @@
 	for _, s := range servers {
 		acknowledged := s.revision > 0
 		_, known := s.knownSince[i]
+		drain, present := recorded[s.id]
 		if (acknowledged || known) && !shown[s.id] {
-			r.reportBroken("n%d has lost the drain of %s", i, s.id)
+			r.reportBroken("n%d has lost the drain of %s: %s, the record has %+v", i, s.id, r.drainHistory(i, &s), drain)
 		}
-		drain, present := recorded[s.id]
 		if acknowledged && (!present || drain.Start < s.startTime) {
 			r.reportBroken("the store has lost the drain of %s, acknowledged at revision %d", s.id, s.revision)
 		}
@@ -125,3 +126,18 @@
 		}
 	}
 }
+
+// drainHistory returns what is known of a server's drain at a node, in seconds since the begin: the process that was
+// drained, who has acknowledged the drain, and when the node was killed and ready again.
+func (r *Record) drainHistory(i int, s *recordServer) string {
+	known := "the node never had to know of it"
+	if since, ok := s.knownSince[i]; ok {
+		known = fmt.Sprintf("the node had to know of it from %.3f s", since.Sub(r.begin).Seconds())
+	}
+	var downs []string
+	for _, at := range r.nodes[i].downs {
+		downs = append(downs, fmt.Sprintf("%.3f", at.Sub(r.begin).Seconds()))
+	}
+	return fmt.Sprintf("process %d, acknowledged at revision %d, %s, killed and ready again at %v s",
+		s.startTime, s.revision, known, downs)
+}
