frontend: timers, attempts and responses run between any two costly requests

Change: as many connections as there are cores read and parse at once; before the next one all runnable goroutines run.

Evidence: TestServer_OthersRunBetweenCostlyRequests failed before (another goroutine ran 1 or 2 times during 64 such requests; at least 32 times now). TestServer_StoppedClientKeepsNoReadTurn guards the turn itself.

--- a/internal/dataplane/frontend/read.go
+++ b/internal/dataplane/frontend/read.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"os"
-	"runtime"
 	"syscall"
 	"time"
 
@@ -45,6 +44,7 @@
 	if b := c.backlog(); b != nil {
 		b.beforeRead(c)
 	}
+	hadTurn := c.serving.hasReadTurn
 	n, err := c.readOnce(to)
 	if err != nil && err != errNoInput && socket.Classify(err) == socket.Memory {
 		n, err = c.readThroughShortage(to)
@@ -60,6 +60,10 @@
 			b.afterRead(c, n < len(to))
 		}
 	}
+	if hadTurn && !c.serving.hasReadTurn { // the read has waited for input
+		c.resumeReadTurn()
+		c.serving.turnStart = c.server.clock()
+	}
 	return n, err
 }
 
@@ -71,12 +75,13 @@
 	if now-c.serving.turnStart <= maxTurn {
 		return now
 	}
-	runtime.Gosched()
+	c.yieldReadTurn()
 	c.serving.turnStart = c.server.clock()
 	return c.serving.turnStart
 }
 
 func (c *conn) readThroughShortage(to []byte) (int, error) {
+	c.endReadTurn()
 	n := 0
 	err := socket.RetryShortage(func() error {
 		var err error
@@ -91,9 +96,17 @@
 		upload.await()
 		defer upload.proceed()
 	}
-	if !c.serving.nonblocking {
+	switch {
+	case c.serving.hasReadTurn && !c.serving.nonblocking:
+		return c.readInTurn(to)
+	case !c.serving.nonblocking:
 		return c.Conn.Read(to)
 	}
+	return c.readArrived(to)
+}
+
+// readArrived reads without waiting.
+func (c *conn) readArrived(to []byte) (int, error) {
 	n, err := 0, error(nil)
 	// Control ignores the deadline that an eviction sets: a request that has arrived is served.
 	connErr := c.raw.Control(func(fd uintptr) { n, err = socket.Read(fd, to) })
@@ -202,8 +215,10 @@
 
 // writeContinue sends the response 100 Continue, which a client expects before it sends its body.
 func (c *conn) writeContinue() {
-	c.setWriteDeadline()
-	socket.Write(c.Conn, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	c.outsideReadTurn(func() {
+		c.setWriteDeadline()
+		socket.Write(c.Conn, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	})
 }
 
 // handleReadError responds to a request that could not be read, and returns whether the connection can be used again.
--- a/internal/dataplane/frontend/request.go
+++ b/internal/dataplane/frontend/request.go
@@ -88,6 +88,7 @@
 	}
 	readCount := c.serving.readCount
 	request, err := c.serving.reader.ReadRequest()
+	c.endReadTurn()
 	if err != nil {
 		return err
 	}
--- a/internal/lab/chaos/recordcheck.go
+++ b/internal/lab/chaos/recordcheck.go
@@ -116,7 +116,8 @@
 		_, known := s.knownSince[i]
 		drain, present := recorded[s.id]
 		if (acknowledged || known) && !shown[s.id] {
-			r.reportBroken("n%d has lost the drain of %s: %s, the record has %+v", i, s.id, r.drainHistory(i, &s), drain)
+			history := r.drainHistory(i, &s)
+			r.reportBroken("n%d has lost the drain of %s: %s, the record has %+v", i, s.id, history, drain)
 		}
 		if acknowledged && (!present || drain.Start < s.startTime) {
 			r.reportBroken("the store has lost the drain of %s, acknowledged at revision %d", s.id, s.revision)
--- a/internal/system/socket/acceptbackoff.go
+++ b/internal/system/socket/acceptbackoff.go
@@ -9,17 +9,17 @@
 // connections behind them in the queue wait as well, so the first retry is immediate. Further retries wait for twice as
 // long each time.
 type AcceptBackoff struct {
-	max  time.Duration
-	next time.Duration
+	longest time.Duration
+	next    time.Duration
 }
 
-// NewAcceptBackoff returns a backoff whose waits are no longer than max.
-func NewAcceptBackoff(max time.Duration) AcceptBackoff { return AcceptBackoff{max: max} }
+// NewAcceptBackoff returns a backoff with a longest wait.
+func NewAcceptBackoff(longest time.Duration) AcceptBackoff { return AcceptBackoff{longest: longest} }
 
 // Failed returns how long to wait after a failure.
 func (b *AcceptBackoff) Failed() time.Duration {
 	wait := b.next
-	b.next = min(b.max, max(2*wait, b.max/firstWaitDivisor))
+	b.next = min(b.longest, max(2*wait, b.longest/firstWaitDivisor))
 	return wait
 }
 
