frontend: a read that fails does not wait for another turn

A client that had stopped in its request waited for one more turn, behind all connections that read, before it got its 408 or its connection was closed.

Change: only a read that has brought bytes begins a turn again.

Measured: the package passes with -race. No test of its own: the turn before the answer was not seen to break a rule.

--- a/internal/dataplane/frontend/read.go
+++ b/internal/dataplane/frontend/read.go
@@ -60,7 +60,7 @@
 			b.afterRead(c, n < len(to))
 		}
 	}
-	if hadTurn && !c.serving.hasReadTurn { // the read has waited for input
+	if n > 0 && hadTurn && !c.serving.hasReadTurn { // the read has waited for input
 		c.resumeReadTurn()
 		c.serving.turnStart = c.server.clock()
 	}
