frontend: what a request brings after a wait for input is read without a turn

Cause: readTurns put a request under way behind all new ones after each wait for input. So 170 bodies were read side by side, each with memory reserved, instead of a few that were soon whole.

Change: only the part of a request that is there when its turn comes is read in a turn.

--- a/internal/dataplane/frontend/read.go
+++ b/internal/dataplane/frontend/read.go
@@ -44,7 +44,6 @@
 	if b := c.backlog(); b != nil {
 		b.beforeRead(c)
 	}
-	hadTurn := c.serving.hasReadTurn
 	n, err := c.readOnce(to)
 	if err != nil && err != errNoInput && socket.Classify(err) == socket.Memory {
 		n, err = c.readThroughShortage(to)
@@ -60,10 +59,6 @@
 			b.afterRead(c, n < len(to))
 		}
 	}
-	if n > 0 && hadTurn && !c.serving.hasReadTurn { // the read has waited for input
-		c.resumeReadTurn()
-		c.serving.turnStart = c.server.clock()
-	}
 	return n, err
 }
 
--- a/internal/dataplane/frontend/readturn.go
+++ b/internal/dataplane/frontend/readturn.go
@@ -52,7 +52,7 @@
 	c.serving.hasReadTurn = true
 }
 
-// resumeReadTurn begins a turn after the connection has waited within a request.
+// resumeReadTurn begins another turn within a request.
 func (c *conn) resumeReadTurn() {
 	c.server.readTurns.expect()
 	c.beginReadTurn()
@@ -91,7 +91,9 @@
 	}
 }
 
-// readInTurn reads from the client like Conn.Read. If it has to wait for input it ends the connection's turn.
+// readInTurn reads from the client like Conn.Read. If it has to wait for input it ends the connection's turn. The rest
+// of the request is then read without a turn: if it waited behind new requests, more of them would hold memory for
+// bodies that are incomplete.
 func (c *conn) readInTurn(to []byte) (int, error) {
 	n, readErr := 0, error(nil)
 	err := c.raw.Read(func(fd uintptr) bool {
