--- a/internal/dataplane/frontend/read.go
+++ b/internal/dataplane/frontend/read.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -70,13 +71,12 @@
 	if now-c.serving.turnStart <= maxTurn {
 		return now
 	}
-	c.yieldReadTurn()
+	runtime.Gosched()
 	c.serving.turnStart = c.server.clock()
 	return c.serving.turnStart
 }
 
 func (c *conn) readThroughShortage(to []byte) (int, error) {
-	c.endReadTurn()
 	n := 0
 	err := socket.RetryShortage(func() error {
 		var err error
@@ -91,17 +91,9 @@
 		upload.await()
 		defer upload.proceed()
 	}
-	switch {
-	case c.serving.hasReadTurn && !c.serving.nonblocking:
-		return c.readInTurn(to)
-	case !c.serving.nonblocking:
+	if !c.serving.nonblocking {
 		return c.Conn.Read(to)
 	}
-	return c.readArrived(to)
-}
-
-// readArrived reads without waiting.
-func (c *conn) readArrived(to []byte) (int, error) {
 	n, err := 0, error(nil)
 	// Control ignores the deadline that an eviction sets: a request that has arrived is served.
 	connErr := c.raw.Control(func(fd uintptr) { n, err = socket.Read(fd, to) })
@@ -210,10 +202,8 @@
 
 // writeContinue sends the response 100 Continue, which a client expects before it sends its body.
 func (c *conn) writeContinue() {
-	c.outsideReadTurn(func() {
-		c.setWriteDeadline()
-		socket.Write(c.Conn, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
-	})
+	c.setWriteDeadline()
+	socket.Write(c.Conn, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
 }
 
 // handleReadError responds to a request that could not be read, and returns whether the connection can be used again.
--- a/internal/dataplane/frontend/request.go
+++ b/internal/dataplane/frontend/request.go
@@ -88,7 +88,6 @@
 	}
 	readCount := c.serving.readCount
 	request, err := c.serving.reader.ReadRequest()
-	c.endReadTurn()
 	if err != nil {
 		return err
 	}
--- a/internal/dataplane/frontend/server.go
+++ b/internal/dataplane/frontend/server.go
@@ -64,7 +64,6 @@
 	poller         *poller.Poller
 	workers        workerpool.Pool
 	transfers      transfers
-	readTurns      readTurns
 	announceID     atomic.Pointer[IDAnnouncer]
 	abort          chan struct{}  // closed when the requests in flight must be aborted
 	running        sync.WaitGroup // counts accept loops and connections
@@ -121,7 +120,6 @@
 		admission:      admission.New(admissionConfig(&l)),
 		timers:         timingwheel.New(timerGranularity, 0, timerSlots),
 	}
-	s.readTurns.init(l.Cores)
 	s.withoutRequest.init()
 	s.idle.init()
 	s.rejected.init()
